--- a/Makefile
+++ b/Makefile
@@ -9,20 +9,20 @@
 PACKAGES = libzmq libmicrohttpd libcurl glib-2.0 jansson libsodium \
            libxxhash msgpack
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lm
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lhttp_parser -lm
 
 INCLUDES = -Ilib/common -Ilib/operator -Ilib/platform -Ilib/peer \
-           -Ilib/target -Ilib/caller
+           -Ilib/target -Ilib/caller -Ilib/http -Ilib/mesh -Iplatform
 # libev's headers break strict aliasing rules by design.
 WARN = -Wall -Wextra -Werror -Wno-strict-aliasing
 CFLAGS ?= -O2 -g
 CXXFLAGS ?= -O2 -g
-ALL_CFLAGS = -std=gnu11 $(WARN) $(CFLAGS) $(SAN) $(INCLUDES) $(PKG_CFLAGS) \
+ALL_CFLAGS = -std=gnu11 -D_GNU_SOURCE $(WARN) $(CFLAGS) $(SAN) $(INCLUDES) $(PKG_CFLAGS) \
              -MMD -MP
 ALL_CXXFLAGS = -std=c++17 $(WARN) $(CXXFLAGS) $(SAN) $(INCLUDES) \
                $(PKG_CFLAGS) -MMD -MP
 
-LIB_C := $(wildcard lib/*/*.c)
+LIB_C := $(wildcard lib/*/*.c platform/*.c)
 LIB_CC := $(wildcard lib/*/*.cc)
 LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CC:%.cc=$(BUILD)/%.o)
 LIB := $(BUILD)/libburdockbarrow.a
@@ -31,6 +31,17 @@
 PROGRAMS := $(patsubst programs/%/,%,$(wildcard programs/*/))
 BINARIES := $(PROGRAMS:%=$(BUILD)/%)
 
+# The sidecar needs few packages and starts on machines that have no others,
+# so it is linked from its own parts instead of the whole library.
+SIDECAR_COMMON := bb_counters bb_error bb_event bb_findings bb_random \
+                  bb_reason bb_sidecar_settings
+SIDECAR_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/bbsidecar/*.c \
+                  platform/*.c lib/mesh/*.c lib/http/*.c)) \
+               $(SIDECAR_COMMON:%=$(BUILD)/lib/common/%.o) \
+               $(BUILD)/lib/common/bb_toml.o
+SIDECAR_LIBS = $(shell pkg-config --libs glib-2.0 jansson 2>/dev/null) \
+               -lev -lhttp_parser -lm
+
 # Unit tests: every tests/unit/*_test.cc goes into one GoogleTest binary.
 UNIT_CC := $(wildcard tests/unit/*.cc)
 UNIT_OBJ := $(UNIT_CC:%.cc=$(BUILD)/%.o)
@@ -53,7 +64,11 @@
 	@echo "  LINK $$@"
 	@$(CXX) $(SAN) -o $$@ $$^ $(PKG_LIBS)
 endef
-$(foreach p,$(PROGRAMS),$(eval $(call PROGRAM_RULE,$(p))))
+$(foreach p,$(filter-out bbsidecar,$(PROGRAMS)),$(eval $(call PROGRAM_RULE,$(p))))
+
+$(BUILD)/bbsidecar: $(SIDECAR_OBJ)
+	@echo "  LINK $@"
+	@$(CXX) $(SAN) -o $@ $^ $(SIDECAR_LIBS)
 
 $(BUILD)/unit_tests: $(UNIT_OBJ) $(LIB)
 	@echo "  LINK $@"
--- /dev/null
+++ b/lib/common/bb_sidecar_settings.h
@@ -0,0 +1,56 @@
+/*
+ * bb_sidecar_settings - settings of one sidecar, read from TOML
+ *
+ * USE
+ *   error = BbSidecarSettings_Load(path, &findings, &settings);
+ *   BbSidecarSettings_Free(&settings);
+ *
+ * ERRORS
+ *   BB_ERR_INVALID with all findings: a missing key, a wrong type, a value
+ *   out of range, an unknown key. Keys of later releases are findings too, so
+ *   that a misspelt key does not pass for a default.
+ */
+#ifndef BB_SIDECAR_SETTINGS_H
+#define BB_SIDECAR_SETTINGS_H
+
+#include <stdio.h>
+
+#include "bb_findings.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct {
+    /* [node] */
+    char *name;
+    char *data_centre;
+    char *service;
+    char *target_address;
+    /* [listen] */
+    char *caller_address;
+    char *forward_address;
+    char *admin_address;
+    char *announce_address;
+    char *metrics_address;
+    /* [platform] */
+    char *platform_address;
+    /* [limits] */
+    double shutdown_s;    /* from SIGTERM to the forced end */
+    double repeat_ratio;  /* repeats per call, over the fleet */
+    double repeat_extra;  /* repeats in a window besides, over the fleet */
+    double spill_share;   /* see bb_placement.h */
+} bb_sidecar_settings_t;
+
+int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
+                           bb_sidecar_settings_t *out);
+void BbSidecarSettings_Free(bb_sidecar_settings_t *settings);
+
+/* Prints the table of settings in Markdown. */
+void BbSidecarSettings_PrintReference(FILE *out);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/http/bb_h1_client.h
@@ -0,0 +1,101 @@
+/*
+ * bb_h1_client - HTTP/1.1 requests over kept connections, never sent twice
+ *
+ * libcurl repeats a request by itself when a kept connection closes before
+ * the first byte of the response, and hides bytes that no request asked for.
+ * Here a request is sent once, the owner learns whether a byte of it left the
+ * process, and a connection with unexpected bytes is closed.
+ *
+ * USE
+ *   exchange = BbH1_Start(client, &options);
+ *   BbH1_Send() and BbH1_SendEnd() give the body.
+ *   Exactly one of on_end and on_fail is called, unless BbH1_Cancel() comes
+ *   first; the exchange must not be used after any of them.
+ *
+ * ERRORS
+ *   on_fail tells BB_ERR_UNAVAILABLE (no connection), BB_ERR_IO (the
+ *   connection broke), BB_ERR_PARSE (not an HTTP response).
+ *
+ * LIMITS
+ *   One request at a time on a connection. Deadlines are the owner's; only
+ *   the connect has a timeout.
+ */
+#ifndef BB_H1_CLIENT_H
+#define BB_H1_CLIENT_H
+
+#include <ev.h>
+
+#include "bb_h1_message.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct bb_h1_client bb_h1_client_t;
+typedef struct bb_h1_exchange bb_h1_exchange_t;
+
+typedef struct {
+    /* Whether a response belongs to this request. A response that does not
+     * is read to its end and dropped. May be NULL. */
+    bool (*is_own)(const bb_h1_fields_t *fields, void *arg);
+    void (*on_head)(int status, const bb_h1_fields_t *fields, void *arg);
+    void (*on_data)(const char *data, size_t size, void *arg);
+    void (*on_end)(void *arg);
+    /* is_sent: at least one byte of the request was written. */
+    void (*on_fail)(int error, bool is_sent, void *arg);
+    /* All body bytes given so far have been written. May be NULL. */
+    void (*on_drained)(void *arg);
+} bb_h1_exchange_handler_t;
+
+typedef struct {
+    const char *address; /* "IP:PORT" */
+    const char *method;
+    const char *target;
+    const bb_h1_fields_t *fields; /* without framing; copied */
+    int64_t content_length;       /* BB_H1_NO_BODY, BB_H1_CHUNKED, length */
+    double max_idle_s; /* a kept connection idle for longer is not used */
+    const bb_h1_exchange_handler_t *handler;
+    void *arg;
+} bb_h1_exchange_options_t;
+
+typedef struct {
+    struct ev_loop *loop;
+    double connect_s; /* 0 takes 1 s */
+    int max_idle;     /* kept connections per address; 0 takes 64 */
+    double keep_s;    /* idle connections are closed; 0 takes 10 s */
+} bb_h1_client_options_t;
+
+bb_h1_client_t *BbH1Client_New(const bb_h1_client_options_t *options);
+
+/* Open exchanges are dropped without a callback. */
+void BbH1Client_Free(bb_h1_client_t *client);
+
+/* Connections opened so far. */
+int64_t BbH1Client_ConnectCount(const bb_h1_client_t *client);
+
+/* Closes the idle connections to an address. */
+void BbH1Client_CloseIdle(bb_h1_client_t *client, const char *address);
+
+/* on_fail may be called before the return only through the event loop. */
+bb_h1_exchange_t *BbH1_Start(bb_h1_client_t *client,
+                             const bb_h1_exchange_options_t *options);
+void BbH1_Send(bb_h1_exchange_t *exchange, const void *data, size_t size);
+void BbH1_SendEnd(bb_h1_exchange_t *exchange);
+
+/* Bytes given and not yet written. */
+size_t BbH1_Unsent(const bb_h1_exchange_t *exchange);
+
+/* True when at least one byte of the request was written. */
+bool BbH1_IsSent(const bb_h1_exchange_t *exchange);
+
+/* Whether the request goes over a connection that served another before. */
+bool BbH1_IsReused(const bb_h1_exchange_t *exchange);
+
+/* Closes the connection; no callback follows. */
+void BbH1_Cancel(bb_h1_exchange_t *exchange);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/http/bb_h1_server.h
@@ -0,0 +1,122 @@
+/*
+ * bb_h1_server - HTTP/1.1 server whose pipelined requests run side by side
+ *
+ * libmicrohttpd serves the requests of one connection one after the other;
+ * callers that pipeline wait for the sum of all response times there. Here
+ * each request is reported as soon as its head is read, and responses go out
+ * in the order of the requests.
+ *
+ * USE
+ *   A handler gets on_head, then on_body for each piece of the body, then
+ *   on_end. It answers with BbH1_Respond(), or with BbH1_RespondStart(),
+ *   BbH1_RespondData() and BbH1_RespondEnd(), at any time after on_head. The
+ *   request must not be used after BbH1_Respond(), BbH1_RespondEnd(),
+ *   BbH1_Abort() or on_gone.
+ *
+ *   An answer may be given before the body is read; the rest of the body is
+ *   then read and dropped, so that the connection stays usable.
+ *
+ * ERRORS
+ *   Malformed requests are answered 400, heads over the limit 431, and their
+ *   connection is closed; the handler never sees them.
+ *
+ * LIMITS
+ *   BB_H1_MAX_PIPELINE requests of a connection are open at once. When
+ *   BbH1_PauseBody() is in force no further bytes are read.
+ */
+#ifndef BB_H1_SERVER_H
+#define BB_H1_SERVER_H
+
+#include <ev.h>
+
+#include "bb_h1_message.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BB_H1_MAX_PIPELINE 64
+
+typedef struct bb_h1_server bb_h1_server_t;
+typedef struct bb_h1_connection bb_h1_connection_t;
+
+typedef struct bb_h1_request {
+    const char *method;
+    GString *target;       /* as it was sent, query included */
+    bb_h1_fields_t fields; /* as they were sent */
+    int64_t content_length; /* BB_H1_NO_BODY, BB_H1_CHUNKED or the length */
+    bool is_read;           /* the whole request has been read */
+    void *user;             /* the handler's */
+    /* private */
+    bb_h1_connection_t *connection;
+    GByteArray *out;
+    bool is_head, is_started, is_chunked, is_answered, is_aborted;
+    bool is_reported;
+    struct bb_h1_request *prev, *next;
+} bb_h1_request_t;
+
+typedef struct {
+    void (*on_head)(bb_h1_request_t *request, void *arg);
+    void (*on_body)(bb_h1_request_t *request, const char *data, size_t size,
+                    void *arg); /* may be NULL */
+    void (*on_end)(bb_h1_request_t *request, void *arg); /* may be NULL */
+    /* The client left before the answer was complete. */
+    void (*on_gone)(bb_h1_request_t *request, void *arg); /* may be NULL */
+} bb_h1_handler_t;
+
+typedef struct {
+    struct ev_loop *loop;
+    const char *address; /* "IP:PORT" */
+    const bb_h1_handler_t *handler;
+    void *arg;
+    size_t max_head_bytes; /* 0 takes 64 KiB */
+    double idle_s;         /* idle connections are closed; 0 takes 60 */
+    double head_s;         /* a head must be complete in; 0 takes 60 */
+} bb_h1_server_options_t;
+
+/* Returns 0, BB_ERR_ADDRESS_IN_USE, BB_ERR_ARGUMENT or BB_ERR_IO. */
+int BbH1Server_New(const bb_h1_server_options_t *options,
+                   bb_h1_server_t **out);
+
+/* Closes all connections; open requests are reported by on_gone. */
+void BbH1Server_Free(bb_h1_server_t *server);
+
+/* Changes the limits of open and future connections. */
+void BbH1Server_SetLimits(bb_h1_server_t *server, size_t max_head_bytes,
+                          double idle_s, double head_s);
+
+/* Each later response asks the client to close its connection. */
+void BbH1Server_SetClosing(bb_h1_server_t *server);
+
+/* Requests that were read at least in part and not answered in full. */
+int BbH1Server_OpenRequests(const bb_h1_server_t *server);
+
+/* Bytes that wait to be written to clients. */
+size_t BbH1Server_UnsentBytes(const bb_h1_server_t *server);
+
+/* Answers in full; fields and body may be NULL. */
+void BbH1_Respond(bb_h1_request_t *request, int status,
+                  const bb_h1_fields_t *fields, const void *body, size_t size);
+
+/* content_length is a length or BB_H1_CHUNKED. */
+void BbH1_RespondStart(bb_h1_request_t *request, int status,
+                       const bb_h1_fields_t *fields, int64_t content_length);
+void BbH1_RespondData(bb_h1_request_t *request, const void *data, size_t size);
+void BbH1_RespondEnd(bb_h1_request_t *request);
+
+/* Closes the connection once the earlier answers have been sent, so that an
+ * answer that was begun cannot look complete. */
+void BbH1_Abort(bb_h1_request_t *request);
+
+/* Stops and restarts reading from the client of this request. */
+void BbH1_PauseBody(bb_h1_request_t *request, bool is_paused);
+
+/* Address of the client, "IP". */
+void BbH1_ClientAddress(const bb_h1_request_t *request, char *out,
+                        size_t size);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/mesh/bb_attempt.c
@@ -0,0 +1,57 @@
+#include "bb_attempt.h"
+
+#include <stdlib.h>
+
+void
+BbBody_Init(bb_body_t *body)
+{
+    body->bytes = g_byte_array_new();
+    body->dropped = 0;
+    body->is_complete = false;
+}
+
+void
+BbBody_Free(bb_body_t *body)
+{
+    g_byte_array_unref(body->bytes);
+}
+
+void
+BbBody_Append(bb_body_t *body, const char *data, size_t size)
+{
+    g_byte_array_append(body->bytes, (const guint8 *)data, (guint)size);
+}
+
+void
+BbBody_Feed(const bb_body_t *body, bb_h1_exchange_t *exchange, size_t *sent)
+{
+    size_t end = body->dropped + body->bytes->len;
+
+    if (*sent < end) {
+        const guint8 *data = body->bytes->data + (*sent - body->dropped);
+        size_t size = end - *sent;
+        *sent = end;
+        BbH1_Send(exchange, data, size);
+    }
+    if (body->is_complete) {
+        BbH1_SendEnd(exchange);
+    }
+}
+
+void
+BbBody_Drop(bb_body_t *body, size_t offset)
+{
+    if (offset > body->dropped) {
+        g_byte_array_remove_range(body->bytes, 0,
+                                  (guint)(offset - body->dropped));
+        body->dropped = offset;
+    }
+}
+
+int64_t
+BbAttempt_ContentLength(const bb_h1_fields_t *fields)
+{
+    const char *text = BbH1Fields_Get(fields, "Content-Length");
+
+    return text != NULL ? strtoll(text, NULL, 10) : BB_H1_CHUNKED;
+}
--- /dev/null
+++ b/lib/mesh/bb_attempt.h
@@ -0,0 +1,112 @@
+/*
+ * bb_attempt - one attempt of a call, at the local target or at another node
+ *
+ * The side that received the call from its caller owns the attempt and its
+ * body. What differs between the two places stands behind bb_attempt_ops_t.
+ *
+ * RULES
+ *   Exactly one of on_refused, on_end and on_lost ends an attempt, unless it
+ *   is cancelled. on_refused means that no target has run the call and none
+ *   will; on_lost means that one may have.
+ */
+#ifndef BB_ATTEMPT_H
+#define BB_ATTEMPT_H
+
+#include "bb_h1_client.h"
+#include "bb_load.h"
+#include "bb_reason.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Header names that the installation speaks with callers and targets. */
+typedef struct {
+    const char *call_id;         /* names one call of a caller */
+    const char *deadline;        /* milliseconds that are left */
+    const char *expected_target; /* id of the target that must run it */
+    const char *caller_service;  /* service of the VM where it began */
+    const char *seal;            /* the target's mark of its own answers */
+    const char *not_run;         /* the target has not run the call */
+} bb_header_names_t;
+
+/* Header names between the nodes. */
+#define BB_HOP_PREFIX "Burdock-"
+#define BB_HOP_SERVICE "Burdock-Service"
+#define BB_HOP_CALLER "Burdock-Caller"
+#define BB_HOP_DEADLINE "Burdock-Deadline-Ms"
+#define BB_HOP_TARGET_LATENCY "Burdock-Target-Ms"
+#define BB_HOP_RANK "Burdock-Rank"
+#define BB_HOP_ONCE "Burdock-Once"
+#define BB_HOP_VERSION "Burdock-Version"
+#define BB_HOP_NODE "Burdock-Node"
+#define BB_HOP_OUTCOME "Burdock-Outcome"
+#define BB_HOP_REASON "Burdock-Reason"
+#define BB_HOP_LOAD "Burdock-Load"
+
+/* Bytes of a body, as far as they have arrived and are still needed. */
+typedef struct {
+    GByteArray *bytes;
+    size_t dropped;   /* bytes that stood before bytes[0] */
+    bool is_complete; /* the last byte has arrived */
+} bb_body_t;
+
+void BbBody_Init(bb_body_t *body);
+void BbBody_Free(bb_body_t *body);
+void BbBody_Append(bb_body_t *body, const char *data, size_t size);
+
+/* Gives the exchange what it has not got yet; *sent counts its bytes. */
+void BbBody_Feed(const bb_body_t *body, bb_h1_exchange_t *exchange,
+                 size_t *sent);
+
+/* Drops the first bytes, up to an offset in the whole body. */
+void BbBody_Drop(bb_body_t *body, size_t offset);
+
+/* Times are seconds by the clock of the loop. Borrowed until the end. */
+typedef struct {
+    const char *call_id; /* empty when the caller gave none */
+    const char *method;
+    const char *target;
+    const bb_h1_fields_t *fields; /* end to end, without the names above */
+    int64_t content_length;
+    const bb_body_t *body;
+    const char *service;
+    const char *caller_service;
+    bool is_idempotent;
+    int rank;
+    double target_at;
+    double deadline_at;
+} bb_attempt_request_t;
+
+typedef struct {
+    /* retry_after_s: when a slot may be free, 0 when not known. */
+    void (*on_refused)(bb_reason_t reason, double retry_after_s, void *arg);
+    void (*on_head)(int status, const bb_h1_fields_t *fields,
+                    int64_t content_length, void *arg);
+    void (*on_data)(const char *data, size_t size, void *arg);
+    void (*on_end)(void *arg);
+    void (*on_lost)(bb_reason_t reason, void *arg);
+    /* The body given so far has been sent. */
+    void (*on_drained)(size_t sent, void *arg);
+} bb_attempt_handler_t;
+
+typedef struct bb_attempt bb_attempt_t;
+
+typedef struct {
+    void (*body_grew)(bb_attempt_t *attempt);
+    void (*cancel)(bb_attempt_t *attempt);
+} bb_attempt_ops_t;
+
+/* First member of both kinds of attempt. */
+struct bb_attempt {
+    const bb_attempt_ops_t *ops;
+};
+
+/* Length of a response body by its head. */
+int64_t BbAttempt_ContentLength(const bb_h1_fields_t *fields);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/mesh/bb_fleet.c
@@ -0,0 +1,306 @@
+#include "bb_fleet.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "bb_error.h"
+
+struct bb_fleet {
+    char *own_node;
+    GHashTable *nodes;    /* name to bb_endpoint_t */
+    GHashTable *services; /* name to GPtrArray of bb_endpoint_t */
+};
+
+/* ---- records ---- */
+
+char *
+BbNodeRecord_Format(const bb_node_record_t *record)
+{
+    json_t *object = json_pack(
+        "{s:s, s:s, s:s, s:s, s:i, s:b, s:I}", "address", record->address,
+        "data_centre", record->data_centre, "service", record->service,
+        "target", record->target_id, "slots", record->slots, "ready",
+        record->is_ready, "started_ms", (json_int_t)record->started_ms);
+    char *text = json_dumps(object, JSON_COMPACT);
+    char *copy = g_strdup(text);
+
+    json_decref(object);
+    free(text);
+    return copy;
+}
+
+int
+BbNodeRecord_Parse(const char *text, size_t size, bb_node_record_t *out)
+{
+    json_t *object = json_loadb(text, size, 0, NULL);
+    const char *address, *data_centre, *service, *target;
+    int slots, is_ready;
+    json_int_t started_ms;
+
+    memset(out, 0, sizeof(*out));
+    int error = json_unpack(object, "{s:s, s:s, s:s, s:s, s:i, s:b, s:I}",
+                            "address", &address, "data_centre", &data_centre,
+                            "service", &service, "target", &target, "slots",
+                            &slots, "ready", &is_ready, "started_ms",
+                            &started_ms);
+    if (object != NULL && error == 0) {
+        out->address = g_strdup(address);
+        out->data_centre = g_strdup(data_centre);
+        out->service = g_strdup(service);
+        out->target_id = g_strdup(target);
+        out->slots = slots;
+        out->is_ready = is_ready;
+        out->started_ms = started_ms;
+    }
+    json_decref(object);
+    return error == 0 ? 0 : BB_ERR_PARSE;
+}
+
+void
+BbNodeRecord_Clear(bb_node_record_t *record)
+{
+    g_free(record->address);
+    g_free(record->data_centre);
+    g_free(record->service);
+    g_free(record->target_id);
+    memset(record, 0, sizeof(*record));
+}
+
+static void
+copy_record(bb_node_record_t *to, const bb_node_record_t *from)
+{
+    *to = *from;
+    to->address = g_strdup(from->address);
+    to->data_centre = g_strdup(from->data_centre);
+    to->service = g_strdup(from->service);
+    to->target_id = g_strdup(from->target_id);
+}
+
+/* ---- endpoints ---- */
+
+bb_endpoint_t *
+BbEndpoint_Ref(bb_endpoint_t *endpoint)
+{
+    endpoint->references++;
+    return endpoint;
+}
+
+void
+BbEndpoint_Unref(bb_endpoint_t *endpoint)
+{
+    if (endpoint == NULL || --endpoint->references > 0) {
+        return;
+    }
+    BbNodeRecord_Clear(&endpoint->record);
+    g_free(endpoint->node);
+    g_free(endpoint);
+}
+
+static void
+unref_endpoint(gpointer endpoint)
+{
+    BbEndpoint_Unref(endpoint);
+}
+
+static void
+unref_list(gpointer list)
+{
+    g_ptr_array_unref(list);
+}
+
+static void
+leave_service(bb_fleet_t *fleet, bb_endpoint_t *endpoint)
+{
+    if (endpoint->record.service == NULL) {
+        return;
+    }
+    GPtrArray *list =
+        g_hash_table_lookup(fleet->services, endpoint->record.service);
+    if (list != NULL) {
+        g_ptr_array_remove_fast(list, endpoint);
+    }
+}
+
+static void
+join_service(bb_fleet_t *fleet, bb_endpoint_t *endpoint)
+{
+    const char *service = endpoint->record.service;
+    GPtrArray *list = g_hash_table_lookup(fleet->services, service);
+
+    if (list == NULL) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(fleet->services, g_strdup(service), list);
+    }
+    g_ptr_array_add(list, endpoint);
+}
+
+/* What was learned of one target says nothing of the next. */
+static void
+forget_load(bb_endpoint_t *endpoint, double now)
+{
+    endpoint->load_at = 0;
+    endpoint->fail_rate = 0;
+    endpoint->suspect_until = 0;
+    endpoint->suspect_s = 0;
+    endpoint->known_since = now;
+}
+
+static void
+set_record(bb_fleet_t *fleet, bb_endpoint_t *endpoint,
+           const bb_node_record_t *record, double now)
+{
+    bool is_new =
+        endpoint->is_removed || endpoint->record.target_id == NULL ||
+        strcmp(endpoint->record.target_id, record->target_id) != 0 ||
+        endpoint->record.started_ms != record->started_ms;
+
+    if (is_new) {
+        forget_load(endpoint, now);
+    }
+    if (!endpoint->is_removed) {
+        leave_service(fleet, endpoint);
+    }
+    BbNodeRecord_Clear(&endpoint->record);
+    copy_record(&endpoint->record, record);
+    endpoint->is_removed = false;
+    join_service(fleet, endpoint);
+}
+
+static bb_endpoint_t *
+add_endpoint(bb_fleet_t *fleet, const char *node)
+{
+    bb_endpoint_t *endpoint = g_new0(bb_endpoint_t, 1);
+
+    endpoint->references = 1;
+    endpoint->node = g_strdup(node);
+    endpoint->is_removed = true;
+    endpoint->is_local = strcmp(node, fleet->own_node) == 0;
+    g_hash_table_insert(fleet->nodes, endpoint->node, endpoint);
+    return endpoint;
+}
+
+/* ---- fleet ---- */
+
+bb_fleet_t *
+BbFleet_New(const char *own_node)
+{
+    bb_fleet_t *fleet = g_new0(bb_fleet_t, 1);
+
+    fleet->own_node = g_strdup(own_node);
+    fleet->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         unref_endpoint);
+    fleet->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            unref_list);
+    return fleet;
+}
+
+void
+BbFleet_Free(bb_fleet_t *fleet)
+{
+    if (fleet != NULL) {
+        g_hash_table_destroy(fleet->services);
+        g_hash_table_destroy(fleet->nodes);
+        g_free(fleet->own_node);
+        g_free(fleet);
+    }
+}
+
+bool
+BbFleet_Merge(bb_fleet_t *fleet, const char *node,
+              const bb_node_record_t *record, int64_t revision, double now)
+{
+    bb_endpoint_t *endpoint = g_hash_table_lookup(fleet->nodes, node);
+
+    if (endpoint == NULL) {
+        if (record == NULL) {
+            return false;
+        }
+        endpoint = add_endpoint(fleet, node);
+    }
+    if (revision <= endpoint->revision) {
+        return false;
+    }
+    endpoint->revision = revision;
+    if (endpoint->is_local) {
+        return false; /* the own record is known better here */
+    }
+    if (record != NULL) {
+        set_record(fleet, endpoint, record, now);
+    }
+    else if (!endpoint->is_removed) {
+        leave_service(fleet, endpoint);
+        endpoint->is_removed = true;
+    }
+    return true;
+}
+
+void
+BbFleet_KeepOnly(bb_fleet_t *fleet, GHashTable *nodes, int64_t revision)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_hash_table_iter_init(&iter, fleet->nodes);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        bb_endpoint_t *endpoint = value;
+        if (!endpoint->is_local && !endpoint->is_removed &&
+            endpoint->revision <= revision &&
+            !g_hash_table_contains(nodes, key)) {
+            leave_service(fleet, endpoint);
+            endpoint->is_removed = true;
+            endpoint->revision = revision;
+        }
+    }
+}
+
+void
+BbFleet_SetOwn(bb_fleet_t *fleet, const bb_node_record_t *record, double now)
+{
+    bb_endpoint_t *endpoint =
+        g_hash_table_lookup(fleet->nodes, fleet->own_node);
+
+    if (endpoint == NULL) {
+        endpoint = add_endpoint(fleet, fleet->own_node);
+    }
+    set_record(fleet, endpoint, record, now);
+}
+
+bb_endpoint_t *
+BbFleet_Find(const bb_fleet_t *fleet, const char *node)
+{
+    return g_hash_table_lookup(fleet->nodes, node);
+}
+
+const GPtrArray *
+BbFleet_Service(const bb_fleet_t *fleet, const char *service)
+{
+    return g_hash_table_lookup(fleet->services, service);
+}
+
+void
+BbFleet_ForEach(const bb_fleet_t *fleet,
+                void (*visit)(bb_endpoint_t *endpoint, void *arg), void *arg)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        visit(value, arg);
+    }
+}
+
+size_t
+BbFleet_NodeCount(const bb_fleet_t *fleet)
+{
+    size_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const bb_endpoint_t *endpoint = value;
+        count += !endpoint->is_removed;
+    }
+    return count;
+}
--- /dev/null
+++ b/lib/mesh/bb_follow.c
@@ -0,0 +1,248 @@
+#include "bb_follow.h"
+
+#include "bb_error.h"
+#include "bb_event.h"
+
+/* Longest wait of one feed call. */
+#define FEED_WAIT_S 10.0
+
+#define BACKOFF_MIN_S 0.1
+#define BACKOFF_MAX_S 1.0
+
+struct bb_follow {
+    bb_follow_options_t options;
+    char *table;
+    void *pending; /* call under way */
+    ev_timer retry_timer;
+    double backoff_s;
+    int64_t version;
+    bool has_snapshot;
+    bool is_connected;
+    double lost_at;
+    GHashTable *keys; /* seen by the read under way */
+    char *last_key;
+};
+
+static void read_page(bb_follow_t *follow);
+static void feed(bb_follow_t *follow);
+
+static void
+log_state(const bb_follow_t *follow, const char *state, int error)
+{
+    if (BbEvent_Allows(BB_EVENT_STORE)) {
+        BbEvent_Write(BB_EVENT_STORE,
+                      json_pack("{s:s, s:s, s:s, s:f}", "table",
+                                follow->table, "state", state, "error",
+                                error != 0 ? BbError_Name(error) : "",
+                                "for_s",
+                                follow->lost_at > 0
+                                    ? ev_now(follow->options.loop) -
+                                          follow->lost_at
+                                    : 0.0));
+    }
+}
+
+static void
+set_connected(bb_follow_t *follow, bool is_connected, int error)
+{
+    if (is_connected) {
+        follow->backoff_s = 0;
+    }
+    if (follow->is_connected == is_connected) {
+        return;
+    }
+    follow->is_connected = is_connected;
+    if (!is_connected) {
+        follow->lost_at = ev_now(follow->options.loop);
+    }
+    log_state(follow, is_connected ? "regained" : "lost", error);
+    follow->options.handler->on_health(is_connected, error,
+                                       follow->options.arg);
+}
+
+static void
+retry_later(bb_follow_t *follow, int error)
+{
+    set_connected(follow, false, error);
+    follow->backoff_s = follow->backoff_s > 0
+                            ? MIN(follow->backoff_s * 2, BACKOFF_MAX_S)
+                            : BACKOFF_MIN_S;
+    double delay_s = follow->backoff_s *
+                     (0.5 + BbRandom_Unit(follow->options.random));
+    ev_timer_set(&follow->retry_timer, delay_s, 0.0);
+    ev_timer_start(follow->options.loop, &follow->retry_timer);
+}
+
+static void
+take_rows(bb_follow_t *follow, const bb_table_result_t *result)
+{
+    for (size_t i = 0; i < result->count; i++) {
+        const bb_table_row_t *row = &result->rows[i];
+        if (follow->keys != NULL) {
+            g_hash_table_add(follow->keys, g_strdup(row->key));
+        }
+        follow->options.handler->on_row(row, follow->options.arg);
+    }
+}
+
+/* ---- whole read ---- */
+
+static void
+begin_read(bb_follow_t *follow)
+{
+    if (follow->keys != NULL) {
+        g_hash_table_destroy(follow->keys);
+    }
+    follow->keys =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_clear_pointer(&follow->last_key, g_free);
+    read_page(follow);
+}
+
+static void
+handle_page(const bb_table_result_t *result, void *arg)
+{
+    bb_follow_t *follow = arg;
+    const bb_follow_handler_t *handler = follow->options.handler;
+
+    follow->pending = NULL;
+    if (result->error != 0) {
+        retry_later(follow, result->error);
+        return;
+    }
+    take_rows(follow, result);
+    if (result->has_more && result->count > 0) {
+        g_free(follow->last_key);
+        follow->last_key = g_strdup(result->rows[result->count - 1].key);
+        read_page(follow);
+        return;
+    }
+    /* Later pages may be newer than the first one; the feed tells again what
+     * changed in between. */
+    follow->version = MAX(follow->version, result->version);
+    follow->has_snapshot = true;
+    if (handler->on_snapshot != NULL) {
+        handler->on_snapshot(follow->keys, result->version,
+                             follow->options.arg);
+    }
+    g_clear_pointer(&follow->keys, g_hash_table_destroy);
+    set_connected(follow, true, 0);
+    feed(follow);
+}
+
+static void
+read_page(bb_follow_t *follow)
+{
+    bb_table_store_t *store = follow->options.store;
+    follow->pending = store->ops->read(store, follow->table, follow->last_key,
+                                       handle_page, follow);
+}
+
+/* ---- feed ---- */
+
+static void
+handle_feed(const bb_table_result_t *result, void *arg)
+{
+    bb_follow_t *follow = arg;
+
+    follow->pending = NULL;
+    if (result->error == BB_ERR_STALE) {
+        log_state(follow, "history_lost", result->error);
+        begin_read(follow);
+        return;
+    }
+    if (result->error != 0) {
+        retry_later(follow, result->error);
+        return;
+    }
+    take_rows(follow, result);
+    follow->version = MAX(follow->version, result->version);
+    set_connected(follow, true, 0);
+    feed(follow);
+}
+
+static void
+feed(bb_follow_t *follow)
+{
+    bb_table_store_t *store = follow->options.store;
+    /* The first call after a failure shows at once whether the store works
+     * again. */
+    double wait_s = follow->is_connected ? FEED_WAIT_S : 0.0;
+
+    follow->pending = store->ops->feed(store, follow->table, follow->version,
+                                       wait_s, handle_feed, follow);
+}
+
+static void
+handle_retry(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    bb_follow_t *follow = timer->data;
+
+    if (!follow->has_snapshot || follow->keys != NULL) {
+        begin_read(follow);
+    }
+    else {
+        feed(follow);
+    }
+}
+
+/* ---- life ---- */
+
+bb_follow_t *
+BbFollow_New(const bb_follow_options_t *options)
+{
+    bb_follow_t *follow = g_new0(bb_follow_t, 1);
+
+    follow->options = *options;
+    follow->table = g_strdup(options->table);
+    ev_init(&follow->retry_timer, handle_retry);
+    follow->retry_timer.data = follow;
+    begin_read(follow);
+    return follow;
+}
+
+static void
+stop_pending(bb_follow_t *follow)
+{
+    bb_table_store_t *store = follow->options.store;
+
+    ev_timer_stop(follow->options.loop, &follow->retry_timer);
+    if (follow->pending != NULL) {
+        store->ops->cancel(store, follow->pending);
+        follow->pending = NULL;
+    }
+}
+
+void
+BbFollow_Free(bb_follow_t *follow)
+{
+    if (follow == NULL) {
+        return;
+    }
+    stop_pending(follow);
+    g_clear_pointer(&follow->keys, g_hash_table_destroy);
+    g_free(follow->last_key);
+    g_free(follow->table);
+    g_free(follow);
+}
+
+void
+BbFollow_Refresh(bb_follow_t *follow)
+{
+    stop_pending(follow);
+    begin_read(follow);
+}
+
+int64_t
+BbFollow_Version(const bb_follow_t *follow)
+{
+    return follow->version;
+}
+
+bool
+BbFollow_IsConnected(const bb_follow_t *follow)
+{
+    return follow->is_connected;
+}
--- /dev/null
+++ b/lib/mesh/bb_hop_io.c
@@ -0,0 +1,575 @@
+#include "bb_hop_io.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+
+#include "bb_counters.h"
+#include "bb_error.h"
+
+/* The server keeps idle connections for longer than the client, so that a
+ * call does not cross a close. */
+#define SERVER_IDLE_S 30.0
+#define CLIENT_IDLE_S 12.0
+#define CONNECT_S 0.5
+
+#define QUERY_PREFIX "/burdockbarrow/"
+
+/* A body that waits for a slot is not read beyond this. */
+#define WAITING_BODY_BYTES (1024 * 1024)
+
+struct bb_hop {
+    bb_hop_options_t options;
+    char *node;
+    bb_h1_server_t *server;
+    bb_h1_client_t *client;
+};
+
+/* ---- server side ---- */
+
+typedef struct {
+    bb_hop_t *hop;
+    bb_h1_request_t *request;
+    bb_attempt_request_t asked;
+    bb_h1_fields_t fields;
+    char *service;
+    char *caller_service;
+    char *call_id;
+    bb_body_t body;
+    bb_attempt_t *attempt;
+} hop_call_t;
+
+static void
+free_hop_call(hop_call_t *call)
+{
+    BbH1Fields_Free(&call->fields);
+    BbBody_Free(&call->body);
+    g_free(call->service);
+    g_free(call->caller_service);
+    g_free(call->call_id);
+    g_free(call);
+}
+
+static void
+add_news(const bb_hop_t *hop, bb_h1_fields_t *fields)
+{
+    char text[BB_LOAD_TEXT];
+    bb_load_t load = {.version =
+                          hop->options.own_version(hop->options.arg)};
+
+    BbTargetIo_GetLoad(hop->options.target, &load);
+    BbLoad_Format(&load, text, sizeof(text));
+    BbH1Fields_Add(fields, BB_HOP_LOAD, text);
+}
+
+static void
+answer_outcome(hop_call_t *call, int status, bb_outcome_t outcome,
+               bb_reason_t reason, double retry_after_s)
+{
+    bb_h1_fields_t fields;
+    char seconds[24];
+
+    BbH1Fields_Init(&fields);
+    add_news(call->hop, &fields);
+    BbH1Fields_Add(&fields, BB_HOP_OUTCOME, BbOutcome_Name(outcome));
+    BbH1Fields_Add(&fields, BB_HOP_REASON, BbReason_Name(reason));
+    g_ascii_formatd(seconds, sizeof(seconds), "%.3f", retry_after_s);
+    BbH1Fields_Add(&fields, "Retry-After", seconds);
+    BbH1_Respond(call->request, status, &fields, NULL, 0);
+    BbH1Fields_Free(&fields);
+}
+
+static void
+hop_refused(bb_reason_t reason, double retry_after_s, void *arg)
+{
+    hop_call_t *call = arg;
+
+    answer_outcome(call, 503, BB_OUTCOME_NOT_RUN, reason, retry_after_s);
+    free_hop_call(call);
+}
+
+static void
+hop_head(int status, const bb_h1_fields_t *fields, int64_t content_length,
+         void *arg)
+{
+    hop_call_t *call = arg;
+    bb_h1_fields_t passed;
+
+    BbH1Fields_Init(&passed);
+    BbH1Fields_CopyEndToEnd(&passed, fields);
+    add_news(call->hop, &passed);
+    BbH1_RespondStart(call->request, status, &passed, content_length);
+    BbH1Fields_Free(&passed);
+}
+
+static void
+hop_data(const char *data, size_t size, void *arg)
+{
+    hop_call_t *call = arg;
+    BbH1_RespondData(call->request, data, size);
+}
+
+static void
+hop_end(void *arg)
+{
+    hop_call_t *call = arg;
+    bb_h1_request_t *request = call->request;
+
+    free_hop_call(call);
+    BbH1_RespondEnd(request);
+}
+
+static void
+hop_lost(bb_reason_t reason, void *arg)
+{
+    hop_call_t *call = arg;
+
+    if (call->request->is_started) {
+        BbH1_Abort(call->request);
+    }
+    else {
+        answer_outcome(call, 502, BB_OUTCOME_UNKNOWN, reason, 0);
+    }
+    free_hop_call(call);
+}
+
+static void
+hop_drained(size_t sent, void *arg)
+{
+    hop_call_t *call = arg;
+
+    BbBody_Drop(&call->body, sent);
+    BbH1_PauseBody(call->request, false);
+}
+
+static const bb_attempt_handler_t hop_handler = {
+    .on_refused = hop_refused,
+    .on_head = hop_head,
+    .on_data = hop_data,
+    .on_end = hop_end,
+    .on_lost = hop_lost,
+    .on_drained = hop_drained,
+};
+
+static int
+number_of(const bb_h1_fields_t *fields, const char *name)
+{
+    const char *text = BbH1Fields_Get(fields, name);
+    return text != NULL ? (int)strtol(text, NULL, 10) : 0;
+}
+
+static void
+split_fields(hop_call_t *call, const bb_h1_fields_t *fields)
+{
+    size_t cursor = 0;
+    const char *name, *value;
+
+    while (BbH1Fields_Next(fields, &cursor, &name, &value)) {
+        if (!BbH1_IsHopField(name) &&
+            strncasecmp(name, BB_HOP_PREFIX, strlen(BB_HOP_PREFIX)) != 0) {
+            BbH1Fields_Add(&call->fields, name, value);
+        }
+    }
+}
+
+static hop_call_t *
+new_hop_call(bb_hop_t *hop, bb_h1_request_t *request)
+{
+    hop_call_t *call = g_new0(hop_call_t, 1);
+    const bb_h1_fields_t *fields = &request->fields;
+    const char *id = BbH1Fields_Get(fields, hop->options.names->call_id);
+    double now = ev_now(hop->options.loop);
+
+    call->hop = hop;
+    call->request = request;
+    BbH1Fields_Init(&call->fields);
+    BbBody_Init(&call->body);
+    split_fields(call, fields);
+    call->service = g_strdup(BbH1Fields_Get(fields, BB_HOP_SERVICE));
+    call->caller_service = g_strdup(BbH1Fields_Get(fields, BB_HOP_CALLER));
+    call->call_id = g_strdup(id != NULL ? id : "");
+    call->asked = (bb_attempt_request_t){
+        .call_id = call->call_id,
+        .method = request->method,
+        .target = request->target->str,
+        .fields = &call->fields,
+        .content_length = request->content_length,
+        .body = &call->body,
+        .service = call->service,
+        .caller_service = call->caller_service,
+        .is_idempotent = number_of(fields, BB_HOP_ONCE) == 0,
+        .rank = number_of(fields, BB_HOP_RANK),
+        .target_at = now + number_of(fields, BB_HOP_TARGET_LATENCY) / 1000.0,
+        .deadline_at = now + number_of(fields, BB_HOP_DEADLINE) / 1000.0,
+    };
+    return call;
+}
+
+static void
+take_version(bb_hop_t *hop, bb_h1_request_t *request)
+{
+    const char *text = BbH1Fields_Get(&request->fields, BB_HOP_VERSION);
+    const char *address = BbH1Fields_Get(&request->fields, BB_HOP_NODE);
+
+    if (text != NULL && address != NULL) {
+        hop->options.on_version(strtoll(text, NULL, 10), address,
+                                hop->options.arg);
+    }
+}
+
+static void
+server_head(bb_h1_request_t *request, void *arg)
+{
+    bb_hop_t *hop = arg;
+
+    request->user = NULL;
+    take_version(hop, request);
+    if (strncmp(request->target->str, QUERY_PREFIX, strlen(QUERY_PREFIX)) ==
+            0 &&
+        BbH1Fields_Get(&request->fields, BB_HOP_SERVICE) == NULL) {
+        hop->options.on_query(request, hop->options.arg);
+        return;
+    }
+    hop_call_t *call = new_hop_call(hop, request);
+    if (call->service == NULL || call->caller_service == NULL) {
+        answer_outcome(call, 400, BB_OUTCOME_NOT_RUN, BB_REASON_BAD_HOP, 0);
+        free_hop_call(call);
+        return;
+    }
+    call->body.is_complete = request->content_length == BB_H1_NO_BODY ||
+                             request->content_length == 0;
+    BbCounters_Add(BB_COUNTER_HOPS, 1);
+    double retry_after_s = 0;
+    request->user = call;
+    bb_reason_t reason =
+        BbTargetIo_Offer(hop->options.target, &call->asked, &hop_handler,
+                         call, &retry_after_s, &call->attempt);
+    if (reason != BB_REASON_NONE) {
+        request->user = NULL;
+        hop_refused(reason, retry_after_s, call);
+    }
+}
+
+static void
+server_body(bb_h1_request_t *request, const char *data, size_t size, void *arg)
+{
+    (void)arg;
+    hop_call_t *call = request->user;
+
+    if (call == NULL) {
+        return;
+    }
+    BbBody_Append(&call->body, data, size);
+    if (call->body.bytes->len > WAITING_BODY_BYTES) {
+        BbH1_PauseBody(request, true);
+    }
+    call->attempt->ops->body_grew(call->attempt);
+}
+
+static void
+server_end(bb_h1_request_t *request, void *arg)
+{
+    (void)arg;
+    hop_call_t *call = request->user;
+
+    if (call != NULL) {
+        call->body.is_complete = true;
+        call->attempt->ops->body_grew(call->attempt);
+    }
+}
+
+static void
+server_gone(bb_h1_request_t *request, void *arg)
+{
+    (void)arg;
+    hop_call_t *call = request->user;
+
+    if (call != NULL) {
+        bb_attempt_t *attempt = call->attempt;
+        attempt->ops->cancel(attempt);
+        free_hop_call(call);
+    }
+}
+
+static const bb_h1_handler_t server_handler = {
+    .on_head = server_head,
+    .on_body = server_body,
+    .on_end = server_end,
+    .on_gone = server_gone,
+};
+
+/* ---- client side ---- */
+
+typedef struct {
+    bb_attempt_t base; /* first */
+    bb_hop_t *hop;
+    char *address;
+    bb_attempt_request_t request;
+    const bb_attempt_handler_t *handler;
+    void *arg;
+    bb_hop_news_t *news;
+    bb_h1_exchange_t *exchange;
+    size_t sent;
+    bool is_outcome; /* the node there answers, not its target */
+    bb_outcome_t outcome;
+    bb_reason_t reason;
+    double retry_after_s;
+} hop_attempt_t;
+
+static void
+free_attempt(hop_attempt_t *attempt)
+{
+    g_free(attempt->address);
+    g_free(attempt);
+}
+
+static void
+take_news(hop_attempt_t *attempt, const bb_h1_fields_t *fields)
+{
+    const bb_hop_options_t *options = &attempt->hop->options;
+    bb_hop_news_t *news = attempt->news;
+
+    if (BbLoad_Parse(BbH1Fields_Get(fields, BB_HOP_LOAD), &news->load) != 0) {
+        return;
+    }
+    news->is_loaded = true;
+    options->on_version(news->load.version, attempt->address, options->arg);
+}
+
+static void
+client_head(int status, const bb_h1_fields_t *fields, void *arg)
+{
+    hop_attempt_t *attempt = arg;
+    const char *outcome = BbH1Fields_Get(fields, BB_HOP_OUTCOME);
+    const char *retry_after = BbH1Fields_Get(fields, "Retry-After");
+
+    take_news(attempt, fields);
+    if (outcome != NULL) {
+        attempt->is_outcome = true;
+        attempt->outcome = BbOutcome_Parse(outcome);
+        attempt->reason =
+            BbReason_Parse(BbH1Fields_Get(fields, BB_HOP_REASON));
+        attempt->retry_after_s =
+            retry_after != NULL ? g_ascii_strtod(retry_after, NULL) : 0;
+        return;
+    }
+    bb_h1_fields_t passed;
+    size_t cursor = 0;
+    const char *name, *value;
+    BbH1Fields_Init(&passed);
+    while (BbH1Fields_Next(fields, &cursor, &name, &value)) {
+        if (!BbH1_IsHopField(name) &&
+            strncasecmp(name, BB_HOP_PREFIX, strlen(BB_HOP_PREFIX)) != 0) {
+            BbH1Fields_Add(&passed, name, value);
+        }
+    }
+    attempt->handler->on_head(status, &passed,
+                              BbAttempt_ContentLength(fields), attempt->arg);
+    BbH1Fields_Free(&passed);
+}
+
+static void
+client_data(const char *data, size_t size, void *arg)
+{
+    hop_attempt_t *attempt = arg;
+
+    if (!attempt->is_outcome) {
+        attempt->handler->on_data(data, size, attempt->arg);
+    }
+}
+
+static void
+client_end(void *arg)
+{
+    hop_attempt_t *attempt = arg;
+    hop_attempt_t ended = *attempt;
+
+    free_attempt(attempt);
+    if (!ended.is_outcome) {
+        ended.handler->on_end(ended.arg);
+    }
+    else if (ended.outcome == BB_OUTCOME_NOT_RUN) {
+        ended.handler->on_refused(ended.reason, ended.retry_after_s,
+                                  ended.arg);
+    }
+    else {
+        ended.handler->on_lost(ended.reason, ended.arg);
+    }
+}
+
+static void
+client_fail(int error, bool is_sent, void *arg)
+{
+    hop_attempt_t *attempt = arg;
+    hop_attempt_t ended = *attempt;
+    (void)error;
+
+    free_attempt(attempt);
+    if (!is_sent) {
+        ended.handler->on_refused(BB_REASON_CONNECT_FAILED, 0, ended.arg);
+    }
+    else {
+        ended.handler->on_lost(BB_REASON_RESPONSE_LOST, ended.arg);
+    }
+}
+
+static void
+client_drained(void *arg)
+{
+    hop_attempt_t *attempt = arg;
+    attempt->handler->on_drained(attempt->sent, attempt->arg);
+}
+
+static const bb_h1_exchange_handler_t client_handler = {
+    .on_head = client_head,
+    .on_data = client_data,
+    .on_end = client_end,
+    .on_fail = client_fail,
+    .on_drained = client_drained,
+};
+
+static void
+client_body_grew(bb_attempt_t *base)
+{
+    hop_attempt_t *attempt = (hop_attempt_t *)base;
+    BbBody_Feed(attempt->request.body, attempt->exchange, &attempt->sent);
+}
+
+static void
+client_cancel(bb_attempt_t *base)
+{
+    hop_attempt_t *attempt = (hop_attempt_t *)base;
+
+    BbH1_Cancel(attempt->exchange);
+    free_attempt(attempt);
+}
+
+static const bb_attempt_ops_t client_ops = {
+    .body_grew = client_body_grew,
+    .cancel = client_cancel,
+};
+
+static void
+add_number(bb_h1_fields_t *fields, const char *name, int64_t number)
+{
+    char text[24];
+
+    g_snprintf(text, sizeof(text), "%" PRId64, number);
+    BbH1Fields_Add(fields, name, text);
+}
+
+static void
+add_hop_fields(const bb_hop_t *hop, const bb_attempt_request_t *request,
+               bb_h1_fields_t *fields)
+{
+    double now = ev_now(hop->options.loop);
+
+    BbH1Fields_Add(fields, BB_HOP_SERVICE, request->service);
+    BbH1Fields_Add(fields, BB_HOP_CALLER, request->caller_service);
+    add_number(fields, BB_HOP_DEADLINE,
+               (int64_t)((request->deadline_at - now) * 1000));
+    add_number(fields, BB_HOP_TARGET_LATENCY,
+               (int64_t)((request->target_at - now) * 1000));
+    if (request->rank != 0) {
+        add_number(fields, BB_HOP_RANK, request->rank);
+    }
+    if (!request->is_idempotent) {
+        BbH1Fields_Add(fields, BB_HOP_ONCE, "1");
+    }
+    add_number(fields, BB_HOP_VERSION,
+               hop->options.own_version(hop->options.arg));
+    BbH1Fields_Add(fields, BB_HOP_NODE, hop->options.address);
+}
+
+bb_attempt_t *
+BbHop_Start(bb_hop_t *hop, const char *address,
+            const bb_attempt_request_t *request,
+            const bb_attempt_handler_t *handler, void *arg,
+            bb_hop_news_t *news)
+{
+    hop_attempt_t *attempt = g_new0(hop_attempt_t, 1);
+    bb_h1_fields_t fields;
+
+    attempt->base.ops = &client_ops;
+    attempt->hop = hop;
+    attempt->address = g_strdup(address);
+    attempt->request = *request;
+    attempt->handler = handler;
+    attempt->arg = arg;
+    attempt->news = news;
+    BbH1Fields_Init(&fields);
+    BbH1Fields_CopyEndToEnd(&fields, request->fields);
+    add_hop_fields(hop, request, &fields);
+    bb_h1_exchange_options_t options = {
+        .address = address,
+        .method = request->method,
+        .target = request->target,
+        .fields = &fields,
+        .content_length = request->content_length,
+        .max_idle_s = CLIENT_IDLE_S,
+        .handler = &client_handler,
+        .arg = attempt,
+    };
+    attempt->exchange = BbH1_Start(hop->client, &options);
+    BbH1Fields_Free(&fields);
+    BbBody_Feed(request->body, attempt->exchange, &attempt->sent);
+    return &attempt->base;
+}
+
+/* ---- life ---- */
+
+int
+BbHop_New(const bb_hop_options_t *options, bb_hop_t **out)
+{
+    bb_hop_t *hop = g_new0(bb_hop_t, 1);
+    bb_h1_client_options_t client_options = {
+        .loop = options->loop,
+        .connect_s = CONNECT_S,
+        .keep_s = CLIENT_IDLE_S,
+    };
+
+    hop->options = *options;
+    hop->node = g_strdup(options->node);
+    bb_h1_server_options_t server_options = {
+        .loop = options->loop,
+        .address = options->address,
+        .handler = &server_handler,
+        .arg = hop,
+        .idle_s = SERVER_IDLE_S,
+        .head_s = SERVER_IDLE_S,
+    };
+    int error = BbH1Server_New(&server_options, &hop->server);
+    if (error != 0) {
+        g_free(hop->node);
+        g_free(hop);
+        return error;
+    }
+    hop->client = BbH1Client_New(&client_options);
+    *out = hop;
+    return 0;
+}
+
+void
+BbHop_Free(bb_hop_t *hop)
+{
+    if (hop != NULL) {
+        BbH1Server_Free(hop->server);
+        BbH1Client_Free(hop->client);
+        g_free(hop->node);
+        g_free(hop);
+    }
+}
+
+int
+BbHop_OpenRequests(const bb_hop_t *hop)
+{
+    return BbH1Server_OpenRequests(hop->server);
+}
+
+bb_h1_client_t *
+BbHop_Client(bb_hop_t *hop)
+{
+    return hop->client;
+}
--- /dev/null
+++ b/lib/mesh/bb_hop_io.h
@@ -0,0 +1,60 @@
+/*
+ * bb_hop_io - calls forwarded between nodes
+ *
+ * The server side takes calls of other nodes for the target beside this one.
+ * The client side is an attempt at another node. Every answer carries the
+ * load of the target and the configuration version in force there.
+ */
+#ifndef BB_HOP_IO_H
+#define BB_HOP_IO_H
+
+#include "bb_h1_server.h"
+#include "bb_target_io.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct bb_hop bb_hop_t;
+
+typedef struct {
+    struct ev_loop *loop;
+    const char *address; /* for forwarded calls */
+    const char *node;    /* own name */
+    bb_target_io_t *target;
+    const bb_header_names_t *names;
+    /* Version of the configuration in force here, 0 for none. */
+    int64_t (*own_version)(void *arg);
+    /* Another node has told its version. */
+    void (*on_version)(int64_t version, const char *address, void *arg);
+    /* GET of a path that starts with "/burdockbarrow/": answers it. */
+    void (*on_query)(bb_h1_request_t *request, void *arg);
+    void *arg;
+} bb_hop_options_t;
+
+/* Returns 0 or an error of BbH1Server_New(). */
+int BbHop_New(const bb_hop_options_t *options, bb_hop_t **out);
+void BbHop_Free(bb_hop_t *hop);
+
+/* Attempt at another node. load is filled before the end of the attempt when
+ * the node there told it; *is_loaded says so. */
+typedef struct {
+    bb_load_t load;
+    bool is_loaded;
+} bb_hop_news_t;
+
+bb_attempt_t *BbHop_Start(bb_hop_t *hop, const char *address,
+                          const bb_attempt_request_t *request,
+                          const bb_attempt_handler_t *handler, void *arg,
+                          bb_hop_news_t *news);
+
+int BbHop_OpenRequests(const bb_hop_t *hop);
+
+/* Client for other requests to nodes. */
+bb_h1_client_t *BbHop_Client(bb_hop_t *hop);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/mesh/bb_local_target.c
@@ -0,0 +1,147 @@
+#include "bb_local_target.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Incarnations that left and are remembered; targets of one VM are few. */
+#define MAX_DEPARTED 256
+
+struct bb_local_target {
+    char *address;
+    char *service;
+    char id[BB_TARGET_ID_TEXT + 1];
+    int64_t born_ms;
+    int64_t sequence;
+    int slots;
+    bb_local_state_t state;
+    GHashTable *departed; /* id to the birth of what left, as gint64 */
+};
+
+bb_local_target_t *
+BbLocalTarget_New(const bb_local_target_options_t *options)
+{
+    bb_local_target_t *target = g_new0(bb_local_target_t, 1);
+
+    target->address = g_strdup(options->address);
+    target->service = g_strdup(options->service);
+    target->departed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return target;
+}
+
+void
+BbLocalTarget_Free(bb_local_target_t *target)
+{
+    if (target != NULL) {
+        g_hash_table_destroy(target->departed);
+        g_free(target->address);
+        g_free(target->service);
+        g_free(target);
+    }
+}
+
+static bool
+has_left(const bb_local_target_t *target, const bb_heartbeat_t *heartbeat)
+{
+    const gint64 *born_ms =
+        g_hash_table_lookup(target->departed, heartbeat->id);
+
+    return born_ms != NULL && heartbeat->born_ms <= *born_ms;
+}
+
+static bool
+is_stale(const bb_local_target_t *target, const bb_heartbeat_t *heartbeat)
+{
+    if (has_left(target, heartbeat)) {
+        return true;
+    }
+    if (target->id[0] == '\0') {
+        return false;
+    }
+    if (heartbeat->born_ms != target->born_ms) {
+        return heartbeat->born_ms < target->born_ms;
+    }
+    return strcmp(heartbeat->id, target->id) == 0 &&
+           heartbeat->sequence <= target->sequence;
+}
+
+bb_heartbeat_result_t
+BbLocalTarget_Heartbeat(bb_local_target_t *target,
+                        const bb_heartbeat_t *heartbeat)
+{
+    if (strcmp(heartbeat->address, target->address) != 0 ||
+        strcmp(heartbeat->service, target->service) != 0) {
+        return BB_HEARTBEAT_FOREIGN;
+    }
+    if (is_stale(target, heartbeat)) {
+        return BB_HEARTBEAT_STALE;
+    }
+    bool is_same = strcmp(heartbeat->id, target->id) == 0 &&
+                   heartbeat->born_ms == target->born_ms;
+    /* A target does not come back from draining within one incarnation. */
+    bool is_draining = heartbeat->is_draining ||
+                       (is_same && target->state == BB_LOCAL_DRAINING);
+    bb_local_state_t state =
+        is_draining ? BB_LOCAL_DRAINING : BB_LOCAL_READY;
+    bool is_changed = !is_same || state != target->state ||
+                      heartbeat->slots != target->slots;
+
+    g_strlcpy(target->id, heartbeat->id, sizeof(target->id));
+    target->born_ms = heartbeat->born_ms;
+    target->sequence = heartbeat->sequence;
+    target->slots = heartbeat->slots;
+    target->state = state;
+    return is_changed ? BB_HEARTBEAT_CHANGED : BB_HEARTBEAT_UNCHANGED;
+}
+
+bool
+BbLocalTarget_Leave(bb_local_target_t *target, const char *id)
+{
+    bool is_current = strcmp(id, target->id) == 0;
+    gint64 *born_ms = g_new(gint64, 1);
+
+    /* An unknown incarnation cannot have been born later than now. */
+    *born_ms = is_current ? target->born_ms : g_get_real_time() / 1000;
+    if (g_hash_table_size(target->departed) >= MAX_DEPARTED) {
+        g_hash_table_remove_all(target->departed);
+    }
+    g_hash_table_replace(target->departed, g_strdup(id), born_ms);
+    if (is_current) {
+        target->state = BB_LOCAL_GONE;
+    }
+    return is_current;
+}
+
+void
+BbLocalTarget_Mismatch(bb_local_target_t *target)
+{
+    if (target->state == BB_LOCAL_READY) {
+        target->state = BB_LOCAL_UNKNOWN;
+    }
+}
+
+bb_local_state_t
+BbLocalTarget_State(const bb_local_target_t *target)
+{
+    return target->state;
+}
+
+const char *
+BbLocalTarget_Id(const bb_local_target_t *target)
+{
+    return target->id;
+}
+
+int
+BbLocalTarget_Slots(const bb_local_target_t *target)
+{
+    return target->slots;
+}
+
+const char *
+BbLocalState_Name(bb_local_state_t state)
+{
+    static const char *const names[] = {"unknown", "ready", "draining",
+                                        "gone"};
+    return names[state];
+}
--- /dev/null
+++ b/lib/mesh/bb_mesh_config.c
@@ -0,0 +1,244 @@
+#include "bb_mesh_config.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+
+#include "bb_error.h"
+
+#define MAX_KEY 2304 /* host and path that a look-up considers */
+
+struct bb_mesh_config {
+    int references;
+    int64_t version;
+    bb_mesh_limits_t limits;
+    GHashTable *services; /* name to connections */
+    GHashTable *routes;   /* "host prefix" to bb_mesh_route_t */
+    GPtrArray *in_order;  /* bb_mesh_route_t */
+};
+
+static void
+free_route(gpointer data)
+{
+    bb_mesh_route_t *route = data;
+
+    for (size_t i = 0; i < route->part_count; i++) {
+        g_free(route->parts[i].service);
+    }
+    g_free(route->parts);
+    g_free(route->name);
+    g_free(route->host);
+    g_free(route->prefix);
+    g_free(route);
+}
+
+bb_mesh_config_t *
+BbMeshConfig_New(int64_t version)
+{
+    bb_mesh_config_t *config = g_new0(bb_mesh_config_t, 1);
+
+    config->references = 1;
+    config->version = version;
+    config->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    config->routes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    config->in_order = g_ptr_array_new_with_free_func(free_route);
+    return config;
+}
+
+bb_mesh_config_t *
+BbMeshConfig_Ref(bb_mesh_config_t *config)
+{
+    config->references++;
+    return config;
+}
+
+void
+BbMeshConfig_Unref(bb_mesh_config_t *config)
+{
+    if (config == NULL || --config->references > 0) {
+        return;
+    }
+    g_hash_table_destroy(config->services);
+    g_hash_table_destroy(config->routes);
+    g_ptr_array_unref(config->in_order);
+    g_free(config);
+}
+
+void
+BbMeshConfig_AddService(bb_mesh_config_t *config, const char *name,
+                        int max_connections)
+{
+    g_hash_table_replace(config->services, g_strdup(name),
+                         GINT_TO_POINTER(max_connections));
+}
+
+bb_mesh_route_t *
+BbMeshConfig_AddRoute(bb_mesh_config_t *config,
+                      const bb_mesh_route_options_t *options)
+{
+    bb_mesh_route_t *route = g_new0(bb_mesh_route_t, 1);
+
+    route->name = g_strdup(options->name);
+    route->host = g_ascii_strdown(options->host, -1);
+    route->prefix = g_strdup(options->prefix);
+    route->is_idempotent = options->is_idempotent;
+    route->timeout_s = options->timeout_s;
+    route->target_latency_s = options->target_latency_s;
+    route->rank = options->rank;
+    route->max_targets = options->max_targets;
+    g_ptr_array_add(config->in_order, route);
+    g_hash_table_replace(config->routes,
+                         g_strconcat(route->host, " ", route->prefix, NULL),
+                         route);
+    return route;
+}
+
+void
+BbMeshRoute_AddPart(bb_mesh_route_t *route, const char *service, int weight)
+{
+    route->parts =
+        g_renew(bb_route_part_t, route->parts, route->part_count + 1);
+    route->parts[route->part_count++] = (bb_route_part_t){
+        .service = g_strdup(service),
+        .weight = weight,
+    };
+}
+
+void
+BbMeshConfig_SetLimits(bb_mesh_config_t *config,
+                       const bb_mesh_limits_t *limits)
+{
+    config->limits = *limits;
+}
+
+static void
+check_route(const bb_mesh_config_t *config, const bb_mesh_route_t *route,
+            bb_findings_t *findings)
+{
+    if (route->part_count == 0) {
+        BbFindings_Add(findings, "routes", route->name, "service", 0,
+                       "names no service");
+    }
+    if (route->prefix[0] != '/') {
+        BbFindings_Add(findings, "routes", route->name, "prefix", 0,
+                       "does not begin with a slash");
+    }
+    for (size_t i = 0; i < route->part_count; i++) {
+        const bb_route_part_t *part = &route->parts[i];
+        if (part->weight < 1) {
+            BbFindings_Add(findings, "routes", route->name, "weight", 0,
+                           "%d is below 1", part->weight);
+        }
+        if (!g_hash_table_contains(config->services, part->service)) {
+            BbFindings_Add(findings, "routes", route->name, "service", 0,
+                           "no service is named '%s'", part->service);
+        }
+    }
+}
+
+int
+BbMeshConfig_Check(const bb_mesh_config_t *config, bb_findings_t *findings)
+{
+    size_t before = findings->count + findings->omitted;
+
+    for (guint i = 0; i < config->in_order->len; i++) {
+        check_route(config, g_ptr_array_index(config->in_order, i), findings);
+    }
+    return findings->count + findings->omitted == before ? 0 : BB_ERR_INVALID;
+}
+
+int64_t
+BbMeshConfig_Version(const bb_mesh_config_t *config)
+{
+    return config->version;
+}
+
+size_t
+BbMeshConfig_RouteCount(const bb_mesh_config_t *config)
+{
+    return config->in_order->len;
+}
+
+const bb_mesh_limits_t *
+BbMeshConfig_Limits(const bb_mesh_config_t *config)
+{
+    return &config->limits;
+}
+
+int
+BbMeshConfig_MaxConnections(const bb_mesh_config_t *config,
+                            const char *service)
+{
+    return GPOINTER_TO_INT(g_hash_table_lookup(config->services, service));
+}
+
+void
+BbMeshConfig_ShuffleSplits(bb_mesh_config_t *config, bb_random_t *random)
+{
+    for (guint i = 0; i < config->in_order->len; i++) {
+        bb_mesh_route_t *route = g_ptr_array_index(config->in_order, i);
+        int32_t total = 0;
+
+        for (size_t k = 0; k < route->part_count; k++) {
+            total += route->parts[k].weight;
+        }
+        if (route->part_count < 2 || total < 1) {
+            continue;
+        }
+        int32_t steps = BbRandom_Below(random, MIN(total, 1000));
+        for (int32_t k = 0; k < steps; k++) {
+            BbMeshRoute_NextService(route);
+        }
+    }
+}
+
+bb_mesh_route_t *
+BbMeshConfig_FindRoute(bb_mesh_config_t *config, const char *host,
+                       const char *target)
+{
+    char key[MAX_KEY];
+    size_t host_size = host != NULL ? strcspn(host, ":") : 0;
+    size_t path_size = strcspn(target, "?#");
+
+    if (host_size == 0 || host_size + path_size + 2 > sizeof(key)) {
+        return NULL;
+    }
+    for (size_t i = 0; i < host_size; i++) {
+        key[i] = g_ascii_tolower(host[i]);
+    }
+    key[host_size] = ' ';
+    char *path = key + host_size + 1;
+    memcpy(path, target, path_size);
+    while (path_size > 0) {
+        if (path[path_size - 1] == '/') {
+            path[path_size] = '\0';
+            bb_mesh_route_t *route = g_hash_table_lookup(config->routes, key);
+            if (route != NULL) {
+                return route;
+            }
+        }
+        path_size--;
+    }
+    return NULL;
+}
+
+const char *
+BbMeshRoute_NextService(bb_mesh_route_t *route)
+{
+    bb_route_part_t *best = NULL;
+    int64_t total = 0;
+
+    assert(route->part_count > 0);
+    for (size_t i = 0; i < route->part_count; i++) {
+        bb_route_part_t *part = &route->parts[i];
+        part->credit += part->weight;
+        total += part->weight;
+        if (best == NULL || part->credit > best->credit) {
+            best = part;
+        }
+    }
+    best->credit -= total;
+    return best->service;
+}
--- /dev/null
+++ b/lib/mesh/bb_placement.c
@@ -0,0 +1,214 @@
+#include "bb_placement.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Mean time of a call at a target that has not reported one. */
+#define UNKNOWN_SERVICE_S 0.1
+
+/* Reports older than this fade: an avoided target sends no news. */
+#define LOAD_FRESH_S 1.0
+#define LOAD_FADE_S 2.0
+
+#define FAIL_STEP 0.15 /* weight of the newest attempt in the moving share */
+#define FAIL_FADE_S 4.0
+#define FAIL_COST_S 1.0 /* added to the predicted time at a share of 1 */
+#define FAIL_TOLERATED 0.05
+
+#define SUSPECT_MIN_S 0.5
+#define SUSPECT_MAX_S 8.0
+
+/* Added for a node in another data centre when both are past the share. */
+#define REMOTE_COST_SHARE 0.1
+
+/* Predicted times closer than this are taken as equal. */
+#define TIE_S 0.004
+
+static double
+slots_of(const bb_endpoint_t *endpoint)
+{
+    int slots = endpoint->load_at > 0 && endpoint->load.slots > 0
+                    ? endpoint->load.slots
+                    : endpoint->record.slots;
+
+    return MAX(slots, 1);
+}
+
+static double
+service_time(const bb_endpoint_t *endpoint)
+{
+    if (endpoint->load_at > 0 && endpoint->load.service_ms > 0) {
+        return endpoint->load.service_ms / 1000.0;
+    }
+    return UNKNOWN_SERVICE_S;
+}
+
+static double
+estimate_load(const bb_endpoint_t *endpoint, double now)
+{
+    double own = endpoint->in_flight;
+
+    if (endpoint->load_at <= 0) {
+        return own;
+    }
+    double age = now - endpoint->load_at;
+    double others = endpoint->load.running + endpoint->load.waiting -
+                    endpoint->in_flight_at_load;
+    if (age > LOAD_FRESH_S) {
+        others *= exp(-(age - LOAD_FRESH_S) / LOAD_FADE_S);
+    }
+    return own + MAX(others, 0.0);
+}
+
+static double
+fail_share(const bb_endpoint_t *endpoint, double now)
+{
+    double own = endpoint->fail_rate *
+                 exp(-MAX(now - endpoint->fail_at, 0.0) / FAIL_FADE_S);
+    double told = 0;
+
+    if (endpoint->load_at > 0) {
+        told = endpoint->load.fail_permille / 1000.0 *
+               exp(-MAX(now - endpoint->load_at, 0.0) / FAIL_FADE_S);
+    }
+    return MAX(own, told);
+}
+
+double
+BbPlacement_Predict(const bb_endpoint_t *endpoint, double now)
+{
+    double slots = slots_of(endpoint);
+    double service = service_time(endpoint);
+    double load = estimate_load(endpoint, now);
+    double wait = 0;
+
+    if (load >= slots) {
+        wait = (load - slots + 1) * service / slots;
+    }
+    double failing = fail_share(endpoint, now);
+    double cost = failing > FAIL_TOLERATED ? failing * FAIL_COST_S : 0;
+    return service + wait + cost;
+}
+
+static bool
+is_tried(const bb_placement_request_t *request, const bb_endpoint_t *endpoint)
+{
+    for (size_t i = 0; i < request->tried_count; i++) {
+        if (request->tried[i] == endpoint) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The better of a running best and one more candidate. */
+typedef struct {
+    bb_endpoint_t *endpoint;
+    double cost;
+    double fullness;
+} choice_t;
+
+static void
+consider(choice_t *best, bb_endpoint_t *endpoint, double cost, double now,
+         bb_random_t *random)
+{
+    double fullness = estimate_load(endpoint, now) / slots_of(endpoint) +
+                      BbRandom_Unit(random) * 0.05;
+    bool is_better = best->endpoint == NULL || cost < best->cost - TIE_S ||
+                     (cost < best->cost + TIE_S && fullness < best->fullness);
+
+    if (is_better) {
+        *best = (choice_t){endpoint, cost, fullness};
+    }
+}
+
+bb_endpoint_t *
+BbPlacement_Choose(const bb_fleet_t *fleet,
+                   const bb_placement_request_t *request, bb_random_t *random,
+                   double now)
+{
+    const GPtrArray *list = BbFleet_Service(fleet, request->service);
+    choice_t near = {0}, any = {0}, suspect = {0};
+    double remote_cost = request->target_latency_s * REMOTE_COST_SHARE;
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        bb_endpoint_t *endpoint = g_ptr_array_index(list, i);
+        if (!endpoint->record.is_ready || is_tried(request, endpoint)) {
+            continue;
+        }
+        bool is_near =
+            strcmp(endpoint->record.data_centre, request->data_centre) == 0;
+        double cost = BbPlacement_Predict(endpoint, now);
+        if (endpoint->suspect_until > now) {
+            consider(&suspect, endpoint, cost, now, random);
+            continue;
+        }
+        if (is_near) {
+            consider(&near, endpoint, cost, now, random);
+        }
+        consider(&any, endpoint, is_near ? cost : cost + remote_cost, now,
+                 random);
+    }
+    if (near.endpoint != NULL &&
+        near.cost <= request->target_latency_s * request->spill_share) {
+        return near.endpoint;
+    }
+    return any.endpoint != NULL ? any.endpoint : suspect.endpoint;
+}
+
+void
+BbPlacement_Started(bb_endpoint_t *endpoint, double now)
+{
+    endpoint->in_flight++;
+    endpoint->last_chosen = now;
+}
+
+static void
+add_failure(bb_endpoint_t *endpoint, double failure, double now)
+{
+    double faded = endpoint->fail_rate *
+                   exp(-MAX(now - endpoint->fail_at, 0.0) / FAIL_FADE_S);
+
+    endpoint->fail_rate = faded + FAIL_STEP * (failure - faded);
+    endpoint->fail_at = now;
+}
+
+void
+BbPlacement_Avoid(bb_endpoint_t *endpoint, double seconds, double now)
+{
+    endpoint->suspect_until = MAX(endpoint->suspect_until, now + seconds);
+}
+
+void
+BbPlacement_Ended(bb_endpoint_t *endpoint, bb_attempt_outcome_t outcome,
+                  const bb_load_t *load, double now)
+{
+    endpoint->in_flight--;
+    if (load != NULL) {
+        endpoint->load = *load;
+        endpoint->load_at = now;
+        endpoint->in_flight_at_load = endpoint->in_flight;
+    }
+    switch (outcome) {
+    case BB_ATTEMPT_SERVED:
+        endpoint->suspect_s = 0;
+        endpoint->suspect_until = 0;
+        add_failure(endpoint, 0.0, now);
+        break;
+    case BB_ATTEMPT_FAILED:
+        add_failure(endpoint, 1.0, now);
+        break;
+    case BB_ATTEMPT_LOST:
+        if (endpoint->suspect_until > now) {
+            break;
+        }
+        endpoint->suspect_s = endpoint->suspect_s > 0
+                                  ? MIN(endpoint->suspect_s * 2, SUSPECT_MAX_S)
+                                  : SUSPECT_MIN_S;
+        endpoint->suspect_until = now + endpoint->suspect_s;
+        break;
+    case BB_ATTEMPT_REFUSED:
+    case BB_ATTEMPT_DROPPED:
+        break;
+    }
+}
--- /dev/null
+++ b/lib/mesh/bb_placement.h
@@ -0,0 +1,70 @@
+/*
+ * bb_placement - which node gets an attempt of a call
+ *
+ * The predicted time of an attempt is the mean time of a call at the target
+ * plus the wait for a slot, by the load that the node there reported last,
+ * corrected by own calls since. A target in the own data centre is taken
+ * while its predicted time stays within a share of the route's target
+ * latency, since bytes between data centres are dear. Past that share the
+ * best node anywhere is taken, so that a data centre with few targets spills
+ * what it cannot serve in time.
+ *
+ * Targets that fail are found by their answers: a high share of failures
+ * adds to the predicted time, a lost connection makes the node suspect for a
+ * time that doubles up to SUSPECT_MAX_S.
+ *
+ * Answers the load: data centres with unequal targets for nearly equal
+ * traffic; targets that differ in speed; grey, slow, new and lost targets.
+ */
+#ifndef BB_PLACEMENT_H
+#define BB_PLACEMENT_H
+
+#include "bb_fleet.h"
+#include "bb_random.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BB_PLACEMENT_MAX_TRIED 8
+
+typedef struct {
+    const char *service;
+    const char *data_centre; /* of the choosing node */
+    double target_latency_s; /* 0 when the route has none */
+    double spill_share;      /* of it, see above */
+    const bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
+    size_t tried_count;
+} bb_placement_request_t;
+
+/* NULL when no node beside a target of the service is left. */
+bb_endpoint_t *BbPlacement_Choose(const bb_fleet_t *fleet,
+                                  const bb_placement_request_t *request,
+                                  bb_random_t *random, double now);
+
+/* Predicted seconds until the end of an attempt begun now. */
+double BbPlacement_Predict(const bb_endpoint_t *endpoint, double now);
+
+typedef enum {
+    BB_ATTEMPT_SERVED,  /* answered by the target, also with an error of the
+                           request itself */
+    BB_ATTEMPT_REFUSED, /* by the node beside the target, not by the target */
+    BB_ATTEMPT_FAILED,  /* the target refused or failed */
+    BB_ATTEMPT_LOST,    /* the node beside the target cannot be reached */
+    BB_ATTEMPT_DROPPED, /* says nothing about the target */
+} bb_attempt_outcome_t;
+
+void BbPlacement_Started(bb_endpoint_t *endpoint, double now);
+
+/* load may be NULL. Exactly once for each Started. */
+void BbPlacement_Ended(bb_endpoint_t *endpoint, bb_attempt_outcome_t outcome,
+                       const bb_load_t *load, double now);
+
+/* The node says that it takes no calls for the service now. */
+void BbPlacement_Avoid(bb_endpoint_t *endpoint, double seconds, double now);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/mesh/bb_row_writer.c
@@ -0,0 +1,168 @@
+#include "bb_row_writer.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "bb_error.h"
+#include "bb_event.h"
+
+#define BACKOFF_MIN_S 0.1
+#define BACKOFF_MAX_S 1.0
+
+struct bb_row_writer {
+    bb_row_writer_options_t options;
+    char *table;
+    char *key;
+    char *wanted;  /* NULL: no row */
+    bool is_dirty; /* the wanted value is not acknowledged */
+    bool is_changed; /* while a write was under way */
+    int64_t version;
+    void *pending;
+    ev_timer retry_timer;
+    double backoff_s;
+};
+
+static void write_row(bb_row_writer_t *writer);
+
+static void
+log_outcome(int error)
+{
+    if (BbEvent_Allows(BB_EVENT_ROW)) {
+        BbEvent_Write(BB_EVENT_ROW,
+                      json_pack("{s:s, s:s}", "outcome",
+                                error == 0 ? "written" : "refused", "error",
+                                error != 0 ? BbError_Name(error) : ""));
+    }
+}
+
+static void
+retry_later(bb_row_writer_t *writer)
+{
+    writer->backoff_s = writer->backoff_s > 0
+                            ? MIN(writer->backoff_s * 2, BACKOFF_MAX_S)
+                            : BACKOFF_MIN_S;
+    double delay_s =
+        writer->backoff_s * (0.5 + BbRandom_Unit(writer->options.random));
+    ev_timer_set(&writer->retry_timer, delay_s, 0.0);
+    ev_timer_start(writer->options.loop, &writer->retry_timer);
+}
+
+static int64_t
+version_of(const bb_row_writer_t *writer, const bb_table_result_t *result)
+{
+    for (size_t i = 0; i < result->count; i++) {
+        if (strcmp(result->rows[i].key, writer->key) == 0) {
+            return result->rows[i].is_removed ? 0 : result->rows[i].version;
+        }
+    }
+    return 0;
+}
+
+static void
+handle_written(const bb_table_result_t *result, void *arg)
+{
+    bb_row_writer_t *writer = arg;
+
+    writer->pending = NULL;
+    log_outcome(result->error);
+    if (result->error == BB_ERR_CONFLICT) {
+        writer->version = version_of(writer, result);
+        write_row(writer);
+        return;
+    }
+    if (result->error != 0) {
+        retry_later(writer);
+        return;
+    }
+    writer->backoff_s = 0;
+    writer->version = writer->wanted != NULL ? result->version : 0;
+    writer->is_dirty = writer->is_changed;
+    if (writer->is_changed) {
+        write_row(writer);
+    }
+}
+
+static void
+write_row(bb_row_writer_t *writer)
+{
+    bb_table_store_t *store = writer->options.store;
+
+    writer->is_changed = false;
+    if (writer->wanted == NULL && writer->version == 0) {
+        writer->is_dirty = false;
+        return;
+    }
+    size_t size = writer->wanted != NULL ? strlen(writer->wanted) : 0;
+    writer->pending = store->ops->write(
+        store, writer->table, writer->key, writer->wanted, size,
+        writer->version, handle_written, writer);
+}
+
+static void
+handle_retry(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    write_row(timer->data);
+}
+
+void
+BbRowWriter_Set(bb_row_writer_t *writer, const char *value)
+{
+    if (!writer->is_dirty && g_strcmp0(value, writer->wanted) == 0) {
+        return;
+    }
+    g_free(writer->wanted);
+    writer->wanted = g_strdup(value);
+    writer->is_dirty = true;
+    if (writer->pending != NULL) {
+        writer->is_changed = true;
+        return;
+    }
+    ev_timer_stop(writer->options.loop, &writer->retry_timer);
+    write_row(writer);
+}
+
+void
+BbRowWriter_Observe(bb_row_writer_t *writer, int64_t version, bool is_removed)
+{
+    if (version > writer->version) {
+        writer->version = is_removed ? 0 : version;
+    }
+}
+
+bool
+BbRowWriter_IsDone(const bb_row_writer_t *writer)
+{
+    return !writer->is_dirty;
+}
+
+bb_row_writer_t *
+BbRowWriter_New(const bb_row_writer_options_t *options)
+{
+    bb_row_writer_t *writer = g_new0(bb_row_writer_t, 1);
+
+    writer->options = *options;
+    writer->table = g_strdup(options->table);
+    writer->key = g_strdup(options->key);
+    ev_init(&writer->retry_timer, handle_retry);
+    writer->retry_timer.data = writer;
+    return writer;
+}
+
+void
+BbRowWriter_Free(bb_row_writer_t *writer)
+{
+    if (writer == NULL) {
+        return;
+    }
+    ev_timer_stop(writer->options.loop, &writer->retry_timer);
+    if (writer->pending != NULL) {
+        bb_table_store_t *store = writer->options.store;
+        store->ops->cancel(store, writer->pending);
+    }
+    g_free(writer->wanted);
+    g_free(writer->table);
+    g_free(writer->key);
+    g_free(writer);
+}
--- /dev/null
+++ b/lib/mesh/bb_row_writer.h
@@ -0,0 +1,48 @@
+/*
+ * bb_row_writer - keeps one row of the store equal to a wanted value
+ *
+ * Each write names the version that it replaces, so that a write whose answer
+ * was lost and which takes effect late cannot undo a later one.
+ *
+ * USE
+ *   BbRowWriter_Set(writer, text) when the value changes, NULL to remove the
+ *   row. BbRowWriter_Observe() with each version of the row that was read.
+ */
+#ifndef BB_ROW_WRITER_H
+#define BB_ROW_WRITER_H
+
+#include <ev.h>
+
+#include "bb_random.h"
+#include "bb_table.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct bb_row_writer bb_row_writer_t;
+
+typedef struct {
+    struct ev_loop *loop;
+    bb_table_store_t *store;
+    const char *table;
+    const char *key;
+    bb_random_t *random;
+} bb_row_writer_options_t;
+
+bb_row_writer_t *BbRowWriter_New(const bb_row_writer_options_t *options);
+void BbRowWriter_Free(bb_row_writer_t *writer);
+void BbRowWriter_Set(bb_row_writer_t *writer, const char *value);
+
+/* version 0 or a removed row: the row does not exist. */
+void BbRowWriter_Observe(bb_row_writer_t *writer, int64_t version,
+                         bool is_removed);
+
+/* True when the store has acknowledged the wanted value. */
+bool BbRowWriter_IsDone(const bb_row_writer_t *writer);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/mesh/bb_slot_queue.h
@@ -0,0 +1,90 @@
+/*
+ * bb_slot_queue - which forwarded call the target beside this node runs next
+ *
+ * The target gets at most as many calls as it has slots; the others wait
+ * here, where a refusal costs nothing. Calls that can still end within their
+ * target latency go first, by rank and then by arrival; a lower rank gains on
+ * a higher one by waiting, so that none starves. A call that cannot end
+ * before its deadline is refused as soon as that is known.
+ *
+ * Answers the load: bursts above the slots of a target, slow targets, and
+ * calls of running requests, which wait with a slot already spent on them.
+ *
+ * USE
+ *   switch (BbSlotQueue_Offer(queue, &ticket, now)) ...
+ *   After Offer, Finish, Cancel, SetSlots and at each timer:
+ *   while ((ticket = BbSlotQueue_Next(queue, now)) != NULL) {
+ *       start it when its state is BB_SLOT_RUNNING, else refuse it
+ *   }
+ */
+#ifndef BB_SLOT_QUEUE_H
+#define BB_SLOT_QUEUE_H
+
+#include <stdbool.h>
+
+#include "bb_reason.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef enum {
+    BB_SLOT_NONE,
+    BB_SLOT_WAITING,
+    BB_SLOT_RUNNING,
+    BB_SLOT_REFUSED,
+} bb_slot_state_t;
+
+/* Times are seconds by the clock of now. */
+typedef struct bb_slot_ticket {
+    int rank;          /* 0 is the most urgent */
+    double target_at;  /* an answer by then is worth most */
+    double expires_at; /* an answer after it is worth nothing */
+    void *arg;         /* the owner's */
+    /* set here */
+    bb_slot_state_t state;
+    bb_reason_t reason;
+    double arrived_at;
+    double started_at;
+    struct bb_slot_ticket *prev, *next;
+} bb_slot_ticket_t;
+
+typedef struct bb_slot_queue bb_slot_queue_t;
+
+bb_slot_queue_t *BbSlotQueue_New(void);
+void BbSlotQueue_Free(bb_slot_queue_t *queue);
+
+/* 0 slots refuse nothing by themselves; waiting calls keep waiting. */
+void BbSlotQueue_SetSlots(bb_slot_queue_t *queue, int slots);
+
+/* Sets the state of the ticket and returns it. */
+bb_slot_state_t BbSlotQueue_Offer(bb_slot_queue_t *queue,
+                                  bb_slot_ticket_t *ticket, double now);
+
+/* Ends a running call. is_measured: its time tells how long calls take. */
+void BbSlotQueue_Finish(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket,
+                        bool is_measured, double now);
+
+/* Takes a waiting call out. */
+void BbSlotQueue_Cancel(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket);
+
+/* Next call to start or to refuse, NULL when there is none. */
+bb_slot_ticket_t *BbSlotQueue_Next(bb_slot_queue_t *queue, double now);
+
+/* Any waiting call, to refuse all of them; NULL when there is none. */
+bb_slot_ticket_t *BbSlotQueue_First(const bb_slot_queue_t *queue);
+
+int BbSlotQueue_Running(const bb_slot_queue_t *queue);
+int BbSlotQueue_Waiting(const bb_slot_queue_t *queue);
+
+/* Mean seconds of a call at the target, 0 while not known. */
+double BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue);
+
+/* Seconds until a call that arrives now would start. */
+double BbSlotQueue_Wait(const bb_slot_queue_t *queue);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lib/mesh/bb_target_io.c
@@ -0,0 +1,532 @@
+#include "bb_target_io.h"
+
+#include <math.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "bb_counters.h"
+#include "bb_error.h"
+#include "bb_event.h"
+#include "bb_slot_queue.h"
+
+/* The target ends this much before the caller-side node stops to wait. */
+#define DEADLINE_MARGIN_S 0.01
+
+/* Kept connections that were idle for longer are not used. A call that must
+ * not be repeated gets the shorter limit: if the target closes the connection
+ * at that moment, nobody can tell whether the call has run. */
+#define IDLE_MAX_S 4.0
+#define IDLE_MAX_ONCE_S 1.0
+
+#define KEPT_CONNECTIONS 64
+
+/* Weight of the newest call in the moving share of failures. */
+#define FAIL_STEP 0.05
+
+typedef struct target_call {
+    bb_attempt_t base; /* first */
+    bb_target_io_t *io;
+    bb_attempt_request_t request;
+    const bb_attempt_handler_t *handler;
+    void *arg;
+    bb_slot_ticket_t ticket;
+    ev_timer deadline_timer;
+    bb_h1_exchange_t *exchange;
+    size_t sent;
+    bb_reason_t refusal; /* told by the head of the target's response */
+    bool is_head_passed;
+    struct target_call *prev, *next;
+} target_call_t;
+
+struct bb_target_io {
+    struct ev_loop *loop;
+    char *address;
+    char *service;
+    const bb_header_names_t *names;
+    bb_local_target_t *target;
+    bb_slot_queue_t *queue;
+    bb_h1_client_t *client;
+    target_call_t *calls;
+    int call_count;
+    double fail_rate;
+    bool is_leaving;
+    ev_timer queue_timer;
+};
+
+static void run_queue(bb_target_io_t *io);
+
+/* ---- end of a call ---- */
+
+static void
+free_call(target_call_t *call)
+{
+    bb_target_io_t *io = call->io;
+
+    ev_timer_stop(io->loop, &call->deadline_timer);
+    DL_DELETE(io->calls, call);
+    io->call_count--;
+    g_free(call);
+}
+
+/* Frees the slot or the place in the queue. */
+static void
+release_ticket(target_call_t *call, bool is_measured)
+{
+    bb_target_io_t *io = call->io;
+
+    if (call->ticket.state == BB_SLOT_RUNNING) {
+        BbSlotQueue_Finish(io->queue, &call->ticket, is_measured,
+                           ev_now(io->loop));
+    }
+    else if (call->ticket.state == BB_SLOT_WAITING) {
+        BbSlotQueue_Cancel(io->queue, &call->ticket);
+    }
+}
+
+static void
+count_result(bb_target_io_t *io, bool is_failed)
+{
+    io->fail_rate += FAIL_STEP * ((is_failed ? 1.0 : 0.0) - io->fail_rate);
+}
+
+static void
+log_refusal(const target_call_t *call, bb_reason_t reason)
+{
+    const bb_target_io_t *io = call->io;
+
+    if (BbEvent_Allows(BB_EVENT_TARGET_REFUSED)) {
+        BbEvent_Write(
+            BB_EVENT_TARGET_REFUSED,
+            json_pack("{s:s, s:s, s:i, s:i, s:i, s:f}", "call",
+                      call->request.call_id, "reason", BbReason_Name(reason),
+                      "running", BbSlotQueue_Running(io->queue), "waiting",
+                      BbSlotQueue_Waiting(io->queue), "slots",
+                      BbLocalTarget_Slots(io->target), "service_s",
+                      BbSlotQueue_ServiceTime(io->queue)));
+    }
+}
+
+static void
+refuse(target_call_t *call, bb_reason_t reason)
+{
+    bb_target_io_t *io = call->io;
+    const bb_attempt_handler_t *handler = call->handler;
+    void *arg = call->arg;
+    double retry_after_s = BbSlotQueue_Wait(io->queue);
+
+    log_refusal(call, reason);
+    release_ticket(call, false);
+    free_call(call);
+    handler->on_refused(reason, retry_after_s, arg);
+    run_queue(io);
+}
+
+static void
+lose(target_call_t *call, bb_reason_t reason, int error)
+{
+    bb_target_io_t *io = call->io;
+    const bb_attempt_handler_t *handler = call->handler;
+    void *arg = call->arg;
+    double now = ev_now(io->loop);
+
+    if (BbEvent_Allows(BB_EVENT_TARGET_FAILED)) {
+        BbEvent_Write(BB_EVENT_TARGET_FAILED,
+                      json_pack("{s:s, s:s, s:s, s:f, s:s}", "call",
+                                call->request.call_id, "target",
+                                BbLocalTarget_Id(io->target), "reason",
+                                BbReason_Name(reason), "took_s",
+                                now - call->ticket.started_at, "error",
+                                error != 0 ? BbError_Name(error) : ""));
+    }
+    count_result(io, true);
+    release_ticket(call, reason == BB_REASON_CALL_TIMEOUT);
+    free_call(call);
+    handler->on_lost(reason, arg);
+    run_queue(io);
+}
+
+/* ---- response of the target ---- */
+
+static bool
+is_own_response(const bb_h1_fields_t *fields, void *arg)
+{
+    target_call_t *call = arg;
+    const char *id = BbH1Fields_Get(fields, call->io->names->call_id);
+
+    return id == NULL || call->request.call_id[0] == '\0' ||
+           strcmp(id, call->request.call_id) == 0;
+}
+
+static void
+handle_head(int status, const bb_h1_fields_t *fields, void *arg)
+{
+    target_call_t *call = arg;
+    const bb_header_names_t *names = call->io->names;
+
+    if (status == 421) {
+        call->refusal = BB_REASON_TARGET_REPLACED;
+        return;
+    }
+    if (BbH1Fields_Get(fields, names->not_run) != NULL) {
+        call->refusal = BB_REASON_TARGET_SHED;
+        return;
+    }
+    if (status / 100 == 2 && BbH1Fields_Get(fields, names->seal) == NULL) {
+        BbH1_Cancel(call->exchange);
+        call->exchange = NULL;
+        lose(call, BB_REASON_TARGET_LOST, BB_ERR_INVALID);
+        return;
+    }
+    bb_h1_fields_t passed;
+    BbH1Fields_Init(&passed);
+    BbH1Fields_CopyEndToEnd(&passed, fields);
+    call->is_head_passed = true;
+    count_result(call->io, status >= 500);
+    call->handler->on_head(status, &passed, BbAttempt_ContentLength(fields),
+                           call->arg);
+    BbH1Fields_Free(&passed);
+}
+
+static void
+handle_data(const char *data, size_t size, void *arg)
+{
+    target_call_t *call = arg;
+
+    if (call->is_head_passed) {
+        call->handler->on_data(data, size, call->arg);
+    }
+}
+
+static void
+handle_end(void *arg)
+{
+    target_call_t *call = arg;
+    bb_target_io_t *io = call->io;
+    const bb_attempt_handler_t *handler = call->handler;
+    void *owner = call->arg;
+
+    call->exchange = NULL;
+    if (call->refusal != BB_REASON_NONE) {
+        if (call->refusal == BB_REASON_TARGET_REPLACED) {
+            BbLocalTarget_Mismatch(io->target);
+        }
+        count_result(io, true);
+        refuse(call, call->refusal);
+        return;
+    }
+    release_ticket(call, true);
+    free_call(call);
+    handler->on_end(owner);
+    run_queue(io);
+}
+
+static void
+handle_fail(int error, bool is_sent, void *arg)
+{
+    target_call_t *call = arg;
+
+    call->exchange = NULL;
+    if (call->refusal != BB_REASON_NONE || !is_sent) {
+        count_result(call->io, true);
+        refuse(call, call->refusal != BB_REASON_NONE
+                         ? call->refusal
+                         : BB_REASON_TARGET_CONNECT);
+        return;
+    }
+    lose(call, BB_REASON_TARGET_LOST, error);
+}
+
+static void
+handle_drained(void *arg)
+{
+    target_call_t *call = arg;
+    call->handler->on_drained(call->sent, call->arg);
+}
+
+static const bb_h1_exchange_handler_t exchange_handler = {
+    .is_own = is_own_response,
+    .on_head = handle_head,
+    .on_data = handle_data,
+    .on_end = handle_end,
+    .on_fail = handle_fail,
+    .on_drained = handle_drained,
+};
+
+/* ---- start of a call ---- */
+
+static void
+start_call(target_call_t *call)
+{
+    bb_target_io_t *io = call->io;
+    const bb_attempt_request_t *request = &call->request;
+    bb_h1_fields_t fields;
+    char deadline_ms[24];
+    double left_s =
+        request->deadline_at - DEADLINE_MARGIN_S - ev_now(io->loop);
+
+    g_snprintf(deadline_ms, sizeof(deadline_ms), "%d",
+               (int)MAX(left_s * 1000, 1));
+    BbH1Fields_Init(&fields);
+    BbH1Fields_CopyEndToEnd(&fields, request->fields);
+    BbH1Fields_Add(&fields, io->names->deadline, deadline_ms);
+    BbH1Fields_Add(&fields, io->names->expected_target,
+                   BbLocalTarget_Id(io->target));
+    BbH1Fields_Add(&fields, io->names->caller_service,
+                   request->caller_service);
+    bb_h1_exchange_options_t options = {
+        .address = io->address,
+        .method = request->method,
+        .target = request->target,
+        .fields = &fields,
+        .content_length = request->content_length,
+        .max_idle_s =
+            request->is_idempotent ? IDLE_MAX_S : IDLE_MAX_ONCE_S,
+        .handler = &exchange_handler,
+        .arg = call,
+    };
+    call->exchange = BbH1_Start(io->client, &options);
+    BbH1Fields_Free(&fields);
+    BbBody_Feed(request->body, call->exchange, &call->sent);
+}
+
+static void
+plan_queue_timer(bb_target_io_t *io)
+{
+    const double check_s = 0.02;
+
+    if (BbSlotQueue_Waiting(io->queue) > 0 &&
+        !ev_is_active(&io->queue_timer)) {
+        ev_timer_set(&io->queue_timer, check_s, 0.0);
+        ev_timer_start(io->loop, &io->queue_timer);
+    }
+}
+
+static bb_reason_t
+obstacle(const bb_target_io_t *io)
+{
+    switch (BbLocalTarget_State(io->target)) {
+    case BB_LOCAL_UNKNOWN:
+        return BB_REASON_NO_TARGET;
+    case BB_LOCAL_DRAINING:
+    case BB_LOCAL_GONE:
+        return BB_REASON_TARGET_DRAINING;
+    case BB_LOCAL_READY:
+        break;
+    }
+    return io->is_leaving ? BB_REASON_NODE_DRAINING : BB_REASON_NONE;
+}
+
+static void
+run_queue(bb_target_io_t *io)
+{
+    bb_slot_ticket_t *ticket;
+
+    while ((ticket = BbSlotQueue_Next(io->queue, ev_now(io->loop))) != NULL) {
+        target_call_t *call = ticket->arg;
+        if (ticket->state == BB_SLOT_RUNNING) {
+            start_call(call);
+        }
+        else {
+            refuse(call, ticket->reason);
+        }
+    }
+    plan_queue_timer(io);
+}
+
+static void
+handle_queue_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    run_queue(timer->data);
+}
+
+static void
+handle_deadline(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    target_call_t *call = timer->data;
+
+    if (call->exchange == NULL) {
+        refuse(call, BB_REASON_QUEUE_EXPIRED);
+        return;
+    }
+    bool is_sent = BbH1_IsSent(call->exchange);
+    BbH1_Cancel(call->exchange);
+    call->exchange = NULL;
+    if (is_sent) {
+        lose(call, BB_REASON_CALL_TIMEOUT, 0);
+    }
+    else {
+        refuse(call, BB_REASON_TARGET_CONNECT);
+    }
+}
+
+static void
+body_grew(bb_attempt_t *attempt)
+{
+    target_call_t *call = (target_call_t *)attempt;
+
+    if (call->exchange != NULL) {
+        BbBody_Feed(call->request.body, call->exchange, &call->sent);
+    }
+}
+
+static void
+cancel(bb_attempt_t *attempt)
+{
+    target_call_t *call = (target_call_t *)attempt;
+    bb_target_io_t *io = call->io;
+
+    if (call->exchange != NULL) {
+        BbH1_Cancel(call->exchange);
+        call->exchange = NULL;
+    }
+    release_ticket(call, false);
+    free_call(call);
+    run_queue(io);
+}
+
+static const bb_attempt_ops_t attempt_ops = {
+    .body_grew = body_grew,
+    .cancel = cancel,
+};
+
+static bb_reason_t
+refuse_offer(const bb_target_io_t *io, const bb_attempt_request_t *request,
+             bb_reason_t reason)
+{
+    const target_call_t call = {.io = (bb_target_io_t *)io,
+                                .request = *request};
+    log_refusal(&call, reason);
+    return reason;
+}
+
+bb_reason_t
+BbTargetIo_Offer(bb_target_io_t *io, const bb_attempt_request_t *request,
+                 const bb_attempt_handler_t *handler, void *arg,
+                 double *retry_after_s, bb_attempt_t **attempt)
+{
+    double now = ev_now(io->loop);
+    bb_reason_t reason = obstacle(io);
+
+    *retry_after_s = 0;
+    if (strcmp(request->service, io->service) != 0) {
+        reason = BB_REASON_WRONG_SERVICE;
+    }
+    if (reason != BB_REASON_NONE) {
+        return refuse_offer(io, request, reason);
+    }
+    target_call_t *call = g_new0(target_call_t, 1);
+    call->base.ops = &attempt_ops;
+    call->io = io;
+    call->request = *request;
+    call->handler = handler;
+    call->arg = arg;
+    call->ticket = (bb_slot_ticket_t){
+        .rank = request->rank,
+        .target_at = request->target_at,
+        .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
+        .arg = call,
+    };
+    if (BbSlotQueue_Offer(io->queue, &call->ticket, now) == BB_SLOT_REFUSED) {
+        reason = call->ticket.reason;
+        *retry_after_s = BbSlotQueue_Wait(io->queue);
+        g_free(call);
+        return refuse_offer(io, request, reason);
+    }
+    DL_APPEND(io->calls, call);
+    io->call_count++;
+    ev_timer_init(&call->deadline_timer, handle_deadline,
+                  MAX(call->ticket.expires_at - now, 0.001), 0.0);
+    call->deadline_timer.data = call;
+    ev_timer_start(io->loop, &call->deadline_timer);
+    *attempt = &call->base;
+    if (call->ticket.state == BB_SLOT_RUNNING) {
+        start_call(call);
+    }
+    else {
+        plan_queue_timer(io);
+    }
+    return BB_REASON_NONE;
+}
+
+/* ---- life ---- */
+
+void
+BbTargetIo_TargetChanged(bb_target_io_t *io)
+{
+    BbSlotQueue_SetSlots(io->queue, BbLocalTarget_Slots(io->target));
+    bb_reason_t reason = obstacle(io);
+    while (reason != BB_REASON_NONE &&
+           reason != BB_REASON_NODE_DRAINING) {
+        bb_slot_ticket_t *ticket = BbSlotQueue_First(io->queue);
+        if (ticket == NULL) {
+            break;
+        }
+        refuse(ticket->arg, reason);
+    }
+    run_queue(io);
+}
+
+void
+BbTargetIo_SetLeaving(bb_target_io_t *io)
+{
+    io->is_leaving = true;
+}
+
+void
+BbTargetIo_GetLoad(const bb_target_io_t *io, bb_load_t *load)
+{
+    load->running = BbSlotQueue_Running(io->queue);
+    load->waiting = BbSlotQueue_Waiting(io->queue);
+    load->slots = BbLocalTarget_Slots(io->target);
+    load->service_ms = (int)lrint(BbSlotQueue_ServiceTime(io->queue) * 1000);
+    load->fail_permille = (int)lrint(io->fail_rate * 1000);
+}
+
+int
+BbTargetIo_OpenCalls(const bb_target_io_t *io)
+{
+    return io->call_count;
+}
+
+bb_target_io_t *
+BbTargetIo_New(const bb_target_io_options_t *options)
+{
+    bb_target_io_t *io = g_new0(bb_target_io_t, 1);
+    bb_h1_client_options_t client_options = {
+        .loop = options->loop,
+        .max_idle = KEPT_CONNECTIONS,
+        .keep_s = IDLE_MAX_S,
+    };
+
+    io->loop = options->loop;
+    io->address = g_strdup(options->address);
+    io->service = g_strdup(options->service);
+    io->names = options->names;
+    io->target = options->target;
+    io->queue = BbSlotQueue_New();
+    io->client = BbH1Client_New(&client_options);
+    ev_init(&io->queue_timer, handle_queue_timer);
+    io->queue_timer.data = io;
+    return io;
+}
+
+void
+BbTargetIo_Free(bb_target_io_t *io)
+{
+    if (io == NULL) {
+        return;
+    }
+    ev_timer_stop(io->loop, &io->queue_timer);
+    while (io->calls != NULL) {
+        cancel(&io->calls->base);
+    }
+    BbH1Client_Free(io->client);
+    BbSlotQueue_Free(io->queue);
+    g_free(io->address);
+    g_free(io->service);
+    g_free(io);
+}
