Order the slot queue by target latency and refuse what would be late

Ruled out: a lack of slots alone; orders had 20 to 60 waiting behind 18 slots. Change: expected time by class, calls in time first, shorter target latency first; refusal at once when the call would be late; age from the deadline.

--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -35,7 +35,9 @@
 #define BB_HOP_SERVICE "Burdock-Service"
 #define BB_HOP_CALLER "Burdock-Caller"
 #define BB_HOP_DEADLINE "Burdock-Deadline-Ms"
+#define BB_HOP_CLASS "Burdock-Class"
 #define BB_HOP_TARGET_LATENCY "Burdock-Target-Ms"
+#define BB_HOP_TARGET_LEFT "Burdock-Target-Left-Ms"
 #define BB_HOP_RANK "Burdock-Rank"
 #define BB_HOP_ONCE "Burdock-Once"
 #define BB_HOP_VERSION "Burdock-Version"
@@ -73,7 +75,9 @@
     const char *service;
     const char *caller_service;
     bool is_idempotent;
+    const char *class_name; /* calls that take about equally long */
     int rank;
+    double target_latency_s;
     double target_at;
     double deadline_at;
 } bb_attempt_request_t;
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -24,7 +24,11 @@
 #define HELD_ANSWER_BYTES (1024 * 1024)
 
 /* Attempts at nodes, refusals of nodes included. */
-#define MAX_ATTEMPTS 6
+#define MAX_ATTEMPTS 5
+
+/* Nodes that refuse for want of slots before a call is given up: when two of
+ * the best have none, the others seldom do. */
+#define MAX_FULL 2
 
 /* Retry-After of a refusal that no queue explains. */
 #define DEFAULT_RETRY_AFTER_S 0.3
@@ -45,7 +49,7 @@
     bb_attempt_request_t asked;
     double arrived_at;
     ev_timer deadline_timer;
-    bool is_by_client; /* the client's deadline is the earlier one */
+    double spent_s; /* by the caller on earlier tries */
     /* attempts */
     bb_attempt_t *attempt;
     bb_endpoint_t *endpoint;
@@ -53,6 +57,7 @@
     bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
     int attempts;
+    int full;              /* attempts refused for want of slots */
     int targets_reached;   /* attempts that a target may have seen */
     bool may_have_run;
     bb_reason_t last_reason;
@@ -75,6 +80,8 @@
     call_t *calls;
     int call_count;
     double last_call_at;
+    bool is_refusing;
+    GHashTable *longest; /* route to the longest deadline of its calls */
 };
 
 static void place_call(call_t *call);
@@ -236,7 +243,8 @@
     const bb_mesh_route_t *route = call->route;
     bb_call_io_t *io = call->io;
 
-    if (call->attempts >= MAX_ATTEMPTS || call->body.dropped > 0 ||
+    if (call->attempts >= MAX_ATTEMPTS || call->full >= MAX_FULL ||
+        call->body.dropped > 0 ||
         call->is_streaming ||
         now_of(call) + ANSWER_MARGIN_S >= call->asked.deadline_at) {
         return false;
@@ -255,6 +263,20 @@
            BbRepeatBudget_Take(io->options.budget, call->service);
 }
 
+static bb_endpoint_t *choose_endpoint(call_t *call);
+
+/* A run that fails for want of capacity elsewhere must not be repeated where
+ * capacity is short already. */
+static bool
+can_end_in_time(call_t *call)
+{
+    bb_endpoint_t *endpoint = choose_endpoint(call);
+    double now = now_of(call);
+
+    return endpoint != NULL &&
+           now + BbPlacement_Predict(endpoint, now) <= call->asked.target_at;
+}
+
 static void
 repeat_or_give_up(call_t *call, bb_reason_t reason, bool has_reached_target)
 {
@@ -298,6 +320,9 @@
         BbPlacement_Avoid(endpoint, AVOID_S, now_of(call));
     }
     call->targets_reached += is_by_target;
+    call->full += reason == BB_REASON_QUEUE_FULL ||
+                  reason == BB_REASON_QUEUE_EXPIRED ||
+                  reason == BB_REASON_TOO_LATE;
     if (retry_after_s > 0 &&
         (call->retry_after_s <= 0 || retry_after_s < call->retry_after_s)) {
         call->retry_after_s = retry_after_s;
@@ -365,7 +390,7 @@
     close_attempt(call, is_failure ? BB_ATTEMPT_FAILED : BB_ATTEMPT_SERVED);
     if (is_failure && call->route->is_idempotent && !call->is_streaming) {
         call->may_have_run = true;
-        if (may_repeat(call, true)) {
+        if (can_end_in_time(call) && may_repeat(call, true)) {
             if (BbEvent_Allows(BB_EVENT_CALL_REPEATED)) {
                 BbEvent_Write(BB_EVENT_CALL_REPEATED,
                               json_pack("{s:s, s:s, s:s, s:b, s:i}", "call",
@@ -544,6 +569,25 @@
     return call;
 }
 
+/*
+ * Seconds since the caller first tried. A call that its caller repeats brings
+ * the deadline that is left; the longest one seen on the route is that of
+ * first tries.
+ */
+static double
+time_spent(call_t *call, double left_s)
+{
+    GHashTable *longest = call->io->longest;
+    double *seen_s = g_hash_table_lookup(longest, call->route->name);
+
+    if (seen_s == NULL) {
+        seen_s = g_new0(double, 1);
+        g_hash_table_insert(longest, g_strdup(call->route->name), seen_s);
+    }
+    *seen_s = MAX(*seen_s, left_s);
+    return *seen_s - left_s;
+}
+
 /* Seconds that the call may take, by its caller and its route. */
 static double
 time_allowed(call_t *call)
@@ -556,9 +600,9 @@
     if (text != NULL) {
         char *end;
         double client_s = g_ascii_strtod(text, &end) / 1000;
-        if (end != text && client_s < allowed_s) {
-            call->is_by_client = true;
-            allowed_s = client_s;
+        if (end != text) {
+            call->spent_s = time_spent(call, client_s);
+            allowed_s = MIN(allowed_s, client_s);
         }
     }
     return allowed_s;
@@ -583,8 +627,11 @@
         .service = call->service,
         .caller_service = call->io->service,
         .is_idempotent = call->route->is_idempotent,
+        .class_name = call->route->name,
         .rank = call->route->rank,
-        .target_at = call->arrived_at + call->route->target_latency_s,
+        .target_latency_s = call->route->target_latency_s,
+        .target_at = call->arrived_at + call->route->target_latency_s -
+                     call->spent_s,
         .deadline_at = call->arrived_at + allowed_s - ANSWER_MARGIN_S,
     };
     ev_timer_set(&call->deadline_timer,
@@ -599,6 +646,10 @@
     call_t *call = new_call(io, request);
 
     request->user = call;
+    if (io->is_refusing) {
+        answer_own(call, 503, BB_REASON_NODE_DRAINING);
+        return;
+    }
     if (io->config == NULL) {
         answer_own(call, 503, BB_REASON_NO_CONFIG);
         return;
@@ -700,6 +751,8 @@
     io->options = *options;
     io->data_centre = g_strdup(options->data_centre);
     io->service = g_strdup(options->service);
+    io->longest =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     *out = io;
     return 0;
 }
@@ -710,6 +763,7 @@
     if (io != NULL) {
         BbH1Server_Free(io->server);
         BbMeshConfig_Unref(io->config);
+        g_hash_table_destroy(io->longest);
         g_free(io->data_centre);
         g_free(io->service);
         g_free(io);
@@ -734,6 +788,12 @@
     BbH1Server_SetClosing(io->server);
 }
 
+void
+BbCallIo_SetRefusing(bb_call_io_t *io)
+{
+    io->is_refusing = true;
+}
+
 int
 BbCallIo_OpenCalls(const bb_call_io_t *io)
 {
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -51,6 +51,9 @@
 /* The node leaves: callers are asked to close their connections. */
 void BbCallIo_SetLeaving(bb_call_io_t *io);
 
+/* From now on new calls are refused as not run. */
+void BbCallIo_SetRefusing(bb_call_io_t *io);
+
 int BbCallIo_OpenCalls(const bb_call_io_t *io);
 
 /* Time of the last new call, by the clock of the loop. */
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -37,6 +37,7 @@
     char *service;
     char *caller_service;
     char *call_id;
+    char *class_name;
     bb_body_t body;
     bb_attempt_t *attempt;
 } hop_call_t;
@@ -49,6 +50,7 @@
     g_free(call->service);
     g_free(call->caller_service);
     g_free(call->call_id);
+    g_free(call->class_name);
     g_free(call);
 }
 
@@ -190,6 +192,7 @@
     call->service = g_strdup(BbH1Fields_Get(fields, BB_HOP_SERVICE));
     call->caller_service = g_strdup(BbH1Fields_Get(fields, BB_HOP_CALLER));
     call->call_id = g_strdup(id != NULL ? id : "");
+    call->class_name = g_strdup(BbH1Fields_Get(fields, BB_HOP_CLASS));
     call->asked = (bb_attempt_request_t){
         .call_id = call->call_id,
         .method = request->method,
@@ -200,8 +203,11 @@
         .service = call->service,
         .caller_service = call->caller_service,
         .is_idempotent = number_of(fields, BB_HOP_ONCE) == 0,
+        .class_name = call->class_name,
         .rank = number_of(fields, BB_HOP_RANK),
-        .target_at = now + number_of(fields, BB_HOP_TARGET_LATENCY) / 1000.0,
+        .target_latency_s =
+            number_of(fields, BB_HOP_TARGET_LATENCY) / 1000.0,
+        .target_at = now + number_of(fields, BB_HOP_TARGET_LEFT) / 1000.0,
         .deadline_at = now + number_of(fields, BB_HOP_DEADLINE) / 1000.0,
     };
     return call;
@@ -471,7 +477,10 @@
     add_number(fields, BB_HOP_DEADLINE,
                (int64_t)((request->deadline_at - now) * 1000));
     add_number(fields, BB_HOP_TARGET_LATENCY,
+               (int64_t)(request->target_latency_s * 1000));
+    add_number(fields, BB_HOP_TARGET_LEFT,
                (int64_t)((request->target_at - now) * 1000));
+    BbH1Fields_Add(fields, BB_HOP_CLASS, request->class_name);
     if (request->rank != 0) {
         add_number(fields, BB_HOP_RANK, request->rank);
     }
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -19,7 +19,7 @@
 #define SUSPECT_MAX_S 8.0
 
 /* Added for a node in another data centre when both are past the share. */
-#define REMOTE_COST_SHARE 0.1
+#define REMOTE_COST_SHARE 0.3
 
 /* Predicted times closer than this are taken as equal. */
 #define TIE_S 0.004
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -7,33 +7,43 @@
 /* A call of the next lower rank goes first after waiting this much longer. */
 #define RANK_AGING_S 0.4
 
-/* Weight of the newest call in the mean service time. */
+/* Weight of the target latency in the order of calls: with 2 a call goes
+ * before one of twice its target latency that waits for that long. */
+#define LATENCY_WEIGHT 2.0
+
+/* Weight of the newest call in the mean times. */
 #define SERVICE_WEIGHT 0.05
 
-/* Part of the mean service time that a late call must still have left. */
-#define MIN_RUN_SHARE 0.5
+/* Expected times are multiplied by this to decide what ends in time, since
+ * half of the calls take longer than the mean. */
+#define SERVICE_MARGIN 1.3
 
-/* A call that would start later than this share of its time left is refused
- * at once: its caller can try elsewhere while there is time. */
-#define WAIT_SHARE 0.5
+/* A late call waits while the queue before it is shorter than this. */
+#define LATE_WAIT_S 0.1
 
 struct bb_slot_queue {
     int slots;
     int running;
     int waiting;
-    double service_s;
+    double service_s;          /* mean over all classes */
+    GHashTable *classes;       /* name to mean seconds */
     bb_slot_ticket_t *tickets; /* waiting, by arrival */
 };
 
 bb_slot_queue_t *
 BbSlotQueue_New(void)
 {
-    return g_new0(bb_slot_queue_t, 1);
+    bb_slot_queue_t *queue = g_new0(bb_slot_queue_t, 1);
+
+    queue->classes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return queue;
 }
 
 void
 BbSlotQueue_Free(bb_slot_queue_t *queue)
 {
+    g_hash_table_destroy(queue->classes);
     g_free(queue);
 }
 
@@ -44,64 +54,92 @@
 }
 
 static double
-start_by(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket)
+class_time(const bb_slot_queue_t *queue, const char *name)
+{
+    const double *mean_s =
+        name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
+    return mean_s != NULL ? *mean_s : queue->service_s;
+}
+
+static double
+start_by(const bb_slot_ticket_t *ticket)
 {
-    return ticket->expires_at - queue->service_s * MIN_RUN_SHARE;
+    return ticket->expires_at - ticket->service_s;
 }
 
 static bool
-is_in_time(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
-           double now)
+is_in_time(const bb_slot_ticket_t *ticket, double start_at)
 {
-    return now + queue->service_s <= ticket->target_at;
+    return start_at + ticket->service_s * SERVICE_MARGIN <= ticket->target_at;
 }
 
 static double
 order_of(const bb_slot_ticket_t *ticket)
 {
-    return ticket->arrived_at + ticket->rank * RANK_AGING_S;
+    return ticket->arrived_at + ticket->target_latency_s * LATENCY_WEIGHT +
+           ticket->rank * RANK_AGING_S;
 }
 
 /* Whether a goes before b. */
 static bool
-goes_first(const bb_slot_queue_t *queue, const bb_slot_ticket_t *a,
-           const bb_slot_ticket_t *b, double now)
+goes_first(const bb_slot_ticket_t *a, const bb_slot_ticket_t *b, double now)
 {
-    bool a_in_time = is_in_time(queue, a, now);
+    bool a_in_time = is_in_time(a, now);
 
-    if (a_in_time != is_in_time(queue, b, now)) {
+    if (a_in_time != is_in_time(b, now)) {
         return a_in_time;
     }
     return order_of(a) < order_of(b);
 }
 
+/* Seconds until a slot is free behind an amount of waiting work. */
 static double
-predict_wait(const bb_slot_queue_t *queue, int ahead)
+predict_wait(const bb_slot_queue_t *queue, double work_s)
 {
-    if (queue->running + ahead < queue->slots) {
+    if (queue->running < queue->slots && work_s <= 0) {
         return 0;
     }
-    return (ahead + 1) * queue->service_s / MAX(queue->slots, 1);
+    return (work_s + queue->service_s) / MAX(queue->slots, 1);
+}
+
+static double
+work_ahead(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+           double now)
+{
+    double work_s = 0;
+    const bb_slot_ticket_t *other;
+
+    DL_FOREACH(queue->tickets, other)
+    {
+        if (ticket == NULL || goes_first(other, ticket, now)) {
+            work_s += other->service_s;
+        }
+    }
+    return work_s;
 }
 
 double
 BbSlotQueue_Wait(const bb_slot_queue_t *queue)
 {
-    return predict_wait(queue, queue->waiting);
+    return predict_wait(queue, work_ahead(queue, NULL, 0));
 }
 
-static int
-count_ahead(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
-            double now)
+static bb_slot_state_t
+refuse(bb_slot_ticket_t *ticket, bb_reason_t reason)
 {
-    int ahead = 0;
-    const bb_slot_ticket_t *other;
+    ticket->state = BB_SLOT_REFUSED;
+    ticket->reason = reason;
+    return ticket->state;
+}
 
-    DL_FOREACH(queue->tickets, other)
-    {
-        ahead += goes_first(queue, other, ticket, now);
+/* Whether a call that must wait is worth its place in the queue. */
+static bool
+may_wait(const bb_slot_ticket_t *ticket, double wait_s, double now)
+{
+    if (is_in_time(ticket, now)) {
+        return is_in_time(ticket, now + wait_s);
     }
-    return ahead;
+    return wait_s <= LATE_WAIT_S;
 }
 
 bb_slot_state_t
@@ -109,10 +147,9 @@
 {
     ticket->arrived_at = now;
     ticket->reason = BB_REASON_NONE;
-    if (now > start_by(queue, ticket)) {
-        ticket->state = BB_SLOT_REFUSED;
-        ticket->reason = BB_REASON_TOO_LATE;
-        return ticket->state;
+    ticket->service_s = class_time(queue, ticket->class_name);
+    if (now > start_by(ticket)) {
+        return refuse(ticket, BB_REASON_TOO_LATE);
     }
     if (queue->waiting == 0 && queue->running < queue->slots) {
         ticket->state = BB_SLOT_RUNNING;
@@ -120,11 +157,9 @@
         queue->running++;
         return ticket->state;
     }
-    double wait = predict_wait(queue, count_ahead(queue, ticket, now));
-    if (wait > (start_by(queue, ticket) - now) * WAIT_SHARE) {
-        ticket->state = BB_SLOT_REFUSED;
-        ticket->reason = BB_REASON_QUEUE_FULL;
-        return ticket->state;
+    double wait_s = predict_wait(queue, work_ahead(queue, ticket, now));
+    if (!may_wait(ticket, wait_s, now) || now + wait_s > start_by(ticket)) {
+        return refuse(ticket, BB_REASON_QUEUE_FULL);
     }
     ticket->state = BB_SLOT_WAITING;
     queue->waiting++;
@@ -140,23 +175,36 @@
     queue->waiting--;
 }
 
+static void
+add_measurement(double *mean_s, double took_s)
+{
+    *mean_s = *mean_s <= 0 ? took_s
+                           : *mean_s + SERVICE_WEIGHT * (took_s - *mean_s);
+}
+
 void
 BbSlotQueue_Finish(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket,
                    bool is_measured, double now)
 {
+    double took_s = now - ticket->started_at;
+
     assert(ticket->state == BB_SLOT_RUNNING);
     queue->running--;
     ticket->state = BB_SLOT_NONE;
     if (!is_measured) {
         return;
     }
-    double took_s = now - ticket->started_at;
-    if (queue->service_s <= 0) {
-        queue->service_s = took_s;
+    add_measurement(&queue->service_s, took_s);
+    if (ticket->class_name == NULL) {
+        return;
     }
-    else {
-        queue->service_s += SERVICE_WEIGHT * (took_s - queue->service_s);
+    double *mean_s = g_hash_table_lookup(queue->classes, ticket->class_name);
+    if (mean_s == NULL) {
+        mean_s = g_new0(double, 1);
+        g_hash_table_insert(queue->classes, g_strdup(ticket->class_name),
+                            mean_s);
     }
+    add_measurement(mean_s, took_s);
 }
 
 void
@@ -166,6 +214,19 @@
     ticket->state = BB_SLOT_NONE;
 }
 
+/* Whether a waiting call has lost its sense: no time is left, or it is late
+ * and the calls in time keep all slots busy. */
+static bool
+is_hopeless(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+            double now)
+{
+    if (now > start_by(ticket)) {
+        return true;
+    }
+    return !is_in_time(ticket, now) &&
+           predict_wait(queue, work_ahead(queue, ticket, now)) > LATE_WAIT_S;
+}
+
 bb_slot_ticket_t *
 BbSlotQueue_Next(bb_slot_queue_t *queue, double now)
 {
@@ -173,13 +234,12 @@
 
     DL_FOREACH(queue->tickets, ticket)
     {
-        if (now > start_by(queue, ticket)) {
+        if (is_hopeless(queue, ticket, now)) {
             take_out(queue, ticket);
-            ticket->state = BB_SLOT_REFUSED;
-            ticket->reason = BB_REASON_QUEUE_EXPIRED;
+            refuse(ticket, BB_REASON_QUEUE_EXPIRED);
             return ticket;
         }
-        if (best == NULL || goes_first(queue, ticket, best, now)) {
+        if (best == NULL || goes_first(ticket, best, now)) {
             best = ticket;
         }
     }
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -3,12 +3,17 @@
  *
  * The target gets at most as many calls as it has slots; the others wait
  * here, where a refusal costs nothing. Calls that can still end within their
- * target latency go first, by rank and then by arrival; a lower rank gains on
- * a higher one by waiting, so that none starves. A call that cannot end
- * before its deadline is refused as soon as that is known.
+ * target latency go first, those with the shorter target latency before
+ * others: they are the calls that running requests wait for, with a slot
+ * already spent on them. A lower rank gains on a higher one by waiting, so
+ * that none starves.
  *
- * Answers the load: bursts above the slots of a target, slow targets, and
- * calls of running requests, which wait with a slot already spent on them.
+ * A call is refused at once when the queue is too long for it to end within
+ * its target latency. One that is late already is worth less than a fresh one
+ * and gets slots that would stay empty.
+ *
+ * Answers the load: more calls than slots for seconds (bursts, slow or lost
+ * targets), when a queue that is served in order makes every call late.
  *
  * USE
  *   switch (BbSlotQueue_Offer(queue, &ticket, now)) ...
@@ -37,7 +42,9 @@
 
 /* Times are seconds by the clock of now. */
 typedef struct bb_slot_ticket {
+    const char *class_name; /* calls that take about equally long */
     int rank;          /* 0 is the most urgent */
+    double target_latency_s; /* of the route */
     double target_at;  /* an answer by then is worth most */
     double expires_at; /* an answer after it is worth nothing */
     void *arg;         /* the owner's */
@@ -46,6 +53,7 @@
     bb_reason_t reason;
     double arrived_at;
     double started_at;
+    double service_s; /* expected time at the target */
     struct bb_slot_ticket *prev, *next;
 } bb_slot_ticket_t;
 
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -425,7 +425,9 @@
     call->handler = handler;
     call->arg = arg;
     call->ticket = (bb_slot_ticket_t){
+        .class_name = request->class_name,
         .rank = request->rank,
+        .target_latency_s = request->target_latency_s,
         .target_at = request->target_at,
         .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
         .arg = call,
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -21,7 +21,14 @@
 /* After SIGTERM callers need two failed readiness checks, a second apart,
  * before they stop to send. */
 #define LEAVE_MIN_S 2.3
+
+/* Without a new call for this long the callers are taken to be gone. */
 #define QUIET_S 0.6
+
+/* From then on new calls are refused as not run, for callers that the
+ * platform does not move: the sooner this process ends, the sooner the next
+ * one serves them. */
+#define REFUSE_AFTER_S 2.6
 #define LEAVE_CHECK_S 0.05
 
 /* Open calls are cut this long before the platform would kill the process. */
@@ -503,8 +510,15 @@
     sidecar_t *sidecar = timer->data;
     double now = ev_now(loop);
     double since_s = now - sidecar->leaving_since;
-    bool is_quiet = open_calls(sidecar) == 0 && since_s >= LEAVE_MIN_S &&
-                    now - BbCallIo_LastCallAt(sidecar->call_io) >= QUIET_S;
+    bool is_left =
+        since_s >= REFUSE_AFTER_S ||
+        now - BbCallIo_LastCallAt(sidecar->call_io) >= QUIET_S;
+    bool is_quiet =
+        open_calls(sidecar) == 0 && since_s >= LEAVE_MIN_S && is_left;
+
+    if (since_s >= REFUSE_AFTER_S) {
+        BbCallIo_SetRefusing(sidecar->call_io);
+    }
 
     if (is_quiet || since_s >= sidecar->settings->shutdown_s -
                                    LEAVE_MARGIN_S) {
