--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -32,16 +32,7 @@
 
 /* Header names between the nodes. */
 #define BB_HOP_PREFIX "Burdock-"
-#define BB_HOP_SERVICE "Burdock-Service"
-#define BB_HOP_CALLER "Burdock-Caller"
-#define BB_HOP_DEADLINE "Burdock-Deadline-Ms"
-#define BB_HOP_CLASS "Burdock-Class"
-#define BB_HOP_TARGET_LATENCY "Burdock-Target-Ms"
-#define BB_HOP_TARGET_LEFT "Burdock-Target-Left-Ms"
-#define BB_HOP_RANK "Burdock-Rank"
-#define BB_HOP_ONCE "Burdock-Once"
-#define BB_HOP_VERSION "Burdock-Version"
-#define BB_HOP_NODE "Burdock-Node"
+#define BB_HOP_CALL "Burdock-Call" /* see bb_hop.h */
 #define BB_HOP_OUTCOME "Burdock-Outcome"
 #define BB_HOP_REASON "Burdock-Reason"
 #define BB_HOP_LOAD "Burdock-Load"
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -37,6 +37,9 @@
 /* A node without a target that takes calls is not asked for this long. */
 #define AVOID_S 1.0
 
+/* Another node has the address; the record is that of a lost one. */
+#define AVOID_REPLACED_S 60.0
+
 typedef struct call {
     bb_call_io_t *io;
     bb_h1_request_t *request;
@@ -263,14 +266,14 @@
            BbRepeatBudget_Take(io->options.budget, call->service);
 }
 
-static bb_endpoint_t *choose_endpoint(call_t *call);
+static bb_endpoint_t *choose_endpoint(call_t *call, bool *is_full);
 
 /* A run that fails for want of capacity elsewhere must not be repeated where
  * capacity is short already. */
 static bool
 can_end_in_time(call_t *call)
 {
-    bb_endpoint_t *endpoint = choose_endpoint(call);
+    bb_endpoint_t *endpoint = choose_endpoint(call, NULL);
     double now = now_of(call);
 
     return endpoint != NULL &&
@@ -314,15 +317,22 @@
     else if (reason == BB_REASON_CONNECT_FAILED) {
         outcome = BB_ATTEMPT_LOST;
     }
-    if (reason == BB_REASON_WRONG_SERVICE || reason == BB_REASON_NO_TARGET ||
+    if (reason == BB_REASON_WRONG_SERVICE) {
+        BbPlacement_Avoid(endpoint, AVOID_REPLACED_S, now_of(call));
+    }
+    if (reason == BB_REASON_NO_TARGET ||
         reason == BB_REASON_TARGET_DRAINING ||
         reason == BB_REASON_NODE_DRAINING) {
         BbPlacement_Avoid(endpoint, AVOID_S, now_of(call));
     }
     call->targets_reached += is_by_target;
-    call->full += reason == BB_REASON_QUEUE_FULL ||
-                  reason == BB_REASON_QUEUE_EXPIRED ||
-                  reason == BB_REASON_TOO_LATE;
+    if (reason == BB_REASON_QUEUE_FULL || reason == BB_REASON_QUEUE_EXPIRED ||
+        reason == BB_REASON_TOO_LATE) {
+        call->full++;
+    }
+    if (reason == BB_REASON_QUEUE_FULL) {
+        BbPlacement_SetFull(endpoint, call->route->name, now_of(call));
+    }
     if (retry_after_s > 0 &&
         (call->retry_after_s <= 0 || retry_after_s < call->retry_after_s)) {
         call->retry_after_s = retry_after_s;
@@ -429,11 +439,12 @@
 /* ---- placing ---- */
 
 static bb_endpoint_t *
-choose_endpoint(call_t *call)
+choose_endpoint(call_t *call, bool *is_full)
 {
     const bb_call_io_options_t *options = &call->io->options;
     bb_placement_request_t request = {
         .service = call->service,
+        .class_name = call->route->name,
         .data_centre = call->io->data_centre,
         .target_latency_s = call->route->target_latency_s,
         .spill_share = options->spill_share,
@@ -444,7 +455,7 @@
         request.tried[i] = call->tried[i];
     }
     return BbPlacement_Choose(options->fleet, &request, options->random,
-                              now_of(call));
+                              now_of(call), is_full);
 }
 
 static void
@@ -480,7 +491,7 @@
     BbPlacement_Started(endpoint, now_of(call));
     if (!endpoint->is_local) {
         call->attempt =
-            BbHop_Start(options->hop, endpoint->record.address, &call->asked,
+            BbHopIo_Start(options->hop, endpoint->record.address, &call->asked,
                         &call_handler, call, &call->news);
         return;
     }
@@ -497,13 +508,15 @@
 place_call(call_t *call)
 {
     bb_endpoint_t *endpoint = NULL;
+    bool is_full = false;
 
     if (call->tried_count < BB_PLACEMENT_MAX_TRIED) {
-        endpoint = choose_endpoint(call);
+        endpoint = choose_endpoint(call, &is_full);
     }
     if (endpoint == NULL) {
-        give_up(call, call->attempts > 0 ? call->last_reason
-                                         : BB_REASON_NO_LIVE_TARGET);
+        bb_reason_t reason =
+            is_full ? BB_REASON_QUEUE_FULL : BB_REASON_NO_LIVE_TARGET;
+        give_up(call, call->attempts > 0 ? call->last_reason : reason);
         return;
     }
     start_attempt(call, endpoint);
--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -92,6 +92,7 @@
         return;
     }
     BbNodeRecord_Clear(&endpoint->record);
+    g_clear_pointer(&endpoint->full_until, g_hash_table_destroy);
     g_free(endpoint->node);
     g_free(endpoint);
 }
@@ -143,6 +144,7 @@
     endpoint->suspect_until = 0;
     endpoint->suspect_s = 0;
     endpoint->known_since = now;
+    g_clear_pointer(&endpoint->full_until, g_hash_table_destroy);
 }
 
 static void
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -53,6 +53,8 @@
     double fail_at;
     double suspect_until; /* not chosen before, but as a last resort */
     double suspect_s;     /* length of the last suspicion */
+    GHashTable *full_until; /* class of calls to the time before which the
+                               node has no room for it; NULL while empty */
     double known_since;
     double last_chosen;
 } bb_endpoint_t;
--- /dev/null
+++ b/lib/mesh/bb_hop.c
@@ -0,0 +1,73 @@
+#include "bb_hop.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bb_error.h"
+
+enum {
+    FIELD_SERVICE,
+    FIELD_CALLER,
+    FIELD_CLASS,
+    FIELD_DEADLINE,
+    FIELD_LATENCY,
+    FIELD_LEFT,
+    FIELD_RANK,
+    FIELD_ONCE,
+    FIELD_COUNT,
+};
+
+char *
+BbHop_Format(const bb_hop_call_t *hop)
+{
+    return g_strdup_printf("%s,%s,%s,%d,%d,%d,%d,%d", hop->service,
+                           hop->caller_service, hop->class_name,
+                           hop->deadline_ms, hop->latency_ms, hop->left_ms,
+                           hop->rank, hop->is_once ? 1 : 0);
+}
+
+static bool
+take_number(const char *text, int *out)
+{
+    char *end;
+
+    *out = (int)strtol(text, &end, 10);
+    return end != text && *end == '\0';
+}
+
+int
+BbHop_Parse(const char *text, bb_hop_call_t *out)
+{
+    int once = 0;
+
+    memset(out, 0, sizeof(*out));
+    if (text == NULL) {
+        return BB_ERR_PARSE;
+    }
+    char **fields = g_strsplit(text, ",", FIELD_COUNT + 1);
+    bool is_valid = g_strv_length(fields) == FIELD_COUNT &&
+                    fields[FIELD_SERVICE][0] != '\0' &&
+                    take_number(fields[FIELD_DEADLINE], &out->deadline_ms) &&
+                    take_number(fields[FIELD_LATENCY], &out->latency_ms) &&
+                    take_number(fields[FIELD_LEFT], &out->left_ms) &&
+                    take_number(fields[FIELD_RANK], &out->rank) &&
+                    take_number(fields[FIELD_ONCE], &once);
+    if (is_valid) {
+        out->service = g_strdup(fields[FIELD_SERVICE]);
+        out->caller_service = g_strdup(fields[FIELD_CALLER]);
+        out->class_name = g_strdup(fields[FIELD_CLASS]);
+        out->is_once = once != 0;
+    }
+    g_strfreev(fields);
+    return is_valid ? 0 : BB_ERR_PARSE;
+}
+
+void
+BbHop_Clear(bb_hop_call_t *hop)
+{
+    g_free(hop->service);
+    g_free(hop->caller_service);
+    g_free(hop->class_name);
+    memset(hop, 0, sizeof(*hop));
+}
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -1,6 +1,5 @@
 #include "bb_hop_io.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -8,6 +7,7 @@
 
 #include "bb_counters.h"
 #include "bb_error.h"
+#include "bb_hop.h"
 
 /* The server keeps idle connections for longer than the client, so that a
  * call does not cross a close. */
@@ -15,14 +15,15 @@
 #define CLIENT_IDLE_S 12.0
 #define CONNECT_S 0.5
 
+#define MS_PER_S 1000.0
+
 #define QUERY_PREFIX "/burdockbarrow/"
 
 /* A body that waits for a slot is not read beyond this. */
 #define WAITING_BODY_BYTES (1024 * 1024)
 
-struct bb_hop {
-    bb_hop_options_t options;
-    char *node;
+struct bb_hop_io {
+    bb_hop_io_options_t options;
     bb_h1_server_t *server;
     bb_h1_client_t *client;
 };
@@ -30,14 +31,12 @@
 /* ---- server side ---- */
 
 typedef struct {
-    bb_hop_t *hop;
+    bb_hop_io_t *hop;
     bb_h1_request_t *request;
     bb_attempt_request_t asked;
     bb_h1_fields_t fields;
-    char *service;
-    char *caller_service;
+    bb_hop_call_t told;
     char *call_id;
-    char *class_name;
     bb_body_t body;
     bb_attempt_t *attempt;
 } hop_call_t;
@@ -47,15 +46,13 @@
 {
     BbH1Fields_Free(&call->fields);
     BbBody_Free(&call->body);
-    g_free(call->service);
-    g_free(call->caller_service);
+    BbHop_Clear(&call->told);
     g_free(call->call_id);
-    g_free(call->class_name);
     g_free(call);
 }
 
 static void
-add_news(const bb_hop_t *hop, bb_h1_fields_t *fields)
+add_news(const bb_hop_io_t *hop, bb_h1_fields_t *fields)
 {
     char text[BB_LOAD_TEXT];
     bb_load_t load = {.version =
@@ -155,13 +152,6 @@
     .on_drained = hop_drained,
 };
 
-static int
-number_of(const bb_h1_fields_t *fields, const char *name)
-{
-    const char *text = BbH1Fields_Get(fields, name);
-    return text != NULL ? (int)strtol(text, NULL, 10) : 0;
-}
-
 static void
 split_fields(hop_call_t *call, const bb_h1_fields_t *fields)
 {
@@ -177,7 +167,7 @@
 }
 
 static hop_call_t *
-new_hop_call(bb_hop_t *hop, bb_h1_request_t *request)
+new_hop_call(bb_hop_io_t *hop, bb_h1_request_t *request, int *error)
 {
     hop_call_t *call = g_new0(hop_call_t, 1);
     const bb_h1_fields_t *fields = &request->fields;
@@ -189,10 +179,8 @@
     BbH1Fields_Init(&call->fields);
     BbBody_Init(&call->body);
     split_fields(call, fields);
-    call->service = g_strdup(BbH1Fields_Get(fields, BB_HOP_SERVICE));
-    call->caller_service = g_strdup(BbH1Fields_Get(fields, BB_HOP_CALLER));
     call->call_id = g_strdup(id != NULL ? id : "");
-    call->class_name = g_strdup(BbH1Fields_Get(fields, BB_HOP_CLASS));
+    *error = BbHop_Parse(BbH1Fields_Get(fields, BB_HOP_CALL), &call->told);
     call->asked = (bb_attempt_request_t){
         .call_id = call->call_id,
         .method = request->method,
@@ -200,46 +188,33 @@
         .fields = &call->fields,
         .content_length = request->content_length,
         .body = &call->body,
-        .service = call->service,
-        .caller_service = call->caller_service,
-        .is_idempotent = number_of(fields, BB_HOP_ONCE) == 0,
-        .class_name = call->class_name,
-        .rank = number_of(fields, BB_HOP_RANK),
-        .target_latency_s =
-            number_of(fields, BB_HOP_TARGET_LATENCY) / 1000.0,
-        .target_at = now + number_of(fields, BB_HOP_TARGET_LEFT) / 1000.0,
-        .deadline_at = now + number_of(fields, BB_HOP_DEADLINE) / 1000.0,
+        .service = call->told.service,
+        .caller_service = call->told.caller_service,
+        .is_idempotent = !call->told.is_once,
+        .class_name = call->told.class_name,
+        .rank = call->told.rank,
+        .target_latency_s = call->told.latency_ms / MS_PER_S,
+        .target_at = now + call->told.left_ms / MS_PER_S,
+        .deadline_at = now + call->told.deadline_ms / MS_PER_S,
     };
     return call;
 }
 
-static void
-take_version(bb_hop_t *hop, bb_h1_request_t *request)
-{
-    const char *text = BbH1Fields_Get(&request->fields, BB_HOP_VERSION);
-    const char *address = BbH1Fields_Get(&request->fields, BB_HOP_NODE);
-
-    if (text != NULL && address != NULL) {
-        hop->options.on_version(strtoll(text, NULL, 10), address,
-                                hop->options.arg);
-    }
-}
-
 static void
 server_head(bb_h1_request_t *request, void *arg)
 {
-    bb_hop_t *hop = arg;
+    bb_hop_io_t *hop = arg;
 
     request->user = NULL;
-    take_version(hop, request);
     if (strncmp(request->target->str, QUERY_PREFIX, strlen(QUERY_PREFIX)) ==
             0 &&
-        BbH1Fields_Get(&request->fields, BB_HOP_SERVICE) == NULL) {
+        BbH1Fields_Get(&request->fields, BB_HOP_CALL) == NULL) {
         hop->options.on_query(request, hop->options.arg);
         return;
     }
-    hop_call_t *call = new_hop_call(hop, request);
-    if (call->service == NULL || call->caller_service == NULL) {
+    int error;
+    hop_call_t *call = new_hop_call(hop, request, &error);
+    if (error != 0) {
         answer_outcome(call, 400, BB_OUTCOME_NOT_RUN, BB_REASON_BAD_HOP, 0);
         free_hop_call(call);
         return;
@@ -310,7 +285,7 @@
 
 typedef struct {
     bb_attempt_t base; /* first */
-    bb_hop_t *hop;
+    bb_hop_io_t *hop;
     char *address;
     bb_attempt_request_t request;
     const bb_attempt_handler_t *handler;
@@ -334,7 +309,7 @@
 static void
 take_news(hop_attempt_t *attempt, const bb_h1_fields_t *fields)
 {
-    const bb_hop_options_t *options = &attempt->hop->options;
+    const bb_hop_io_options_t *options = &attempt->hop->options;
     bb_hop_news_t *news = attempt->news;
 
     if (BbLoad_Parse(BbH1Fields_Get(fields, BB_HOP_LOAD), &news->load) != 0) {
@@ -458,42 +433,28 @@
 };
 
 static void
-add_number(bb_h1_fields_t *fields, const char *name, int64_t number)
-{
-    char text[24];
-
-    g_snprintf(text, sizeof(text), "%" PRId64, number);
-    BbH1Fields_Add(fields, name, text);
-}
-
-static void
-add_hop_fields(const bb_hop_t *hop, const bb_attempt_request_t *request,
-               bb_h1_fields_t *fields)
+add_hop_field(const bb_hop_io_t *hop, const bb_attempt_request_t *request,
+              bb_h1_fields_t *fields)
 {
     double now = ev_now(hop->options.loop);
+    const bb_hop_call_t told = {
+        .service = (char *)request->service,
+        .caller_service = (char *)request->caller_service,
+        .class_name = (char *)request->class_name,
+        .deadline_ms = (int)((request->deadline_at - now) * MS_PER_S),
+        .latency_ms = (int)(request->target_latency_s * MS_PER_S),
+        .left_ms = (int)((request->target_at - now) * MS_PER_S),
+        .rank = request->rank,
+        .is_once = !request->is_idempotent,
+    };
+    char *text = BbHop_Format(&told);
 
-    BbH1Fields_Add(fields, BB_HOP_SERVICE, request->service);
-    BbH1Fields_Add(fields, BB_HOP_CALLER, request->caller_service);
-    add_number(fields, BB_HOP_DEADLINE,
-               (int64_t)((request->deadline_at - now) * 1000));
-    add_number(fields, BB_HOP_TARGET_LATENCY,
-               (int64_t)(request->target_latency_s * 1000));
-    add_number(fields, BB_HOP_TARGET_LEFT,
-               (int64_t)((request->target_at - now) * 1000));
-    BbH1Fields_Add(fields, BB_HOP_CLASS, request->class_name);
-    if (request->rank != 0) {
-        add_number(fields, BB_HOP_RANK, request->rank);
-    }
-    if (!request->is_idempotent) {
-        BbH1Fields_Add(fields, BB_HOP_ONCE, "1");
-    }
-    add_number(fields, BB_HOP_VERSION,
-               hop->options.own_version(hop->options.arg));
-    BbH1Fields_Add(fields, BB_HOP_NODE, hop->options.address);
+    BbH1Fields_Add(fields, BB_HOP_CALL, text);
+    g_free(text);
 }
 
 bb_attempt_t *
-BbHop_Start(bb_hop_t *hop, const char *address,
+BbHopIo_Start(bb_hop_io_t *hop, const char *address,
             const bb_attempt_request_t *request,
             const bb_attempt_handler_t *handler, void *arg,
             bb_hop_news_t *news)
@@ -510,7 +471,7 @@
     attempt->news = news;
     BbH1Fields_Init(&fields);
     BbH1Fields_CopyEndToEnd(&fields, request->fields);
-    add_hop_fields(hop, request, &fields);
+    add_hop_field(hop, request, &fields);
     bb_h1_exchange_options_t options = {
         .address = address,
         .method = request->method,
@@ -530,9 +491,9 @@
 /* ---- life ---- */
 
 int
-BbHop_New(const bb_hop_options_t *options, bb_hop_t **out)
+BbHopIo_New(const bb_hop_io_options_t *options, bb_hop_io_t **out)
 {
-    bb_hop_t *hop = g_new0(bb_hop_t, 1);
+    bb_hop_io_t *hop = g_new0(bb_hop_io_t, 1);
     bb_h1_client_options_t client_options = {
         .loop = options->loop,
         .connect_s = CONNECT_S,
@@ -540,7 +501,6 @@
     };
 
     hop->options = *options;
-    hop->node = g_strdup(options->node);
     bb_h1_server_options_t server_options = {
         .loop = options->loop,
         .address = options->address,
@@ -551,7 +511,6 @@
     };
     int error = BbH1Server_New(&server_options, &hop->server);
     if (error != 0) {
-        g_free(hop->node);
         g_free(hop);
         return error;
     }
@@ -561,24 +520,23 @@
 }
 
 void
-BbHop_Free(bb_hop_t *hop)
+BbHopIo_Free(bb_hop_io_t *hop)
 {
     if (hop != NULL) {
         BbH1Server_Free(hop->server);
         BbH1Client_Free(hop->client);
-        g_free(hop->node);
         g_free(hop);
     }
 }
 
 int
-BbHop_OpenRequests(const bb_hop_t *hop)
+BbHopIo_OpenRequests(const bb_hop_io_t *hop)
 {
     return BbH1Server_OpenRequests(hop->server);
 }
 
 bb_h1_client_t *
-BbHop_Client(bb_hop_t *hop)
+BbHopIo_Client(bb_hop_io_t *hop)
 {
     return hop->client;
 }
--- a/lib/mesh/bb_hop_io.h
+++ b/lib/mesh/bb_hop_io.h
@@ -15,12 +15,11 @@
 extern "C" {
 #endif
 
-typedef struct bb_hop bb_hop_t;
+typedef struct bb_hop_io bb_hop_io_t;
 
 typedef struct {
     struct ev_loop *loop;
     const char *address; /* for forwarded calls */
-    const char *node;    /* own name */
     bb_target_io_t *target;
     const bb_header_names_t *names;
     /* Version of the configuration in force here, 0 for none. */
@@ -30,11 +29,11 @@
     /* GET of a path that starts with "/burdockbarrow/": answers it. */
     void (*on_query)(bb_h1_request_t *request, void *arg);
     void *arg;
-} bb_hop_options_t;
+} bb_hop_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
-int BbHop_New(const bb_hop_options_t *options, bb_hop_t **out);
-void BbHop_Free(bb_hop_t *hop);
+int BbHopIo_New(const bb_hop_io_options_t *options, bb_hop_io_t **out);
+void BbHopIo_Free(bb_hop_io_t *hop);
 
 /* Attempt at another node. load is filled before the end of the attempt when
  * the node there told it; *is_loaded says so. */
@@ -43,15 +42,15 @@
     bool is_loaded;
 } bb_hop_news_t;
 
-bb_attempt_t *BbHop_Start(bb_hop_t *hop, const char *address,
+bb_attempt_t *BbHopIo_Start(bb_hop_io_t *hop, const char *address,
                           const bb_attempt_request_t *request,
                           const bb_attempt_handler_t *handler, void *arg,
                           bb_hop_news_t *news);
 
-int BbHop_OpenRequests(const bb_hop_t *hop);
+int BbHopIo_OpenRequests(const bb_hop_io_t *hop);
 
 /* Client for other requests to nodes. */
-bb_h1_client_t *BbHop_Client(bb_hop_t *hop);
+bb_h1_client_t *BbHopIo_Client(bb_hop_io_t *hop);
 
 #ifdef __cplusplus
 }
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -21,6 +21,10 @@
 /* Added for a node in another data centre when both are past the share. */
 #define REMOTE_COST_SHARE 0.3
 
+/* A refusal for want of room holds this long. */
+#define FULL_S 0.08
+#define MAX_FULL_CLASSES 64
+
 /* Predicted times closer than this are taken as equal. */
 #define TIE_S 0.004
 
@@ -122,20 +126,54 @@
     }
 }
 
+void
+BbPlacement_SetFull(bb_endpoint_t *endpoint, const char *class_name,
+                    double now)
+{
+    double *until = g_new(double, 1);
+
+    if (endpoint->full_until != NULL &&
+        g_hash_table_size(endpoint->full_until) >= MAX_FULL_CLASSES) {
+        g_clear_pointer(&endpoint->full_until, g_hash_table_destroy);
+    }
+    if (endpoint->full_until == NULL) {
+        endpoint->full_until =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    }
+    *until = now + FULL_S;
+    g_hash_table_replace(endpoint->full_until, g_strdup(class_name), until);
+}
+
+static bool
+is_full_for(const bb_endpoint_t *endpoint, const char *class_name, double now)
+{
+    if (endpoint->full_until == NULL || class_name == NULL) {
+        return false;
+    }
+    const double *until =
+        g_hash_table_lookup(endpoint->full_until, class_name);
+    return until != NULL && now < *until;
+}
+
 bb_endpoint_t *
 BbPlacement_Choose(const bb_fleet_t *fleet,
                    const bb_placement_request_t *request, bb_random_t *random,
-                   double now)
+                   double now, bool *is_full)
 {
     const GPtrArray *list = BbFleet_Service(fleet, request->service);
     choice_t near = {0}, any = {0}, suspect = {0};
     double remote_cost = request->target_latency_s * REMOTE_COST_SHARE;
+    bool has_full = false;
 
     for (guint i = 0; list != NULL && i < list->len; i++) {
         bb_endpoint_t *endpoint = g_ptr_array_index(list, i);
         if (!endpoint->record.is_ready || is_tried(request, endpoint)) {
             continue;
         }
+        if (is_full_for(endpoint, request->class_name, now)) {
+            has_full = true;
+            continue;
+        }
         bool is_near =
             strcmp(endpoint->record.data_centre, request->data_centre) == 0;
         double cost = BbPlacement_Predict(endpoint, now);
@@ -149,11 +187,17 @@
         consider(&any, endpoint, is_near ? cost : cost + remote_cost, now,
                  random);
     }
+    if (is_full != NULL) {
+        *is_full = has_full;
+    }
     if (near.endpoint != NULL &&
         near.cost <= request->target_latency_s * request->spill_share) {
         return near.endpoint;
     }
-    return any.endpoint != NULL ? any.endpoint : suspect.endpoint;
+    if (any.endpoint != NULL) {
+        return any.endpoint;
+    }
+    return has_full ? NULL : suspect.endpoint;
 }
 
 void
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -9,6 +9,10 @@
  * best node anywhere is taken, so that a data centre with few targets spills
  * what it cannot serve in time.
  *
+ * A node that has just refused a class of calls for want of room is passed
+ * over for that class for FULL_S: its answer holds for calls that follow at
+ * once, and asking all nodes again for each call costs bytes and serves none.
+ *
  * Targets that fail are found by their answers: a high share of failures
  * adds to the predicted time, a lost connection makes the node suspect for a
  * time that doubles up to SUSPECT_MAX_S.
@@ -30,6 +34,7 @@
 
 typedef struct {
     const char *service;
+    const char *class_name;  /* of the call; may be NULL */
     const char *data_centre; /* of the choosing node */
     double target_latency_s; /* 0 when the route has none */
     double spill_share;      /* of it, see above */
@@ -37,10 +42,16 @@
     size_t tried_count;
 } bb_placement_request_t;
 
-/* NULL when no node beside a target of the service is left. */
+/* NULL when no node beside a target of the service is left. *is_full says
+ * whether one was passed over for want of room only; it may be NULL. */
 bb_endpoint_t *BbPlacement_Choose(const bb_fleet_t *fleet,
                                   const bb_placement_request_t *request,
-                                  bb_random_t *random, double now);
+                                  bb_random_t *random, double now,
+                                  bool *is_full);
+
+/* The node has no room for calls of this class now. */
+void BbPlacement_SetFull(bb_endpoint_t *endpoint, const char *class_name,
+                         double now);
 
 /* Predicted seconds until the end of an attempt begun now. */
 double BbPlacement_Predict(const bb_endpoint_t *endpoint, double now);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -44,7 +44,7 @@
     bb_mesh_config_t *config;
     bb_local_target_t *target;
     bb_target_io_t *target_io;
-    bb_hop_t *hop;
+    bb_hop_io_t *hop;
     bb_call_io_t *call_io;
     bb_repeat_budget_t *budget;
     bb_table_store_t *store;
@@ -594,10 +594,9 @@
 start_calls(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
-    const bb_hop_options_t hop = {
+    const bb_hop_io_options_t hop = {
         .loop = sidecar->loop,
         .address = settings->forward_address,
-        .node = settings->name,
         .target = sidecar->target_io,
         .names = Platform_HeaderNames(),
         .own_version = own_version,
@@ -605,7 +604,7 @@
         .on_query = node_query,
         .arg = sidecar,
     };
-    int error = BbHop_New(&hop, &sidecar->hop);
+    int error = BbHopIo_New(&hop, &sidecar->hop);
     if (error != 0) {
         return error;
     }
@@ -630,7 +629,7 @@
 {
     const news_options_t options = {
         .loop = sidecar->loop,
-        .client = BbHop_Client(sidecar->hop),
+        .client = BbHopIo_Client(sidecar->hop),
         .fleet = sidecar->fleet,
         .random = sidecar->random,
         .on_config = take_config,
@@ -754,7 +753,7 @@
     BbH1Server_Free(sidecar->announcements);
     News_Free(sidecar->news);
     BbCallIo_Free(sidecar->call_io);
-    BbHop_Free(sidecar->hop);
+    BbHopIo_Free(sidecar->hop);
     BbTargetIo_Free(sidecar->target_io);
     BbLocalTarget_Free(sidecar->target);
     BbRepeatBudget_Free(sidecar->budget);
