Tell at once that a forwarded call was read; hold back what must not run twice

Change: 102 after the head; without it for 0.25 s the call goes elsewhere; a body, or an empty one, is sent after it only, and the call starts with it.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -217,9 +217,15 @@
     const bb_h1_fields_t *fields = &link->reader.fields;
 
     BbH1Reader_EndHead(&link->reader);
-    bool is_interim = parser->status_code / 100 == 1;
-    if (is_interim || (exchange->handler->is_own != NULL &&
-                       !exchange->handler->is_own(fields, exchange->arg))) {
+    if (parser->status_code / 100 == 1) {
+        link->is_foreign = true;
+        if (exchange->handler->on_interim != NULL) {
+            exchange->handler->on_interim(exchange->arg);
+        }
+        return link->is_dead ? -1 : 0;
+    }
+    if (exchange->handler->is_own != NULL &&
+        !exchange->handler->is_own(fields, exchange->arg)) {
         link->is_foreign = true;
         return 0;
     }
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -302,6 +302,14 @@
     BbH1_Print(request->out, "\r\n");
 }
 
+void
+BbH1_RespondInterim(bb_h1_request_t *request)
+{
+    assert(!request->is_started);
+    BbH1_Print(request->out, "HTTP/1.1 102 Processing\r\n\r\n");
+    flush_connection(request->connection);
+}
+
 void
 BbH1_RespondStart(bb_h1_request_t *request, int status,
                   const bb_h1_fields_t *fields, int64_t content_length)
--- a/lib/mesh/bb_hop.c
+++ b/lib/mesh/bb_hop.c
@@ -1,6 +1,7 @@
 #include "bb_hop.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,16 +16,19 @@
     FIELD_LEFT,
     FIELD_RANK,
     FIELD_ONCE,
+    FIELD_LENGTH,
     FIELD_COUNT,
 };
 
 char *
 BbHop_Format(const bb_hop_call_t *hop)
 {
-    return g_strdup_printf("%s,%s,%s,%d,%d,%d,%d,%d", hop->service,
+    return g_strdup_printf("%s,%s,%s,%d,%d,%d,%d,%d,%" PRId64,
+                           hop->service,
                            hop->caller_service, hop->class_name,
                            hop->deadline_ms, hop->latency_ms, hop->left_ms,
-                           hop->rank, hop->is_once ? 1 : 0);
+                           hop->rank, hop->is_once ? 1 : 0,
+                           hop->content_length);
 }
 
 static bool
@@ -52,12 +56,14 @@
                     take_number(fields[FIELD_LATENCY], &out->latency_ms) &&
                     take_number(fields[FIELD_LEFT], &out->left_ms) &&
                     take_number(fields[FIELD_RANK], &out->rank) &&
-                    take_number(fields[FIELD_ONCE], &once);
+                    take_number(fields[FIELD_ONCE], &once) &&
+                    fields[FIELD_LENGTH][0] != '\0';
     if (is_valid) {
         out->service = g_strdup(fields[FIELD_SERVICE]);
         out->caller_service = g_strdup(fields[FIELD_CALLER]);
         out->class_name = g_strdup(fields[FIELD_CLASS]);
         out->is_once = once != 0;
+        out->content_length = strtoll(fields[FIELD_LENGTH], NULL, 10);
     }
     g_strfreev(fields);
     return is_valid ? 0 : BB_ERR_PARSE;
--- a/lib/mesh/bb_hop.h
+++ b/lib/mesh/bb_hop.h
@@ -2,7 +2,7 @@
  * bb_hop - what one node tells another with a forwarded call
  *
  * One short header field, since the bytes between data centres are counted:
- * "service,caller,class,deadline_ms,latency_ms,left_ms,rank,once".
+ * "service,caller,class,deadline_ms,latency_ms,left_ms,rank,once,length".
  *
  * USE
  *   text = BbHop_Format(&hop); free with g_free()
@@ -12,6 +12,7 @@
 #define BB_HOP_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -26,6 +27,7 @@
     int left_ms;          /* until the target latency; negative when late */
     int rank;
     bool is_once; /* must not run twice */
+    int64_t content_length; /* of the caller's body, as in bb_h1_message.h */
 } bb_hop_call_t;
 
 char *BbHop_Format(const bb_hop_call_t *hop);
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -15,6 +15,10 @@
 #define CLIENT_IDLE_S 12.0
 #define CONNECT_S 0.5
 
+/* A node must tell within this time that it has read the head of a call. A
+ * machine whose processor share is a quota may pause for a tenth. */
+#define ACK_S 0.25
+
 #define MS_PER_S 1000.0
 
 #define QUERY_PREFIX "/burdockbarrow/"
@@ -26,6 +30,7 @@
     bb_hop_io_options_t options;
     bb_h1_server_t *server;
     bb_h1_client_t *client;
+    GHashTable *peers; /* address to hop_peer_t */
 };
 
 /* ---- server side ---- */
@@ -38,7 +43,7 @@
     bb_hop_call_t told;
     char *call_id;
     bb_body_t body;
-    bb_attempt_t *attempt;
+    bb_attempt_t *attempt; /* NULL until the call starts */
 } hop_call_t;
 
 static void
@@ -186,7 +191,7 @@
         .method = request->method,
         .target = request->target->str,
         .fields = &call->fields,
-        .content_length = request->content_length,
+        .content_length = call->told.content_length,
         .body = &call->body,
         .service = call->told.service,
         .caller_service = call->told.caller_service,
@@ -200,6 +205,23 @@
     return call;
 }
 
+/* The call starts here, or is refused. */
+static void
+offer_call(hop_call_t *call, bool is_interim_due)
+{
+    double retry_after_s = 0;
+    bb_reason_t reason =
+        BbTargetIo_Offer(call->hop->options.target, &call->asked, &hop_handler,
+                         call, &retry_after_s, &call->attempt);
+
+    if (reason != BB_REASON_NONE) {
+        hop_refused(reason, retry_after_s, call);
+    }
+    else if (is_interim_due) {
+        BbH1_RespondInterim(call->request);
+    }
+}
+
 static void
 server_head(bb_h1_request_t *request, void *arg)
 {
@@ -219,18 +241,22 @@
         free_hop_call(call);
         return;
     }
-    call->body.is_complete = request->content_length == BB_H1_NO_BODY ||
-                             request->content_length == 0;
     BbCounters_Add(BB_COUNTER_HOPS, 1);
-    double retry_after_s = 0;
     request->user = call;
-    bb_reason_t reason =
-        BbTargetIo_Offer(hop->options.target, &call->asked, &hop_handler,
-                         call, &retry_after_s, &call->attempt);
+    if (!call->told.is_once) {
+        call->body.is_complete = call->told.content_length == BB_H1_NO_BODY ||
+                                 call->told.content_length == 0;
+        offer_call(call, true);
+        return;
+    }
+    double retry_after_s;
+    bb_reason_t reason = BbTargetIo_Obstacle(hop->options.target, &call->asked,
+                                             &retry_after_s);
     if (reason != BB_REASON_NONE) {
-        request->user = NULL;
         hop_refused(reason, retry_after_s, call);
+        return;
     }
+    BbH1_RespondInterim(request);
 }
 
 static void
@@ -239,14 +265,16 @@
     (void)arg;
     hop_call_t *call = request->user;
 
-    if (call == NULL) {
-        return;
-    }
     BbBody_Append(&call->body, data, size);
     if (call->body.bytes->len > WAITING_BODY_BYTES) {
         BbH1_PauseBody(request, true);
     }
-    call->attempt->ops->body_grew(call->attempt);
+    if (call->attempt != NULL) {
+        call->attempt->ops->body_grew(call->attempt);
+    }
+    else {
+        offer_call(call, false);
+    }
 }
 
 static void
@@ -255,10 +283,13 @@
     (void)arg;
     hop_call_t *call = request->user;
 
-    if (call != NULL) {
-        call->body.is_complete = true;
+    call->body.is_complete = true;
+    if (call->attempt != NULL) {
         call->attempt->ops->body_grew(call->attempt);
     }
+    else {
+        offer_call(call, false);
+    }
 }
 
 static void
@@ -267,11 +298,10 @@
     (void)arg;
     hop_call_t *call = request->user;
 
-    if (call != NULL) {
-        bb_attempt_t *attempt = call->attempt;
-        attempt->ops->cancel(attempt);
-        free_hop_call(call);
+    if (call->attempt != NULL) {
+        call->attempt->ops->cancel(call->attempt);
     }
+    free_hop_call(call);
 }
 
 static const bb_h1_handler_t server_handler = {
@@ -283,10 +313,22 @@
 
 /* ---- client side ---- */
 
+/* What is known of one other node. */
 typedef struct {
+    char *address;
+    double heard_at; /* last byte from it */
+    struct hop_attempt *attempts;
+} hop_peer_t;
+
+typedef struct hop_attempt {
     bb_attempt_t base; /* first */
     bb_hop_io_t *hop;
-    char *address;
+    hop_peer_t *peer;
+    ev_timer ack_timer;
+    double started_at;
+    bool is_acked;    /* the node has read the head */
+    bool is_answered; /* the head of its answer has come */
+    struct hop_attempt *prev, *next;
     bb_attempt_request_t request;
     const bb_attempt_handler_t *handler;
     void *arg;
@@ -302,10 +344,40 @@
 static void
 free_attempt(hop_attempt_t *attempt)
 {
-    g_free(attempt->address);
+    ev_timer_stop(attempt->hop->options.loop, &attempt->ack_timer);
+    DL_DELETE(attempt->peer->attempts, attempt);
     g_free(attempt);
 }
 
+static hop_peer_t *
+find_peer(bb_hop_io_t *hop, const char *address)
+{
+    hop_peer_t *peer = g_hash_table_lookup(hop->peers, address);
+
+    if (peer == NULL) {
+        peer = g_new0(hop_peer_t, 1);
+        peer->address = g_strdup(address);
+        g_hash_table_insert(hop->peers, peer->address, peer);
+    }
+    return peer;
+}
+
+static void
+free_peer(gpointer data)
+{
+    hop_peer_t *peer = data;
+
+    g_free(peer->address);
+    g_free(peer);
+}
+
+static void
+note_heard(hop_attempt_t *attempt)
+{
+    attempt->peer->heard_at = ev_now(attempt->hop->options.loop);
+    ev_timer_stop(attempt->hop->options.loop, &attempt->ack_timer);
+}
+
 static void
 take_news(hop_attempt_t *attempt, const bb_h1_fields_t *fields)
 {
@@ -316,7 +388,32 @@
         return;
     }
     news->is_loaded = true;
-    options->on_version(news->load.version, attempt->address, options->arg);
+    options->on_version(news->load.version, attempt->peer->address, options->arg);
+}
+
+/* Whether the body waits for the word that the head was read. */
+static bool
+is_held_back(const hop_attempt_t *attempt)
+{
+    return !attempt->request.is_idempotent && !attempt->is_acked;
+}
+
+static void
+feed_body(hop_attempt_t *attempt)
+{
+    if (!is_held_back(attempt)) {
+        BbBody_Feed(attempt->request.body, attempt->exchange, &attempt->sent);
+    }
+}
+
+static void
+client_interim(void *arg)
+{
+    hop_attempt_t *attempt = arg;
+
+    note_heard(attempt);
+    attempt->is_acked = true;
+    feed_body(attempt);
 }
 
 static void
@@ -326,6 +423,8 @@
     const char *outcome = BbH1Fields_Get(fields, BB_HOP_OUTCOME);
     const char *retry_after = BbH1Fields_Get(fields, "Retry-After");
 
+    note_heard(attempt);
+    attempt->is_answered = true;
     take_news(attempt, fields);
     if (outcome != NULL) {
         attempt->is_outcome = true;
@@ -388,7 +487,7 @@
     (void)error;
 
     free_attempt(attempt);
-    if (!is_sent) {
+    if (!is_sent || is_held_back(&ended)) {
         ended.handler->on_refused(BB_REASON_CONNECT_FAILED, 0, ended.arg);
     }
     else {
@@ -396,6 +495,49 @@
     }
 }
 
+/* Ends an attempt of which nothing is heard. */
+static void
+lose_attempt(hop_attempt_t *attempt)
+{
+    bool is_sent = BbH1_IsSent(attempt->exchange);
+
+    BbH1_Cancel(attempt->exchange);
+    client_fail(BB_ERR_TIMEOUT, is_sent, attempt);
+}
+
+/* Calls that may be repeated do not wait for a node that is silent. */
+static void
+lose_waiting(bb_hop_io_t *hop, hop_peer_t *peer, double silent_since)
+{
+    hop_attempt_t *attempt, *next;
+
+    BbH1Client_CloseIdle(hop->client, peer->address);
+    DL_FOREACH_SAFE(peer->attempts, attempt, next)
+    {
+        if (attempt->request.is_idempotent && !attempt->is_answered &&
+            attempt->started_at <= silent_since) {
+            lose_attempt(attempt);
+        }
+    }
+}
+
+static void
+handle_ack_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    hop_attempt_t *attempt = timer->data;
+    bb_hop_io_t *hop = attempt->hop;
+    hop_peer_t *peer = attempt->peer;
+    double started_at = attempt->started_at;
+    bool is_peer_silent = peer->heard_at < started_at;
+
+    lose_attempt(attempt);
+    if (is_peer_silent) {
+        lose_waiting(hop, peer, started_at);
+    }
+}
+
 static void
 client_drained(void *arg)
 {
@@ -404,6 +546,7 @@
 }
 
 static const bb_h1_exchange_handler_t client_handler = {
+    .on_interim = client_interim,
     .on_head = client_head,
     .on_data = client_data,
     .on_end = client_end,
@@ -414,8 +557,7 @@
 static void
 client_body_grew(bb_attempt_t *base)
 {
-    hop_attempt_t *attempt = (hop_attempt_t *)base;
-    BbBody_Feed(attempt->request.body, attempt->exchange, &attempt->sent);
+    feed_body((hop_attempt_t *)base);
 }
 
 static void
@@ -446,6 +588,7 @@
         .left_ms = (int)((request->target_at - now) * MS_PER_S),
         .rank = request->rank,
         .is_once = !request->is_idempotent,
+        .content_length = request->content_length,
     };
     char *text = BbHop_Format(&told);
 
@@ -453,6 +596,18 @@
     g_free(text);
 }
 
+/* A call without a body that must not run twice gets an empty one, so that
+ * its head alone does not start it. */
+static int64_t
+hop_length(const bb_attempt_request_t *request)
+{
+    bool is_empty = request->content_length == BB_H1_NO_BODY ||
+                    request->content_length == 0;
+
+    return !request->is_idempotent && is_empty ? BB_H1_CHUNKED
+                                               : request->content_length;
+}
+
 bb_attempt_t *
 BbHopIo_Start(bb_hop_io_t *hop, const char *address,
             const bb_attempt_request_t *request,
@@ -464,7 +619,9 @@
 
     attempt->base.ops = &client_ops;
     attempt->hop = hop;
-    attempt->address = g_strdup(address);
+    attempt->peer = find_peer(hop, address);
+    attempt->started_at = ev_now(hop->options.loop);
+    DL_APPEND(attempt->peer->attempts, attempt);
     attempt->request = *request;
     attempt->handler = handler;
     attempt->arg = arg;
@@ -477,14 +634,17 @@
         .method = request->method,
         .target = request->target,
         .fields = &fields,
-        .content_length = request->content_length,
+        .content_length = hop_length(request),
         .max_idle_s = CLIENT_IDLE_S,
         .handler = &client_handler,
         .arg = attempt,
     };
     attempt->exchange = BbH1_Start(hop->client, &options);
     BbH1Fields_Free(&fields);
-    BbBody_Feed(request->body, attempt->exchange, &attempt->sent);
+    feed_body(attempt);
+    ev_timer_init(&attempt->ack_timer, handle_ack_timer, ACK_S, 0.0);
+    attempt->ack_timer.data = attempt;
+    ev_timer_start(hop->options.loop, &attempt->ack_timer);
     return &attempt->base;
 }
 
@@ -515,6 +675,8 @@
         return error;
     }
     hop->client = BbH1Client_New(&client_options);
+    hop->peers =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     *out = hop;
     return 0;
 }
@@ -525,6 +687,7 @@
     if (hop != NULL) {
         BbH1Server_Free(hop->server);
         BbH1Client_Free(hop->client);
+        g_hash_table_destroy(hop->peers);
         g_free(hop);
     }
 }
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -16,7 +16,8 @@
 #define FAIL_TOLERATED 0.05
 
 #define SUSPECT_MIN_S 0.5
-#define SUSPECT_MAX_S 8.0
+#define SUSPECT_MAX_S 4.0
+#define TRIAL_S 0.3
 
 /* Added for a node in another data centre when both are past the share. */
 #define REMOTE_COST_SHARE 0.3
@@ -205,6 +206,10 @@
 {
     endpoint->in_flight++;
     endpoint->last_chosen = now;
+    if (endpoint->suspect_s > 0) {
+        /* One call tries whether the node is back. */
+        endpoint->suspect_until = MAX(endpoint->suspect_until, now + TRIAL_S);
+    }
 }
 
 static void
@@ -243,8 +248,8 @@
         add_failure(endpoint, 1.0, now);
         break;
     case BB_ATTEMPT_LOST:
-        if (endpoint->suspect_until > now) {
-            break;
+        if (endpoint->suspect_until > now + TRIAL_S) {
+            break; /* one of several calls that were lost together */
         }
         endpoint->suspect_s = endpoint->suspect_s > 0
                                   ? MIN(endpoint->suspect_s * 2, SUSPECT_MAX_S)
@@ -252,6 +257,8 @@
         endpoint->suspect_until = now + endpoint->suspect_s;
         break;
     case BB_ATTEMPT_REFUSED:
+        endpoint->suspect_s = 0;
+        break;
     case BB_ATTEMPT_DROPPED:
         break;
     }
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -157,8 +157,7 @@
         queue->running++;
         return ticket->state;
     }
-    double wait_s = predict_wait(queue, work_ahead(queue, ticket, now));
-    if (!may_wait(ticket, wait_s, now) || now + wait_s > start_by(ticket)) {
+    if (BbSlotQueue_WouldRefuse(queue, ticket, now)) {
         return refuse(ticket, BB_REASON_QUEUE_FULL);
     }
     ticket->state = BB_SLOT_WAITING;
@@ -167,6 +166,24 @@
     return ticket->state;
 }
 
+bool
+BbSlotQueue_WouldRefuse(const bb_slot_queue_t *queue,
+                        const bb_slot_ticket_t *ticket, double now)
+{
+    bb_slot_ticket_t probe = *ticket;
+
+    probe.arrived_at = now;
+    probe.service_s = class_time(queue, probe.class_name);
+    if (now > start_by(&probe)) {
+        return true;
+    }
+    if (queue->waiting == 0 && queue->running < queue->slots) {
+        return false;
+    }
+    double wait_s = predict_wait(queue, work_ahead(queue, &probe, now));
+    return !may_wait(&probe, wait_s, now) || now + wait_s > start_by(&probe);
+}
+
 static void
 take_out(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket)
 {
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -69,6 +69,10 @@
 bb_slot_state_t BbSlotQueue_Offer(bb_slot_queue_t *queue,
                                   bb_slot_ticket_t *ticket, double now);
 
+/* Whether an offer made now would be refused; the ticket stays as it is. */
+bool BbSlotQueue_WouldRefuse(const bb_slot_queue_t *queue,
+                             const bb_slot_ticket_t *ticket, double now);
+
 /* Ends a running call. is_measured: its time tells how long calls take. */
 void BbSlotQueue_Finish(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket,
                         bool is_measured, double now);
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -403,18 +403,52 @@
     return reason;
 }
 
+static bb_slot_ticket_t
+make_ticket(const bb_attempt_request_t *request)
+{
+    return (bb_slot_ticket_t){
+        .class_name = request->class_name,
+        .rank = request->rank,
+        .target_latency_s = request->target_latency_s,
+        .target_at = request->target_at,
+        .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
+    };
+}
+
+static bb_reason_t
+obstacle_for(const bb_target_io_t *io, const bb_attempt_request_t *request)
+{
+    return strcmp(request->service, io->service) != 0
+               ? BB_REASON_WRONG_SERVICE
+               : obstacle(io);
+}
+
+bb_reason_t
+BbTargetIo_Obstacle(const bb_target_io_t *io,
+                    const bb_attempt_request_t *request, double *retry_after_s)
+{
+    const bb_slot_ticket_t ticket = make_ticket(request);
+    bb_reason_t reason = obstacle_for(io, request);
+
+    *retry_after_s = 0;
+    if (reason == BB_REASON_NONE &&
+        BbSlotQueue_WouldRefuse(io->queue, &ticket, ev_now(io->loop))) {
+        *retry_after_s = BbSlotQueue_Wait(io->queue);
+        reason = BB_REASON_QUEUE_FULL;
+    }
+    return reason != BB_REASON_NONE ? refuse_offer(io, request, reason)
+                                    : reason;
+}
+
 bb_reason_t
 BbTargetIo_Offer(bb_target_io_t *io, const bb_attempt_request_t *request,
                  const bb_attempt_handler_t *handler, void *arg,
                  double *retry_after_s, bb_attempt_t **attempt)
 {
     double now = ev_now(io->loop);
-    bb_reason_t reason = obstacle(io);
+    bb_reason_t reason = obstacle_for(io, request);
 
     *retry_after_s = 0;
-    if (strcmp(request->service, io->service) != 0) {
-        reason = BB_REASON_WRONG_SERVICE;
-    }
     if (reason != BB_REASON_NONE) {
         return refuse_offer(io, request, reason);
     }
@@ -424,14 +458,8 @@
     call->request = *request;
     call->handler = handler;
     call->arg = arg;
-    call->ticket = (bb_slot_ticket_t){
-        .class_name = request->class_name,
-        .rank = request->rank,
-        .target_latency_s = request->target_latency_s,
-        .target_at = request->target_at,
-        .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
-        .arg = call,
-    };
+    call->ticket = make_ticket(request);
+    call->ticket.arg = call;
     if (BbSlotQueue_Offer(io->queue, &call->ticket, now) == BB_SLOT_REFUSED) {
         reason = call->ticket.reason;
         *retry_after_s = BbSlotQueue_Wait(io->queue);
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -44,6 +44,11 @@
                              const bb_attempt_handler_t *handler, void *arg,
                              double *retry_after_s, bb_attempt_t **attempt);
 
+/* Reason for which an offer made now would be refused. */
+bb_reason_t BbTargetIo_Obstacle(const bb_target_io_t *io,
+                                const bb_attempt_request_t *request,
+                                double *retry_after_s);
+
 /* The state of the local target has changed: waiting calls are refused when
  * it leaves. */
 void BbTargetIo_TargetChanged(bb_target_io_t *io);
