Let two readers per data centre read the store; send deltas between nodes

Ruled out: processor time (a tenth of the share), slots. Change: readers by link width, the others keep a question open at two of them and get each version compressed against the one they hold (libzstd); a silent node is left only when the call can go elsewhere.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES = libzmq libmicrohttpd libcurl glib-2.0 jansson libsodium \
            libxxhash msgpack
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lhttp_parser -lm
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lhttp_parser -lzstd -lm
 
 INCLUDES = -Ilib/common -Ilib/operator -Ilib/platform -Ilib/peer \
            -Ilib/target -Ilib/caller -Ilib/http -Ilib/mesh -Iplatform
@@ -40,7 +40,7 @@
                $(SIDECAR_COMMON:%=$(BUILD)/lib/common/%.o) \
                $(BUILD)/lib/common/bb_toml.o
 SIDECAR_LIBS = $(shell pkg-config --libs glib-2.0 jansson 2>/dev/null) \
-               -lev -lhttp_parser -lm
+               -lev -lhttp_parser -lzstd -lm
 
 # Unit tests: every tests/unit/*_test.cc goes into one GoogleTest binary.
 UNIT_CC := $(wildcard tests/unit/*.cc)
--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -37,6 +37,8 @@
      "service of the target on this VM"},
     {"node", "target_address", TYPE_ADDRESS, FIELD(target_address), false, 0,
      0, 0, "address of the target on this VM"},
+    {"node", "link_mbps", TYPE_NUMBER, FIELD(link_mbps), true, 1000, 0, 1e6,
+     "width of this VM's link in Mbit/s; wide ones read the store for others"},
     {"listen", "callers", TYPE_ADDRESS, FIELD(caller_address), false, 0, 0, 0,
      "address for the callers on this VM and for its target's own calls"},
     {"listen", "forwarded", TYPE_ADDRESS, FIELD(forward_address), false, 0, 0,
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -27,6 +27,7 @@
     char *data_centre;
     char *service;
     char *target_address;
+    double link_mbps;
     /* [listen] */
     char *caller_address;
     char *forward_address;
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -81,6 +81,10 @@
     void (*on_data)(const char *data, size_t size, void *arg);
     void (*on_end)(void *arg);
     void (*on_lost)(bb_reason_t reason, void *arg);
+    /* Nothing was heard of the node in time. The owner may cancel the attempt
+     * and go elsewhere, or wait on; may_have_run as for on_lost. Returns
+     * true when it has cancelled it. NULL waits on. */
+    bool (*on_silent)(bool may_have_run, void *arg);
     /* The body given so far has been sent. */
     void (*on_drained)(size_t sent, void *arg);
 } bb_attempt_handler_t;
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -37,6 +37,9 @@
 /* A node without a target that takes calls is not asked for this long. */
 #define AVOID_S 1.0
 
+/* A node that has not told that it read a call is not asked for this long. */
+#define SILENT_S 0.5
+
 /* Another node has the address; the record is that of a lost one. */
 #define AVOID_REPLACED_S 60.0
 
@@ -281,16 +284,12 @@
 }
 
 static void
-repeat_or_give_up(call_t *call, bb_reason_t reason, bool has_reached_target)
+repeat_now(call_t *call, bb_reason_t reason)
 {
     call->last_reason = reason;
     BbH1Fields_Clear(&call->answer_fields);
     g_byte_array_set_size(call->answer, 0);
     call->status = 0;
-    if (!may_repeat(call, has_reached_target)) {
-        give_up(call, reason);
-        return;
-    }
     if (BbEvent_Allows(BB_EVENT_CALL_REPEATED)) {
         BbEvent_Write(BB_EVENT_CALL_REPEATED,
                       json_pack("{s:s, s:s, s:s, s:b, s:i}", "call",
@@ -302,6 +301,17 @@
     place_call(call);
 }
 
+static void
+repeat_or_give_up(call_t *call, bb_reason_t reason, bool has_reached_target)
+{
+    if (may_repeat(call, has_reached_target)) {
+        repeat_now(call, reason);
+    }
+    else {
+        give_up(call, reason);
+    }
+}
+
 static void
 call_refused(bb_reason_t reason, double retry_after_s, void *arg)
 {
@@ -353,6 +363,29 @@
     repeat_or_give_up(call, reason, true);
 }
 
+/* A node is silent: the call moves on if another node can have it. */
+static bool
+call_silent(bool may_have_run, void *arg)
+{
+    call_t *call = arg;
+    bool had_run = call->may_have_run;
+    bb_attempt_t *attempt = call->attempt;
+
+    call->may_have_run = had_run || may_have_run;
+    call->targets_reached += may_have_run;
+    if (choose_endpoint(call, NULL) == NULL ||
+        !may_repeat(call, may_have_run)) {
+        call->may_have_run = had_run;
+        call->targets_reached -= may_have_run;
+        BbPlacement_Avoid(call->endpoint, SILENT_S, now_of(call));
+        return false;
+    }
+    close_attempt(call, BB_ATTEMPT_LOST);
+    attempt->ops->cancel(attempt);
+    repeat_now(call, BB_REASON_STALLED);
+    return true;
+}
+
 static void
 start_streaming(call_t *call)
 {
@@ -401,15 +434,7 @@
     if (is_failure && call->route->is_idempotent && !call->is_streaming) {
         call->may_have_run = true;
         if (can_end_in_time(call) && may_repeat(call, true)) {
-            if (BbEvent_Allows(BB_EVENT_CALL_REPEATED)) {
-                BbEvent_Write(BB_EVENT_CALL_REPEATED,
-                              json_pack("{s:s, s:s, s:s, s:b, s:i}", "call",
-                                        call->call_id, "peer",
-                                        peer_name(call), "reason",
-                                        "target_error", "sent", 1, "attempt",
-                                        call->attempts));
-            }
-            place_call(call);
+            repeat_now(call, BB_REASON_OTHER);
             return;
         }
     }
@@ -433,6 +458,7 @@
     .on_data = call_data,
     .on_end = call_end,
     .on_lost = call_lost,
+    .on_silent = call_silent,
     .on_drained = call_drained,
 };
 
--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -17,10 +17,11 @@
 BbNodeRecord_Format(const bb_node_record_t *record)
 {
     json_t *object = json_pack(
-        "{s:s, s:s, s:s, s:s, s:i, s:b, s:I}", "address", record->address,
+        "{s:s, s:s, s:s, s:s, s:i, s:b, s:i, s:I}", "address",
+        record->address,
         "data_centre", record->data_centre, "service", record->service,
         "target", record->target_id, "slots", record->slots, "ready",
-        record->is_ready, "started_ms", (json_int_t)record->started_ms);
+        record->is_ready, "link_mbps", record->link_mbps, "started_ms", (json_int_t)record->started_ms);
     char *text = json_dumps(object, JSON_COMPACT);
     char *copy = g_strdup(text);
 
@@ -34,15 +35,15 @@
 {
     json_t *object = json_loadb(text, size, 0, NULL);
     const char *address, *data_centre, *service, *target;
-    int slots, is_ready;
+    int slots, is_ready, link_mbps = 0;
     json_int_t started_ms;
 
     memset(out, 0, sizeof(*out));
-    int error = json_unpack(object, "{s:s, s:s, s:s, s:s, s:i, s:b, s:I}",
+    int error = json_unpack(object, "{s:s, s:s, s:s, s:s, s:i, s:b, s?i, s:I}",
                             "address", &address, "data_centre", &data_centre,
                             "service", &service, "target", &target, "slots",
-                            &slots, "ready", &is_ready, "started_ms",
-                            &started_ms);
+                            &slots, "ready", &is_ready, "link_mbps",
+                            &link_mbps, "started_ms", &started_ms);
     if (object != NULL && error == 0) {
         out->address = g_strdup(address);
         out->data_centre = g_strdup(data_centre);
@@ -50,6 +51,7 @@
         out->target_id = g_strdup(target);
         out->slots = slots;
         out->is_ready = is_ready;
+        out->link_mbps = link_mbps;
         out->started_ms = started_ms;
     }
     json_decref(object);
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -33,6 +33,7 @@
     char *target_id; /* incarnation of the target; empty without one */
     int slots;
     bool is_ready; /* takes new calls */
+    int link_mbps;      /* width of the VM's link */
     int64_t started_ms; /* wall clock, tells incarnations of a node apart */
 } bb_node_record_t;
 
--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -18,6 +18,7 @@
     int64_t version;
     bool has_snapshot;
     bool is_connected;
+    bool is_suspended;
     double lost_at;
     GHashTable *keys; /* seen by the read under way */
     char *last_key;
@@ -240,6 +241,28 @@
     begin_read(follow);
 }
 
+void
+BbFollow_Suspend(bb_follow_t *follow)
+{
+    stop_pending(follow);
+    follow->is_suspended = true;
+}
+
+void
+BbFollow_Resume(bb_follow_t *follow)
+{
+    if (follow->is_suspended) {
+        follow->is_suspended = false;
+        begin_read(follow);
+    }
+}
+
+bool
+BbFollow_IsSuspended(const bb_follow_t *follow)
+{
+    return follow->is_suspended;
+}
+
 int64_t
 BbFollow_Version(const bb_follow_t *follow)
 {
--- a/lib/mesh/bb_follow.h
+++ b/lib/mesh/bb_follow.h
@@ -49,6 +49,11 @@
 void BbFollow_Free(bb_follow_t *follow);
 void BbFollow_Refresh(bb_follow_t *follow);
 
+/* Makes no further calls until BbFollow_Resume(), which reads anew. */
+void BbFollow_Suspend(bb_follow_t *follow);
+void BbFollow_Resume(bb_follow_t *follow);
+bool BbFollow_IsSuspended(const bb_follow_t *follow);
+
 /* Version up to which all changes have been seen, 0 before the first read. */
 int64_t BbFollow_Version(const bb_follow_t *follow);
 
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -273,6 +273,9 @@
     (void)arg;
     hop_call_t *call = request->user;
 
+    if (call == NULL) {
+        return;
+    }
     BbBody_Append(&call->body, data, size);
     if (call->body.bytes->len > WAITING_BODY_BYTES) {
         BbH1_PauseBody(request, true);
@@ -291,6 +294,9 @@
     (void)arg;
     hop_call_t *call = request->user;
 
+    if (call == NULL) {
+        return;
+    }
     call->body.is_complete = true;
     if (call->attempt != NULL) {
         call->attempt->ops->body_grew(call->attempt);
@@ -303,9 +309,13 @@
 static void
 server_gone(bb_h1_request_t *request, void *arg)
 {
-    (void)arg;
+    bb_hop_io_t *hop = arg;
     hop_call_t *call = request->user;
 
+    if (call == NULL) {
+        hop->options.on_query_gone(request, hop->options.arg);
+        return;
+    }
     if (call->attempt != NULL) {
         call->attempt->ops->cancel(call->attempt);
     }
@@ -504,19 +514,20 @@
     }
 }
 
-/* Ends an attempt of which nothing is heard. */
-static void
-lose_attempt(hop_attempt_t *attempt)
+/* Asks the owner whether it goes elsewhere. */
+static bool
+report_silence(hop_attempt_t *attempt)
 {
-    bool is_sent = BbH1_IsSent(attempt->exchange);
+    bool may_have_run =
+        BbH1_IsSent(attempt->exchange) && !is_held_back(attempt);
 
-    BbH1_Cancel(attempt->exchange);
-    client_fail(BB_ERR_TIMEOUT, is_sent, attempt);
+    return attempt->handler->on_silent != NULL &&
+           attempt->handler->on_silent(may_have_run, attempt->arg);
 }
 
 /* Calls that may be repeated do not wait for a node that is silent. */
 static void
-lose_waiting(bb_hop_io_t *hop, hop_peer_t *peer, double silent_since)
+report_waiting(bb_hop_io_t *hop, hop_peer_t *peer, double silent_since)
 {
     hop_attempt_t *attempt, *next;
 
@@ -525,7 +536,7 @@
     {
         if (attempt->request.is_idempotent && !attempt->is_answered &&
             attempt->started_at <= silent_since) {
-            lose_attempt(attempt);
+            report_silence(attempt);
         }
     }
 }
@@ -554,9 +565,9 @@
         ev_timer_start(hop->options.loop, timer);
         return;
     }
-    lose_attempt(attempt);
+    report_silence(attempt);
     if (is_peer_silent) {
-        lose_waiting(hop, peer, started_at);
+        report_waiting(hop, peer, started_at);
     }
 }
 
--- a/lib/mesh/bb_hop_io.h
+++ b/lib/mesh/bb_hop_io.h
@@ -34,6 +34,8 @@
     void (*on_version)(int64_t version, const char *address, void *arg);
     /* GET of a path that starts with "/burdockbarrow/": answers it. */
     void (*on_query)(bb_h1_request_t *request, void *arg);
+    /* Its client has left before the answer. */
+    void (*on_query_gone)(bb_h1_request_t *request, void *arg);
     void *arg;
 } bb_hop_io_options_t;
 
--- /dev/null
+++ b/lib/mesh/bb_news_client.c
@@ -0,0 +1,415 @@
+#include "bb_news_client.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "bb_news_server.h"
+#include "bb_readers.h"
+
+/* A question waits this long at the reader. */
+#define WAIT_S 1.0
+
+/* Time for the answer beyond that: a delta on a slow link. */
+#define ANSWER_S 0.8
+
+/* Without an answer for this long the readers are taken to be lost. */
+#define FED_S 1.5
+
+/* A reader that failed is not asked for this long. */
+#define PASS_OVER_S 2.0
+
+#define CHECK_S 0.1
+
+/* A version heard of is asked for after this time. */
+#define HINT_S 0.7
+
+typedef struct {
+    bb_news_client_t *owner;
+    char *address; /* NULL while no question is open */
+    bb_h1_exchange_t *exchange;
+    int status;
+    GByteArray *answer;
+    ev_timer timer;
+    bool is_hint; /* asked for one version, not a subscription */
+} question_t;
+
+struct bb_news_client {
+    bb_news_client_options_t options;
+    char *data_centre;
+    bool is_active;
+    bool is_fed;
+    double fed_at;
+    question_t questions[BB_NEWS_SUBSCRIPTIONS + 1]; /* the last for hints */
+    GHashTable *passed_over; /* address to double, the time it ends */
+    ev_timer check_timer;
+    int64_t hint_version;
+    double hint_at;
+    char *hint_address;
+};
+
+static double
+now_of(const bb_news_client_t *client)
+{
+    return ev_now(client->options.loop);
+}
+
+/* ---- answers ---- */
+
+static void
+take_nodes(bb_news_client_t *client, const json_t *root)
+{
+    const bb_news_client_options_t *options = &client->options;
+    size_t index;
+    json_t *entry;
+
+    json_array_foreach(json_object_get(root, "nodes"), index, entry)
+    {
+        const char *node = json_string_value(json_object_get(entry, "node"));
+        const char *record =
+            json_string_value(json_object_get(entry, "record"));
+        int64_t revision =
+            json_integer_value(json_object_get(entry, "revision"));
+        if (node != NULL) {
+            options->on_node(node, record,
+                             record != NULL ? strlen(record) : 0, revision,
+                             options->arg);
+        }
+    }
+    options->on_revision(
+        json_integer_value(json_object_get(root, "revision")), options->arg);
+}
+
+static void
+take_config(bb_news_client_t *client, const json_t *root)
+{
+    const bb_news_client_options_t *options = &client->options;
+    const char *encoded = json_string_value(json_object_get(root, "delta"));
+    json_int_t text_size = json_integer_value(json_object_get(root, "size"));
+    gsize size;
+
+    if (encoded == NULL || text_size <= 0) {
+        return;
+    }
+    guchar *delta = g_base64_decode(encoded, &size);
+    char *text = BbVersions_Decode(
+        options->versions, json_integer_value(json_object_get(root, "base")),
+        delta, size, (size_t)text_size);
+    if (text != NULL) {
+        options->on_config(text, (size_t)text_size, "node", options->arg);
+    }
+    g_free(text);
+    g_free(delta);
+}
+
+static void
+set_fed(bb_news_client_t *client, bool is_fed)
+{
+    if (client->is_fed != is_fed) {
+        client->is_fed = is_fed;
+        client->options.on_fed(is_fed, client->options.arg);
+    }
+}
+
+static void
+pass_over(bb_news_client_t *client, const char *address)
+{
+    double *until = g_new(double, 1);
+
+    *until = now_of(client) + PASS_OVER_S;
+    g_hash_table_replace(client->passed_over, g_strdup(address), until);
+}
+
+static void
+close_question(question_t *question)
+{
+    ev_timer_stop(question->owner->options.loop, &question->timer);
+    question->exchange = NULL;
+    g_clear_pointer(&question->address, g_free);
+}
+
+static void fill_questions(bb_news_client_t *client);
+
+static void
+take_answer(question_t *question)
+{
+    bb_news_client_t *client = question->owner;
+    json_t *root = json_loadb((const char *)question->answer->data,
+                              question->answer->len, 0, NULL);
+    bool is_connected = json_is_true(json_object_get(root, "connected"));
+
+    if (!question->is_hint && !is_connected) {
+        pass_over(client, question->address);
+    }
+    close_question(question);
+    if (root != NULL) {
+        take_nodes(client, root);
+        take_config(client, root);
+    }
+    json_decref(root);
+    if (!question->is_hint && is_connected) {
+        client->fed_at = now_of(client);
+        set_fed(client, true);
+    }
+    fill_questions(client);
+}
+
+static void
+handle_head(int status, const bb_h1_fields_t *fields, void *arg)
+{
+    question_t *question = arg;
+    (void)fields;
+    question->status = status;
+}
+
+static void
+handle_data(const char *data, size_t size, void *arg)
+{
+    question_t *question = arg;
+    g_byte_array_append(question->answer, (const guint8 *)data, (guint)size);
+}
+
+static void
+handle_fail(int error, bool is_sent, void *arg)
+{
+    question_t *question = arg;
+    bb_news_client_t *client = question->owner;
+    (void)error;
+    (void)is_sent;
+
+    pass_over(client, question->address);
+    close_question(question);
+    fill_questions(client);
+}
+
+static void
+handle_end(void *arg)
+{
+    question_t *question = arg;
+
+    if (question->status == 200) {
+        take_answer(question);
+    }
+    else {
+        handle_fail(0, true, question);
+    }
+}
+
+static const bb_h1_exchange_handler_t exchange_handler = {
+    .on_head = handle_head,
+    .on_data = handle_data,
+    .on_end = handle_end,
+    .on_fail = handle_fail,
+};
+
+static void
+handle_timeout(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    question_t *question = timer->data;
+
+    BbH1_Cancel(question->exchange);
+    handle_fail(0, true, question);
+}
+
+/* ---- questions ---- */
+
+static void
+ask(question_t *question, const char *address, double wait_s)
+{
+    bb_news_client_t *client = question->owner;
+    const bb_news_client_options_t *options = &client->options;
+    char target[160];
+    bb_h1_fields_t fields;
+
+    g_snprintf(target, sizeof(target),
+               BB_NEWS_PATH "?version=%" PRId64 "&revision=%" PRId64
+                            "&wait_ms=%d",
+               BbVersions_Newest(options->versions),
+               options->revision(options->arg), (int)(wait_s * 1000));
+    question->address = g_strdup(address);
+    question->status = 0;
+    g_byte_array_set_size(question->answer, 0);
+    BbH1Fields_Init(&fields);
+    BbH1Fields_Add(&fields, "Host", address);
+    const bb_h1_exchange_options_t exchange = {
+        .address = address,
+        .method = "GET",
+        .target = target,
+        .fields = &fields,
+        .content_length = BB_H1_NO_BODY,
+        .max_idle_s = WAIT_S,
+        .handler = &exchange_handler,
+        .arg = question,
+    };
+    question->exchange = BbH1_Start(options->client, &exchange);
+    BbH1Fields_Free(&fields);
+    ev_timer_set(&question->timer, wait_s + ANSWER_S, 0.0);
+    ev_timer_start(options->loop, &question->timer);
+}
+
+static bool
+is_usable(const bb_news_client_t *client, const char *address)
+{
+    const double *until = g_hash_table_lookup(client->passed_over, address);
+
+    if (until != NULL && *until > now_of(client)) {
+        return false;
+    }
+    for (int i = 0; i < BB_NEWS_SUBSCRIPTIONS; i++) {
+        if (g_strcmp0(client->questions[i].address, address) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static const char *
+next_reader(const bb_news_client_t *client, GPtrArray *readers)
+{
+    for (guint i = 0; i < readers->len; i++) {
+        const bb_endpoint_t *endpoint = g_ptr_array_index(readers, i);
+        if (is_usable(client, endpoint->record.address)) {
+            return endpoint->record.address;
+        }
+    }
+    return NULL;
+}
+
+static void
+fill_questions(bb_news_client_t *client)
+{
+    if (!client->is_active) {
+        return;
+    }
+    GPtrArray *readers =
+        BbReaders_Rank(client->options.fleet, client->data_centre);
+    for (int i = 0; i < BB_NEWS_SUBSCRIPTIONS; i++) {
+        question_t *question = &client->questions[i];
+        if (question->exchange != NULL) {
+            continue;
+        }
+        const char *address = next_reader(client, readers);
+        if (address != NULL) {
+            ask(question, address, WAIT_S);
+        }
+    }
+    g_ptr_array_unref(readers);
+}
+
+static void
+check_hint(bb_news_client_t *client)
+{
+    question_t *question = &client->questions[BB_NEWS_SUBSCRIPTIONS];
+
+    if (client->hint_version <= BbVersions_Newest(client->options.versions)) {
+        client->hint_version = 0;
+    }
+    else if (now_of(client) - client->hint_at >= HINT_S &&
+             question->exchange == NULL) {
+        client->hint_version = 0;
+        ask(question, client->hint_address, 0.0);
+    }
+}
+
+static void
+handle_check(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    bb_news_client_t *client = timer->data;
+
+    if (client->hint_version > 0) {
+        check_hint(client);
+    }
+    if (!client->is_active) {
+        return;
+    }
+    fill_questions(client);
+    if (client->is_fed && now_of(client) - client->fed_at > FED_S) {
+        set_fed(client, false);
+    }
+}
+
+void
+BbNewsClient_Hint(bb_news_client_t *client, int64_t version,
+                  const char *address)
+{
+    if (client->hint_version > 0 ||
+        version <= BbVersions_Newest(client->options.versions)) {
+        return;
+    }
+    client->hint_version = version;
+    client->hint_at = now_of(client);
+    g_free(client->hint_address);
+    client->hint_address = g_strdup(address);
+}
+
+void
+BbNewsClient_SetActive(bb_news_client_t *client, bool is_active)
+{
+    if (client->is_active == is_active) {
+        return;
+    }
+    client->is_active = is_active;
+    if (is_active) {
+        fill_questions(client);
+        return;
+    }
+    client->is_fed = false;
+    for (int i = 0; i < BB_NEWS_SUBSCRIPTIONS; i++) {
+        question_t *question = &client->questions[i];
+        if (question->exchange != NULL) {
+            BbH1_Cancel(question->exchange);
+            close_question(question);
+        }
+    }
+}
+
+/* ---- life ---- */
+
+bb_news_client_t *
+BbNewsClient_New(const bb_news_client_options_t *options)
+{
+    bb_news_client_t *client = g_new0(bb_news_client_t, 1);
+
+    client->options = *options;
+    client->data_centre = g_strdup(options->data_centre);
+    client->passed_over =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    for (int i = 0; i <= BB_NEWS_SUBSCRIPTIONS; i++) {
+        question_t *question = &client->questions[i];
+        question->owner = client;
+        question->answer = g_byte_array_new();
+        question->is_hint = i == BB_NEWS_SUBSCRIPTIONS;
+        ev_init(&question->timer, handle_timeout);
+        question->timer.data = question;
+    }
+    ev_timer_init(&client->check_timer, handle_check, CHECK_S, CHECK_S);
+    client->check_timer.data = client;
+    ev_timer_start(options->loop, &client->check_timer);
+    return client;
+}
+
+void
+BbNewsClient_Free(bb_news_client_t *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    BbNewsClient_SetActive(client, false);
+    ev_timer_stop(client->options.loop, &client->check_timer);
+    for (int i = 0; i <= BB_NEWS_SUBSCRIPTIONS; i++) {
+        question_t *question = &client->questions[i];
+        if (question->exchange != NULL) {
+            BbH1_Cancel(question->exchange);
+            close_question(question);
+        }
+        g_byte_array_unref(question->answer);
+    }
+    g_hash_table_destroy(client->passed_over);
+    g_free(client->hint_address);
+    g_free(client->data_centre);
+    g_free(client);
+}
--- /dev/null
+++ b/lib/mesh/bb_news_client.h
@@ -0,0 +1,66 @@
+/*
+ * bb_news_client - configuration and node records, asked of other nodes
+ *
+ * A node that does not read the store keeps a question open at two readers,
+ * so that one that is killed, frozen or cut off delays nothing. A reader that
+ * fails, or has lost the store itself, is passed over for some seconds. When
+ * no reader has answered for FED_S, on_fed(false) tells the owner to read the
+ * store itself.
+ *
+ * USE
+ *   BbNewsClient_SetActive(client, true) while this node is no reader;
+ *   BbNewsClient_Hint() when another node tells a newer version.
+ */
+#ifndef BB_NEWS_CLIENT_H
+#define BB_NEWS_CLIENT_H
+
+#include <ev.h>
+
+#include "bb_fleet.h"
+#include "bb_h1_client.h"
+#include "bb_versions.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BB_NEWS_SUBSCRIPTIONS 2
+
+typedef struct bb_news_client bb_news_client_t;
+
+typedef struct {
+    struct ev_loop *loop;
+    bb_h1_client_t *client;  /* borrowed */
+    bb_fleet_t *fleet;       /* borrowed */
+    bb_versions_t *versions; /* borrowed */
+    const char *data_centre;
+    void (*on_config)(const char *text, size_t size, const char *source,
+                      void *arg);
+    /* text NULL: the node was removed. */
+    void (*on_node)(const char *node, const char *text, size_t size,
+                    int64_t revision, void *arg);
+    /* All records up to this revision have been told. */
+    void (*on_revision)(int64_t revision, void *arg);
+    /* Readers answer, or none does any more. */
+    void (*on_fed)(bool is_fed, void *arg);
+    /* Revision up to which this node knows all records. */
+    int64_t (*revision)(void *arg);
+    void *arg;
+} bb_news_client_options_t;
+
+bb_news_client_t *BbNewsClient_New(const bb_news_client_options_t *options);
+void BbNewsClient_Free(bb_news_client_t *client);
+
+/* Whether questions to readers are kept open. */
+void BbNewsClient_SetActive(bb_news_client_t *client, bool is_active);
+
+/* A node has told a version; it is asked if the version does not come by
+ * itself within a moment. */
+void BbNewsClient_Hint(bb_news_client_t *client, int64_t version,
+                       const char *address);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -11,18 +11,22 @@
 #include "bb_follow.h"
 #include "bb_hop_io.h"
 #include "bb_local_target.h"
+#include "bb_news_client.h"
+#include "bb_news_server.h"
+#include "bb_readers.h"
 #include "bb_row_writer.h"
-#include "news.h"
 #include "platform.h"
 
 /* The settings file is looked at this often, for changes without SIGHUP. */
 #define SETTINGS_CHECK_S 1.0
 
-/* Pauses after news from the store. A configuration of 1,600 routes takes
- * half a second on a link of 5 Mbit/s, and every node that waits for a table
- * makes one call for each change of it. */
-#define CONFIG_PAUSE_S 0.6
-#define NODES_PAUSE_S 2.0
+/* Pauses after news from the store, so that changes in quick succession are
+ * read by one call. */
+#define CONFIG_PAUSE_S 0.3
+#define NODES_PAUSE_S 1.0
+
+/* The role of a reader is worked out again this often. */
+#define ROLE_CHECK_S 0.5
 
 /* After SIGTERM callers need two failed readiness checks, a second apart,
  * before they stop to send. */
@@ -57,7 +61,11 @@
     bb_follow_t *config_follow;
     bb_follow_t *node_follow;
     bb_row_writer_t *record;
-    news_t *news;
+    bb_versions_t *versions;
+    bb_news_server_t *news_server;
+    bb_news_client_t *news_client;
+    int64_t told_revision; /* of node records, by other nodes */
+    bool is_reader;
     bb_h1_server_t *admin;
     bb_h1_server_t *metrics;
     bb_h1_server_t *announcements;
@@ -65,6 +73,7 @@
     ev_signal interrupt_signal;
     ev_signal hangup_signal;
     ev_timer settings_timer;
+    ev_timer role_timer;
     ev_timer leave_timer;
     int64_t started_ms;
     double leaving_since; /* 0 before SIGTERM */
@@ -90,6 +99,7 @@
         .target_id = (char *)BbLocalTarget_Id(sidecar->target),
         .slots = BbLocalTarget_Slots(sidecar->target),
         .is_ready = takes_calls(sidecar),
+        .link_mbps = (int)sidecar->settings->link_mbps,
         .started_ms = sidecar->started_ms,
     };
 
@@ -154,7 +164,9 @@
     BbMeshConfig_Unref(sidecar->config);
     sidecar->config = config;
     BbCallIo_SetConfig(sidecar->call_io, config);
-    News_SetConfig(sidecar->news, BbMeshConfig_Version(config), text, size);
+    BbVersions_Add(sidecar->versions, BbMeshConfig_Version(config), text,
+                   size);
+    BbNewsServer_Changed(sidecar->news_server);
     if (BbEvent_Allows(BB_EVENT_CONFIG)) {
         BbEvent_Write(BB_EVENT_CONFIG,
                       json_pack("{s:I, s:I, s:i, s:s}", "version",
@@ -173,17 +185,18 @@
     }
 }
 
+/* Health is asked for where it matters; see is_connected(). */
 static void
-config_health(bool is_connected, int error, void *arg)
+ignore_health(bool is_connected, int error, void *arg)
 {
-    sidecar_t *sidecar = arg;
+    (void)is_connected;
     (void)error;
-    News_SetStoreLost(sidecar->news, !is_connected);
+    (void)arg;
 }
 
 static const bb_follow_handler_t config_handler = {
     .on_row = config_row,
-    .on_health = config_health,
+    .on_health = ignore_health,
 };
 
 /* ---- other nodes ---- */
@@ -245,20 +258,13 @@
 {
     sidecar_t *sidecar = arg;
     BbFleet_KeepOnly(sidecar->fleet, keys, version);
-}
-
-static void
-node_health(bool is_connected, int error, void *arg)
-{
-    (void)is_connected;
-    (void)error;
-    (void)arg;
+    BbNewsServer_Changed(sidecar->news_server);
 }
 
 static const bb_follow_handler_t node_handler = {
     .on_row = node_row,
     .on_snapshot = node_snapshot,
-    .on_health = node_health,
+    .on_health = ignore_health,
 };
 
 static int64_t
@@ -269,21 +275,106 @@
                                    : 0;
 }
 
+/* ---- news of other nodes ---- */
+
 static void
 version_heard(int64_t version, const char *address, void *arg)
 {
     sidecar_t *sidecar = arg;
+    BbNewsClient_Hint(sidecar->news_client, version, address);
+}
 
-    if (version > own_version(sidecar)) {
-        News_Fetch(sidecar->news, address);
+static void
+node_query(bb_h1_request_t *request, void *arg)
+{
+    sidecar_t *sidecar = arg;
+
+    if (g_str_has_prefix(request->target->str, BB_NEWS_PATH)) {
+        BbNewsServer_Ask(sidecar->news_server, request);
+    }
+    else {
+        BbH1_Respond(request, 404, NULL, NULL, 0);
     }
 }
 
 static void
-node_query(bb_h1_request_t *request, void *arg)
+node_query_gone(bb_h1_request_t *request, void *arg)
 {
     sidecar_t *sidecar = arg;
-    News_Answer(sidecar->news, request);
+    BbNewsServer_Gone(sidecar->news_server, request);
+}
+
+static int64_t
+known_revision(void *arg)
+{
+    const sidecar_t *sidecar = arg;
+    int64_t read = BbFollow_Version(sidecar->node_follow);
+
+    return MAX(read, sidecar->told_revision);
+}
+
+static void
+revision_told(int64_t revision, void *arg)
+{
+    sidecar_t *sidecar = arg;
+    sidecar->told_revision = MAX(sidecar->told_revision, revision);
+}
+
+static bool
+is_connected(void *arg)
+{
+    const sidecar_t *sidecar = arg;
+
+    return !BbFollow_IsSuspended(sidecar->config_follow) &&
+           BbFollow_IsConnected(sidecar->config_follow) &&
+           BbFollow_IsConnected(sidecar->node_follow);
+}
+
+static void
+set_reading(sidecar_t *sidecar, bool is_reading)
+{
+    if (is_reading == !BbFollow_IsSuspended(sidecar->config_follow)) {
+        return;
+    }
+    if (is_reading) {
+        BbFollow_Resume(sidecar->config_follow);
+        BbFollow_Resume(sidecar->node_follow);
+    }
+    else {
+        BbFollow_Suspend(sidecar->config_follow);
+        BbFollow_Suspend(sidecar->node_follow);
+    }
+}
+
+static void
+handle_fed(bool is_fed, void *arg)
+{
+    sidecar_t *sidecar = arg;
+    set_reading(sidecar, sidecar->is_reader || !is_fed);
+}
+
+static void
+check_role(sidecar_t *sidecar)
+{
+    bool is_reader =
+        BbReaders_IsOwn(sidecar->fleet, sidecar->settings->name);
+
+    if (is_reader == sidecar->is_reader) {
+        return;
+    }
+    sidecar->is_reader = is_reader;
+    BbNewsClient_SetActive(sidecar->news_client, !is_reader);
+    if (is_reader) {
+        set_reading(sidecar, true);
+    }
+}
+
+static void
+handle_role_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    check_role(timer->data);
 }
 
 /* ---- announcements of the target ---- */
@@ -589,6 +680,7 @@
 
     sidecar->random = BbRandom_New(0);
     sidecar->fleet = BbFleet_New(settings->name);
+    sidecar->versions = BbVersions_New();
     sidecar->budget = BbRepeatBudget_New(&budget);
     sidecar->target = BbLocalTarget_New(&target);
     bb_target_io_options_t options = target_io;
@@ -608,6 +700,7 @@
         .own_version = own_version,
         .on_version = version_heard,
         .on_query = node_query,
+        .on_query_gone = node_query_gone,
         .arg = sidecar,
     };
     int error = BbHopIo_New(&hop, &sidecar->hop);
@@ -633,16 +726,35 @@
 static void
 start_news(sidecar_t *sidecar)
 {
-    const news_options_t options = {
+    const bb_news_server_options_t server = {
+        .loop = sidecar->loop,
+        .fleet = sidecar->fleet,
+        .versions = sidecar->versions,
+        .revision = known_revision,
+        .is_connected = is_connected,
+        .arg = sidecar,
+    };
+    const bb_news_client_options_t client = {
         .loop = sidecar->loop,
         .client = BbHopIo_Client(sidecar->hop),
         .fleet = sidecar->fleet,
-        .random = sidecar->random,
+        .versions = sidecar->versions,
+        .data_centre = sidecar->settings->data_centre,
         .on_config = take_config,
         .on_node = take_node,
+        .on_revision = revision_told,
+        .on_fed = handle_fed,
+        .revision = known_revision,
         .arg = sidecar,
     };
-    sidecar->news = News_New(&options);
+
+    sidecar->news_server = BbNewsServer_New(&server);
+    sidecar->news_client = BbNewsClient_New(&client);
+    sidecar->is_reader = true;
+    ev_timer_init(&sidecar->role_timer, handle_role_timer, ROLE_CHECK_S,
+                  ROLE_CHECK_S);
+    sidecar->role_timer.data = sidecar;
+    ev_timer_start(sidecar->loop, &sidecar->role_timer);
 }
 
 static void
@@ -728,8 +840,8 @@
         Sidecar_Free(sidecar);
         return NULL;
     }
-    start_news(sidecar);
     start_store(sidecar);
+    start_news(sidecar);
     start_signals(sidecar);
     publish_record(sidecar);
     if (BbEvent_Allows(BB_EVENT_START)) {
@@ -751,7 +863,10 @@
     ev_signal_stop(loop, &sidecar->interrupt_signal);
     ev_signal_stop(loop, &sidecar->hangup_signal);
     ev_timer_stop(loop, &sidecar->settings_timer);
+    ev_timer_stop(loop, &sidecar->role_timer);
     ev_timer_stop(loop, &sidecar->leave_timer);
+    BbNewsClient_Free(sidecar->news_client);
+    BbNewsServer_Free(sidecar->news_server);
     BbFollow_Free(sidecar->config_follow);
     BbFollow_Free(sidecar->node_follow);
     BbRowWriter_Free(sidecar->record);
@@ -759,13 +874,13 @@
     BbH1Server_Free(sidecar->admin);
     BbH1Server_Free(sidecar->metrics);
     BbH1Server_Free(sidecar->announcements);
-    News_Free(sidecar->news);
     BbCallIo_Free(sidecar->call_io);
     BbHopIo_Free(sidecar->hop);
     BbTargetIo_Free(sidecar->target_io);
     BbLocalTarget_Free(sidecar->target);
     BbRepeatBudget_Free(sidecar->budget);
     BbMeshConfig_Unref(sidecar->config);
+    BbVersions_Free(sidecar->versions);
     BbFleet_Free(sidecar->fleet);
     BbRandom_Free(sidecar->random);
     g_free(sidecar);
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -9,7 +9,8 @@
     clang-format clang-tidy cppcheck
     libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev
     libglib2.0-dev libjansson-dev libmsgpack-dev libsodium-dev
-    libhttp-parser-dev libxxhash-dev uthash-dev libtomlplusplus-dev libgtest-dev
+    libhttp-parser-dev libzstd-dev
+    libxxhash-dev uthash-dev libtomlplusplus-dev libgtest-dev
 )
 
 is_installed() {
