--- a/lib/caller/bb_progress_io.c
+++ b/lib/caller/bb_progress_io.c
@@ -1,4 +1,3 @@
-#define _GNU_SOURCE /* POLLRDHUP */
 #include <poll.h>
 
 #include "bb_exchange.h"
--- a/lib/common/bb_event.c
+++ b/lib/common/bb_event.c
@@ -33,6 +33,7 @@
 static char buffer[BUFFER_BYTES];
 static size_t buffered;
 static int dropped;
+static bool is_enabled; /* by BbEvent_Init() */
 
 void
 BbEvent_Init(const char *node)
@@ -40,6 +41,7 @@
     int flags = fcntl(STDOUT_FILENO, F_GETFL);
 
     g_strlcpy(node_name, node, sizeof(node_name));
+    is_enabled = true;
     if (flags >= 0) {
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     }
@@ -57,6 +59,9 @@
     event_rate_t *rate = &rates[event];
     gint64 second = g_get_monotonic_time() / G_USEC_PER_SEC;
 
+    if (!is_enabled) {
+        return false;
+    }
     if (rate->second != second) {
         rate->second = second;
         rate->lines = 0;
--- a/lib/common/bb_event.h
+++ b/lib/common/bb_event.h
@@ -32,7 +32,8 @@
     BB_EVENT_COUNT
 } bb_event_t;
 
-/* Standard output becomes non-blocking. node is copied. */
+/* Standard output becomes non-blocking. node is copied. Nothing is written
+ * before. */
 void BbEvent_Init(const char *node);
 
 /* Whether a line of this kind fits its rate now; counts it if not. */
--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -220,7 +220,8 @@
     if (parser->status_code / 100 == 1) {
         link->is_foreign = true;
         if (exchange->handler->on_interim != NULL) {
-            exchange->handler->on_interim(exchange->arg);
+            exchange->handler->on_interim((int)parser->status_code,
+                                          exchange->arg);
         }
         return link->is_dead ? -1 : 0;
     }
--- a/lib/http/bb_h1_client.h
+++ b/lib/http/bb_h1_client.h
@@ -39,7 +39,7 @@
      * is read to its end and dropped. May be NULL. */
     bool (*is_own)(const bb_h1_fields_t *fields, void *arg);
     /* An interim response (1xx) has come. May be NULL. */
-    void (*on_interim)(void *arg);
+    void (*on_interim)(int status, void *arg);
     void (*on_head)(int status, const bb_h1_fields_t *fields, void *arg);
     void (*on_data)(const char *data, size_t size, void *arg);
     void (*on_end)(void *arg);
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -303,10 +303,11 @@
 }
 
 void
-BbH1_RespondInterim(bb_h1_request_t *request)
+BbH1_RespondInterim(bb_h1_request_t *request, int status)
 {
     assert(!request->is_started);
-    BbH1_Print(request->out, "HTTP/1.1 102 Processing\r\n\r\n");
+    BbH1_Print(request->out, "HTTP/1.1 %d %s\r\n\r\n", status,
+               http_status_str((enum http_status)status));
     flush_connection(request->connection);
 }
 
@@ -527,10 +528,15 @@
         HTTP_PARSER_ERRNO(&connection->reader.parser) == HPE_HEADER_OVERFLOW;
 
     connection->is_last = true;
-    if (request == NULL || request->is_reported) {
-        close_connection(connection);
+    if (request != NULL && request->is_reported) {
+        close_connection(connection); /* its body cannot be read */
         return;
     }
+    if (request == NULL) {
+        /* Not even a method: the parser has reported no message. */
+        on_message_begin(&connection->reader.parser);
+        request = connection->reading;
+    }
     connection->reading = NULL;
     request->is_read = true;
     BbH1_Respond(request, is_large ? 431 : 400, NULL, NULL, 0);
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -94,8 +94,8 @@
 /* Bytes that wait to be written to clients. */
 size_t BbH1Server_UnsentBytes(const bb_h1_server_t *server);
 
-/* Tells the client that its head was read (102), before the answer. */
-void BbH1_RespondInterim(bb_h1_request_t *request);
+/* Sends an interim response, 100 or 102, before the answer. */
+void BbH1_RespondInterim(bb_h1_request_t *request, int status);
 
 /* Answers in full; fields and body may be NULL. */
 void BbH1_Respond(bb_h1_request_t *request, int status,
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -8,6 +8,7 @@
 #include "bb_counters.h"
 #include "bb_error.h"
 #include "bb_hop.h"
+#include "bb_transfer_gate.h"
 
 /* The server keeps idle connections for longer than the client, so that a
  * call does not cross a close. */
@@ -29,6 +30,15 @@
 
 #define MS_PER_S 1000.0
 
+/* Interim responses. */
+#define STATUS_SEND_BODY 100
+#define STATUS_HEAD_READ 102
+
+/* Taken as the size of a body without a known length. */
+#define UNKNOWN_BODY_BYTES 65536.0
+
+#define GATE_CHECK_S 0.02
+
 #define QUERY_PREFIX "/burdockbarrow/"
 
 /* A body that waits for a slot is not read beyond this. */
@@ -39,6 +49,8 @@
     bb_h1_server_t *server;
     bb_h1_client_t *client;
     GHashTable *peers; /* address to hop_peer_t */
+    bb_transfer_gate_t *gate;
+    ev_timer gate_timer;
 };
 
 /* ---- server side ---- */
@@ -52,11 +64,25 @@
     char *call_id;
     bb_body_t body;
     bb_attempt_t *attempt; /* NULL until the call starts */
+    bb_transfer_ticket_t transfer;
 } hop_call_t;
 
+static void run_gate(bb_hop_io_t *hop);
+
+/* The body is here, or nobody waits for it any more. */
+static void
+end_transfer(hop_call_t *call)
+{
+    if (call->transfer.state != BB_TRANSFER_NONE) {
+        BbTransferGate_Finish(call->hop->gate, &call->transfer);
+        run_gate(call->hop);
+    }
+}
+
 static void
 free_hop_call(hop_call_t *call)
 {
+    end_transfer(call);
     BbH1Fields_Free(&call->fields);
     BbBody_Free(&call->body);
     BbHop_Clear(&call->told);
@@ -226,7 +252,71 @@
         hop_refused(reason, retry_after_s, call);
     }
     else if (is_interim_due) {
-        BbH1_RespondInterim(call->request);
+        BbH1_RespondInterim(call->request, STATUS_HEAD_READ);
+    }
+}
+
+/* Refused transfers count as a want of room: the caller may go elsewhere. */
+static void
+refuse_transfer(hop_call_t *call)
+{
+    call->transfer.state = BB_TRANSFER_NONE;
+    hop_refused(BB_REASON_QUEUE_FULL, BbTransferGate_Wait(call->hop->gate),
+                call);
+}
+
+static void
+run_gate(bb_hop_io_t *hop)
+{
+    bb_transfer_ticket_t *ticket;
+
+    while ((ticket = BbTransferGate_Next(hop->gate,
+                                         ev_now(hop->options.loop))) != NULL) {
+        hop_call_t *call = ticket->arg;
+        if (ticket->state == BB_TRANSFER_GRANTED) {
+            BbH1_RespondInterim(call->request, STATUS_SEND_BODY);
+        }
+        else {
+            refuse_transfer(call);
+        }
+    }
+}
+
+static void
+handle_gate_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    run_gate(timer->data);
+}
+
+static void
+call_for_body(hop_call_t *call)
+{
+    bb_hop_io_t *hop = call->hop;
+    double now = ev_now(hop->options.loop);
+    double service_s =
+        BbTargetIo_ServiceTime(hop->options.target, call->told.class_name);
+    double in_time_by = call->asked.target_at - service_s;
+
+    call->transfer.bytes = call->told.content_length == BB_H1_CHUNKED
+                               ? UNKNOWN_BODY_BYTES
+                               : (double)MAX(call->told.content_length, 0);
+    call->transfer.here_by = in_time_by > now
+                                 ? in_time_by
+                                 : call->asked.deadline_at - service_s;
+    call->transfer.arg = call;
+    switch (BbTransferGate_Offer(hop->gate, &call->transfer, now)) {
+    case BB_TRANSFER_GRANTED:
+        BbH1_RespondInterim(call->request, STATUS_SEND_BODY);
+        break;
+    case BB_TRANSFER_WAITING:
+        BbH1_RespondInterim(call->request, STATUS_HEAD_READ);
+        break;
+    case BB_TRANSFER_REFUSED:
+    case BB_TRANSFER_NONE:
+        refuse_transfer(call);
+        break;
     }
 }
 
@@ -264,7 +354,7 @@
         hop_refused(reason, retry_after_s, call);
         return;
     }
-    BbH1_RespondInterim(request);
+    call_for_body(call);
 }
 
 static void
@@ -298,6 +388,7 @@
         return;
     }
     call->body.is_complete = true;
+    end_transfer(call);
     if (call->attempt != NULL) {
         call->attempt->ops->body_grew(call->attempt);
     }
@@ -345,7 +436,7 @@
     ev_timer ack_timer;
     double started_at;
     int extensions;
-    bool is_acked;    /* the node has read the head */
+    bool is_cleared;  /* the node has called for the body */
     bool is_answered; /* the head of its answer has come */
     struct hop_attempt *prev, *next;
     bb_attempt_request_t request;
@@ -410,11 +501,11 @@
     options->on_version(news->load.version, attempt->peer->address, options->arg);
 }
 
-/* Whether the body waits for the word that the head was read. */
+/* Whether the body waits to be called for. */
 static bool
 is_held_back(const hop_attempt_t *attempt)
 {
-    return !attempt->request.is_idempotent && !attempt->is_acked;
+    return !attempt->request.is_idempotent && !attempt->is_cleared;
 }
 
 static void
@@ -426,13 +517,15 @@
 }
 
 static void
-client_interim(void *arg)
+client_interim(int status, void *arg)
 {
     hop_attempt_t *attempt = arg;
 
     note_heard(attempt);
-    attempt->is_acked = true;
-    feed_body(attempt);
+    if (status == STATUS_SEND_BODY) {
+        attempt->is_cleared = true;
+        feed_body(attempt);
+    }
 }
 
 static void
@@ -708,6 +801,11 @@
         g_free(hop);
         return error;
     }
+    hop->gate = BbTransferGate_New(options->link_mbps);
+    ev_timer_init(&hop->gate_timer, handle_gate_timer, GATE_CHECK_S,
+                  GATE_CHECK_S);
+    hop->gate_timer.data = hop;
+    ev_timer_start(options->loop, &hop->gate_timer);
     hop->client = BbH1Client_New(&client_options);
     hop->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
@@ -719,7 +817,9 @@
 BbHopIo_Free(bb_hop_io_t *hop)
 {
     if (hop != NULL) {
+        ev_timer_stop(hop->options.loop, &hop->gate_timer);
         BbH1Server_Free(hop->server);
+        BbTransferGate_Free(hop->gate);
         BbH1Client_Free(hop->client);
         g_hash_table_destroy(hop->peers);
         g_free(hop);
--- a/lib/mesh/bb_hop_io.h
+++ b/lib/mesh/bb_hop_io.h
@@ -4,8 +4,9 @@
  * A node tells at once that it has read the head of a call (102). A node that
  * does not in time cannot be reached or stands still, and the call goes
  * elsewhere. The body of a call that must not run twice, or an empty one in
- * its place, is sent only after that, and the call starts with it: so it has
- * certainly not run when no word came.
+ * its place, is sent only when the node calls for it (100), and the call
+ * starts with it: so it has certainly not run before that. Large bodies are
+ * called for one after the other, see bb_transfer_gate.h.
  *
  * The server side takes calls of other nodes for the target beside this one.
  * The client side is an attempt at another node. Every answer carries the
@@ -26,6 +27,7 @@
 typedef struct {
     struct ev_loop *loop;
     const char *address; /* for forwarded calls */
+    double link_mbps; /* width of this VM's link */
     bb_target_io_t *target;
     const bb_header_names_t *names;
     /* Version of the configuration in force here, 0 for none. */
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -14,9 +14,11 @@
 /* Weight of the newest call in the mean times. */
 #define SERVICE_WEIGHT 0.05
 
-/* Expected times are multiplied by this to decide what ends in time, since
- * half of the calls take longer than the mean. */
-#define SERVICE_MARGIN 1.3
+/* Expected times are multiplied by this to decide what is let in, since half
+ * of the calls take longer than the mean. A call that waits already keeps its
+ * place without that margin: refusing it late helps nobody. */
+#define ADMISSION_MARGIN 1.3
+#define WAITING_MARGIN 1.0
 
 /* A late call waits while the queue before it is shorter than this. */
 #define LATE_WAIT_S 0.1
@@ -53,8 +55,8 @@
     queue->slots = slots;
 }
 
-static double
-class_time(const bb_slot_queue_t *queue, const char *name)
+double
+BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name)
 {
     const double *mean_s =
         name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
@@ -68,9 +70,9 @@
 }
 
 static bool
-is_in_time(const bb_slot_ticket_t *ticket, double start_at)
+is_in_time(const bb_slot_ticket_t *ticket, double start_at, double margin)
 {
-    return start_at + ticket->service_s * SERVICE_MARGIN <= ticket->target_at;
+    return start_at + ticket->service_s * margin <= ticket->target_at;
 }
 
 static double
@@ -84,9 +86,9 @@
 static bool
 goes_first(const bb_slot_ticket_t *a, const bb_slot_ticket_t *b, double now)
 {
-    bool a_in_time = is_in_time(a, now);
+    bool a_in_time = is_in_time(a, now, WAITING_MARGIN);
 
-    if (a_in_time != is_in_time(b, now)) {
+    if (a_in_time != is_in_time(b, now, WAITING_MARGIN)) {
         return a_in_time;
     }
     return order_of(a) < order_of(b);
@@ -136,8 +138,8 @@
 static bool
 may_wait(const bb_slot_ticket_t *ticket, double wait_s, double now)
 {
-    if (is_in_time(ticket, now)) {
-        return is_in_time(ticket, now + wait_s);
+    if (is_in_time(ticket, now, ADMISSION_MARGIN)) {
+        return is_in_time(ticket, now + wait_s, ADMISSION_MARGIN);
     }
     return wait_s <= LATE_WAIT_S;
 }
@@ -147,7 +149,7 @@
 {
     ticket->arrived_at = now;
     ticket->reason = BB_REASON_NONE;
-    ticket->service_s = class_time(queue, ticket->class_name);
+    ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name);
     if (now > start_by(ticket)) {
         return refuse(ticket, BB_REASON_TOO_LATE);
     }
@@ -173,7 +175,7 @@
     bb_slot_ticket_t probe = *ticket;
 
     probe.arrived_at = now;
-    probe.service_s = class_time(queue, probe.class_name);
+    probe.service_s = BbSlotQueue_ClassTime(queue, probe.class_name);
     if (now > start_by(&probe)) {
         return true;
     }
@@ -240,7 +242,7 @@
     if (now > start_by(ticket)) {
         return true;
     }
-    return !is_in_time(ticket, now) &&
+    return !is_in_time(ticket, now, WAITING_MARGIN) &&
            predict_wait(queue, work_ahead(queue, ticket, now)) > LATE_WAIT_S;
 }
 
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -92,6 +92,9 @@
 /* Mean seconds of a call at the target, 0 while not known. */
 double BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue);
 
+/* The same of a class, or the mean of all while the class is not known. */
+double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name);
+
 /* Seconds until a call that arrives now would start. */
 double BbSlotQueue_Wait(const bb_slot_queue_t *queue);
 
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -516,6 +516,12 @@
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
 }
 
+double
+BbTargetIo_ServiceTime(const bb_target_io_t *io, const char *class_name)
+{
+    return BbSlotQueue_ClassTime(io->queue, class_name);
+}
+
 int
 BbTargetIo_OpenCalls(const bb_target_io_t *io)
 {
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -49,6 +49,10 @@
                                 const bb_attempt_request_t *request,
                                 double *retry_after_s);
 
+/* Mean seconds of a call of this class at the target. */
+double BbTargetIo_ServiceTime(const bb_target_io_t *io,
+                              const char *class_name);
+
 /* The state of the local target has changed: waiting calls are refused when
  * it leaves. */
 void BbTargetIo_TargetChanged(bb_target_io_t *io);
--- /dev/null
+++ b/lib/mesh/bb_transfer_gate.c
@@ -0,0 +1,123 @@
+#include "bb_transfer_gate.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <utlist.h>
+
+/* Part of the link that bodies may take; the rest is for other calls. */
+#define LINK_SHARE 0.8
+
+/* Bodies under way at once, as time on the link. */
+#define WINDOW_S 0.1
+
+#define BITS_PER_BYTE 8.0
+#define BITS_PER_MBIT 1e6
+
+struct bb_transfer_gate {
+    double bytes_per_s;
+    double granted_bytes;
+    double waiting_bytes;
+    bb_transfer_ticket_t *waiting; /* in order of arrival */
+};
+
+bb_transfer_gate_t *
+BbTransferGate_New(double link_mbps)
+{
+    bb_transfer_gate_t *gate = g_new0(bb_transfer_gate_t, 1);
+
+    gate->bytes_per_s = MAX(link_mbps, 0.1) * BITS_PER_MBIT / BITS_PER_BYTE *
+                        LINK_SHARE;
+    return gate;
+}
+
+void
+BbTransferGate_Free(bb_transfer_gate_t *gate)
+{
+    g_free(gate);
+}
+
+double
+BbTransferGate_Wait(const bb_transfer_gate_t *gate)
+{
+    return (gate->granted_bytes + gate->waiting_bytes) / gate->bytes_per_s;
+}
+
+static void
+grant(bb_transfer_gate_t *gate, bb_transfer_ticket_t *ticket)
+{
+    ticket->state = BB_TRANSFER_GRANTED;
+    gate->granted_bytes += ticket->bytes;
+}
+
+static bool
+has_room(const bb_transfer_gate_t *gate)
+{
+    return gate->granted_bytes < gate->bytes_per_s * WINDOW_S;
+}
+
+static bool
+is_in_time(const bb_transfer_gate_t *gate, const bb_transfer_ticket_t *ticket,
+           double start_at)
+{
+    return start_at + ticket->bytes / gate->bytes_per_s <= ticket->here_by;
+}
+
+bb_transfer_state_t
+BbTransferGate_Offer(bb_transfer_gate_t *gate, bb_transfer_ticket_t *ticket,
+                     double now)
+{
+    if (ticket->bytes < BB_TRANSFER_SMALL_BYTES ||
+        (gate->waiting == NULL && has_room(gate))) {
+        grant(gate, ticket);
+    }
+    else if (!is_in_time(gate, ticket, now + BbTransferGate_Wait(gate))) {
+        ticket->state = BB_TRANSFER_REFUSED;
+    }
+    else {
+        ticket->state = BB_TRANSFER_WAITING;
+        gate->waiting_bytes += ticket->bytes;
+        DL_APPEND(gate->waiting, ticket);
+    }
+    return ticket->state;
+}
+
+static void
+take_out(bb_transfer_gate_t *gate, bb_transfer_ticket_t *ticket)
+{
+    DL_DELETE(gate->waiting, ticket);
+    gate->waiting_bytes -= ticket->bytes;
+}
+
+void
+BbTransferGate_Finish(bb_transfer_gate_t *gate, bb_transfer_ticket_t *ticket)
+{
+    if (ticket->state == BB_TRANSFER_GRANTED) {
+        gate->granted_bytes -= ticket->bytes;
+    }
+    else if (ticket->state == BB_TRANSFER_WAITING) {
+        take_out(gate, ticket);
+    }
+    ticket->state = BB_TRANSFER_NONE;
+}
+
+bb_transfer_ticket_t *
+BbTransferGate_Next(bb_transfer_gate_t *gate, double now)
+{
+    bb_transfer_ticket_t *ticket;
+
+    DL_FOREACH(gate->waiting, ticket)
+    {
+        if (!is_in_time(gate, ticket, now)) {
+            take_out(gate, ticket);
+            ticket->state = BB_TRANSFER_REFUSED;
+            return ticket;
+        }
+    }
+    ticket = gate->waiting;
+    if (ticket == NULL || !has_room(gate)) {
+        return NULL;
+    }
+    take_out(gate, ticket);
+    grant(gate, ticket);
+    return ticket;
+}
--- a/lib/operator/bb_accept.c
+++ b/lib/operator/bb_accept.c
@@ -1,4 +1,3 @@
-#define _GNU_SOURCE /* timegm() */
 #include "bb_accept.h"
 
 #include <glib.h>
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -695,6 +695,7 @@
     const bb_hop_io_options_t hop = {
         .loop = sidecar->loop,
         .address = settings->forward_address,
+        .link_mbps = settings->link_mbps,
         .target = sidecar->target_io,
         .names = Platform_HeaderNames(),
         .own_version = own_version,
--- /dev/null
+++ b/tests/unit/mesh_io_test.cc
@@ -0,0 +1,407 @@
+// Tests of lib/http and lib/mesh over loopback: what callers get and what
+// targets run when targets, nodes and callers misbehave.
+#include "mesh_rig.h"
+
+using mesh_rig::Caller;
+using mesh_rig::FieldOf;
+using mesh_rig::Loop;
+using mesh_rig::Node;
+using mesh_rig::Status;
+using mesh_rig::Target;
+
+namespace {
+
+struct MeshIo : testing::Test {
+    MeshIo() : target(&loop), node(&loop, "n1", "a", &target)
+    {
+    }
+    Loop loop;
+    Target target;
+    Node node;
+};
+
+// Two nodes; calls of the first go to the second when its own target cannot.
+struct MeshTwo : MeshIo {
+    MeshTwo() : other_target(&loop), other(&loop, "n2", "b", &other_target)
+    {
+        node.Know(&other, 2);
+    }
+    Target other_target;
+    Node other;
+};
+
+}  // namespace
+
+// Guards against pipelined lookups that wait for each other.
+TEST_F(MeshIo, PipelinedCallsRunSideBySideAndAnswerInOrder)
+{
+    std::vector<Target::Request> held;
+    target.script = [&](const Target::Request &request) {
+        held.push_back(request);
+    };
+    Caller caller(&loop, node.caller_address);
+    caller.wire.Send(Caller::Request("GET", "/safe/1", "c1") +
+                     Caller::Request("GET", "/safe/2", "c2") +
+                     Caller::Request("GET", "/safe/3", "c3"));
+    ASSERT_TRUE(loop.RunUntil([&] { return held.size() == 3; }));
+    for (int i = 2; i >= 0; i--) {
+        held[static_cast<size_t>(i)].wire->Send(Target::Answer(
+            held[static_cast<size_t>(i)].id, held[static_cast<size_t>(i)].id));
+    }
+    std::string answers = caller.Wait(3);
+    size_t first = answers.find("\r\n\r\nc1");
+    size_t second = answers.find("\r\n\r\nc2");
+    size_t third = answers.find("\r\n\r\nc3");
+    ASSERT_NE(third, std::string::npos);
+    EXPECT_LT(first, second);
+    EXPECT_LT(second, third);
+}
+
+// Guards against a target that is told less, or other things, than it needs.
+TEST_F(MeshIo, TargetsGetDeadlineTargetAndCaller)
+{
+    Caller caller(&loop, node.caller_address);
+    caller.Call("GET /safe/1?q=%20 HTTP/1.1\r\nHost: h\r\nCall-Id: c1\r\n"
+                "Left-Ms: 900\r\nCaller: forged\r\nWant-Target: forged\r\n"
+                "Burdock-Call: forged\r\nX-Other: kept\r\n\r\n");
+    ASSERT_EQ(target.requests.size(), 1u);
+    const std::string &head = target.requests[0].head;
+    EXPECT_EQ(head.compare(0, 28, "GET /safe/1?q=%20 HTTP/1.1\r\n"), 0);
+    EXPECT_EQ(FieldOf(head, "Caller"), "orders");
+    EXPECT_EQ(FieldOf(head, "Want-Target"), "n1");
+    EXPECT_EQ(FieldOf(head, "X-Other"), "kept");
+    EXPECT_EQ(FieldOf(head, "Burdock-Call"), "");
+    int left_ms = std::stoi(FieldOf(head, "Left-Ms"));
+    EXPECT_GT(left_ms, 500);
+    EXPECT_LT(left_ms, 900);
+}
+
+// Guards against a call that must not be repeated running twice.
+TEST_F(MeshTwo, LostAnswersAreRepeatedOnlyWhereAllowed)
+{
+    target.script = [](const Target::Request &request) {
+        request.wire->Close(true);
+    };
+    Caller caller(&loop, node.caller_address);
+    EXPECT_EQ(Status(caller.Call(Caller::Request("GET", "/safe/1", "c1"))),
+              "200");
+    EXPECT_EQ(target.Runs("c1") + other_target.Runs("c1"), 2);
+    for (int i = 0; i < 5; i++) {
+        std::string id = "o" + std::to_string(i);
+        std::string status = Status(
+            caller.Call(Caller::Request("POST", "/once/1", id, "body")));
+        int runs = target.Runs(id) + other_target.Runs(id);
+        EXPECT_EQ(runs, 1) << id;
+        EXPECT_EQ(status, target.Runs(id) == 1 ? "502" : "200") << id;
+    }
+}
+
+// Guards against a refusal that is passed on while another target has room,
+// and against a 503 that hides a run.
+TEST_F(MeshTwo, CallsThatDidNotRunGoElsewhere)
+{
+    auto shed = [](const Target::Request &request) {
+        request.wire->Send(Target::Answer(request.id, "",
+                                          "503 Service Unavailable",
+                                          "Not-Run: 1\r\n"));
+    };
+    target.script = shed;
+    Caller caller(&loop, node.caller_address);
+    EXPECT_EQ(
+        Status(caller.Call(Caller::Request("POST", "/once/1", "c1", "x"))),
+        "200");
+    other_target.script = shed;
+    std::string answer =
+        caller.Call(Caller::Request("POST", "/once/1", "c2", "x"));
+    EXPECT_EQ(Status(answer), "503");
+    EXPECT_NE(FieldOf(answer, "Retry-After"), "");
+}
+
+// Guards against work at a target that took over an address.
+TEST_F(MeshTwo, ReplacedTargetsAreNotUsed)
+{
+    target.script = [](const Target::Request &request) {
+        request.wire->Send("HTTP/1.1 421 Misdirected Request\r\n"
+                           "Content-Length: 0\r\n\r\n");
+    };
+    Caller caller(&loop, node.caller_address);
+    EXPECT_EQ(
+        Status(caller.Call(Caller::Request("POST", "/once/1", "c1", "x"))),
+        "200");
+    EXPECT_EQ(other_target.Runs("c1"), 1);
+    EXPECT_EQ(BbLocalTarget_State(node.local_target), BB_LOCAL_UNKNOWN);
+}
+
+// Guards against an answer that belongs to an earlier call.
+TEST_F(MeshIo, AnswersOfOtherCallsAreDropped)
+{
+    target.script = [](const Target::Request &request) {
+        request.wire->Send(Target::Answer("old", "old body") +
+                           Target::Answer(request.id, "own body"));
+    };
+    Caller caller(&loop, node.caller_address);
+    for (int i = 0; i < 3; i++) {
+        std::string id = "c" + std::to_string(i);
+        std::string answer =
+            caller.Call(Caller::Request("POST", "/once/1", id, "x"));
+        EXPECT_NE(answer.find("own body"), std::string::npos);
+        EXPECT_EQ(answer.find("old body"), std::string::npos);
+        EXPECT_EQ(target.Runs(id), 1);
+    }
+}
+
+// Guards against a second answer that is taken for that of the next call.
+TEST_F(MeshIo, BytesBehindAnAnswerEndTheConnection)
+{
+    target.script = [](const Target::Request &request) {
+        request.wire->Send(Target::Answer(request.id, "one") +
+                           Target::Answer(request.id, "two"));
+    };
+    Caller caller(&loop, node.caller_address);
+    caller.Call(Caller::Request("GET", "/safe/1", "c1"));
+    std::string answer = caller.Call(Caller::Request("GET", "/safe/1", "c2"));
+    EXPECT_NE(answer.find("one"), std::string::npos);
+    EXPECT_EQ(target.wires.size(), 2u);
+}
+
+// Guards against half an answer that looks whole, and against success that
+// the target has not marked as its own.
+TEST_F(MeshIo, BrokenAnswersAreNoSuccess)
+{
+    Caller caller(&loop, node.caller_address);
+    target.script = [](const Target::Request &request) {
+        request.wire->Send("HTTP/1.1 200 OK\r\nCall-Id: " + request.id +
+                           "\r\nSeal: s\r\nContent-Length: 10\r\n\r\nhalf");
+        request.wire->Close(false);
+    };
+    EXPECT_EQ(
+        Status(caller.Call(Caller::Request("POST", "/once/1", "c1", "x"))),
+        "502");
+    target.script = [](const Target::Request &request) {
+        request.wire->Send(Target::Answer(request.id, "x", "200 OK", ""));
+    };
+    EXPECT_EQ(
+        Status(caller.Call(Caller::Request("POST", "/once/1", "c2", "x"))),
+        "502");
+    target.script = [](const Target::Request &request) {
+        request.wire->Send("\x01\x02 no response\r\n\r\n");
+    };
+    EXPECT_EQ(
+        Status(caller.Call(Caller::Request("POST", "/once/1", "c3", "x"))),
+        "502");
+}
+
+// Guards against a loss of answers that end with their connection, and
+// against a reset one that passes for whole.
+TEST_F(MeshIo, AnswersWithoutLengthEndWithTheirConnection)
+{
+    bool is_reset = false;
+    target.script = [&](const Target::Request &request) {
+        request.wire->Send("HTTP/1.1 200 OK\r\nCall-Id: " + request.id +
+                           "\r\nSeal: s\r\n\r\nwhole body");
+        if (!is_reset) {
+            request.wire->Close(false);
+        }
+    };
+    Caller caller(&loop, node.caller_address);
+    std::string answer =
+        caller.Call(Caller::Request("POST", "/once/1", "c1", "x"));
+    EXPECT_EQ(Status(answer), "200");
+    EXPECT_NE(answer.find("whole body"), std::string::npos);
+    is_reset = true;
+    caller.wire.Send(Caller::Request("POST", "/once/1", "c2", "x"));
+    ASSERT_TRUE(loop.RunUntil([&] { return target.Runs("c2") == 1; }));
+    loop.RunFor(0.05);
+    target.requests.back().wire->Close(true);
+    caller.Wait(2);
+    EXPECT_EQ(Status(caller.wire.received.substr(answer.size())), "502");
+}
+
+// Guards against other bytes where a target still waits for the rest of a
+// body, and against a caller's connection that is unusable after it.
+TEST_F(MeshIo, EarlyAnswersEndTheTargetsConnectionOnly)
+{
+    target.is_early = true;
+    target.script = [](const Target::Request &request) {
+        request.wire->Send(
+            Target::Answer(request.id, "", "413 Payload Too Large"));
+    };
+    Caller caller(&loop, node.caller_address);
+    std::string body(200000, 'x');
+    std::string text = Caller::Request("POST", "/once/1", "c1", body);
+    caller.wire.Send(text.substr(0, 100000));
+    ASSERT_EQ(Status(caller.Wait(1)), "413");
+    target.is_early = false;
+    target.script = [](const Target::Request &request) {
+        request.wire->Send(Target::Answer(request.id, "next"));
+    };
+    size_t before = caller.wire.received.size();
+    caller.wire.Send(text.substr(100000));
+    caller.wire.Send(Caller::Request("GET", "/safe/1", "c2"));
+    caller.Wait(2);
+    EXPECT_EQ(Status(caller.wire.received.substr(before)), "200");
+    EXPECT_EQ(target.requests.back().id, "c2");
+    EXPECT_NE(target.requests.front().wire, target.requests.back().wire);
+}
+
+// Guards against new work at a target that leaves, against waiting calls
+// that are lost with it, and against running ones that are cut.
+TEST_F(MeshTwo, DrainMovesWaitingCallsAndKeepsRunningOnes)
+{
+    Target::Request running = {};
+    target.script = [&](const Target::Request &request) { running = request; };
+    node.ForgetOwn();
+    BbFleet_Find(node.fleet, "n1")->record.is_ready = true;
+    Caller caller(&loop, node.caller_address);
+    caller.wire.Send(Caller::Request("POST", "/once/1", "c1", "x"));
+    ASSERT_TRUE(loop.RunUntil([&] { return running.wire != nullptr; }));
+    node.Beat(2, true);
+    Caller next(&loop, node.caller_address);
+    EXPECT_EQ(
+        Status(next.Call(Caller::Request("POST", "/once/1", "c2", "x"))),
+        "200");
+    EXPECT_EQ(target.Runs("c2"), 0);
+    EXPECT_EQ(other_target.Runs("c2"), 1);
+    running.wire->Send(Target::Answer("c1", "done"));
+    EXPECT_EQ(Status(caller.Wait(1)), "200");
+}
+
+// Guards against work for callers that have left.
+TEST_F(MeshTwo, CallersThatLeaveCancelTheirCalls)
+{
+    other_target.script = [](const Target::Request &) {};
+    node.ForgetOwn();
+    {
+        Caller caller(&loop, node.caller_address);
+        caller.wire.Send(Caller::Request("GET", "/safe/1", "c1"));
+        ASSERT_TRUE(
+            loop.RunUntil([&] { return other_target.Runs("c1") == 1; }));
+    }
+    EXPECT_TRUE(loop.RunUntil(
+        [&] { return other_target.requests[0].wire->is_closed; }, 0.5));
+    EXPECT_EQ(BbCallIo_OpenCalls(node.calls), 0);
+    EXPECT_EQ(BbTargetIo_OpenCalls(other.target_io), 0);
+}
+
+// Guards against a wait beyond the deadline, and against a 503 for a call
+// that may have run.
+TEST_F(MeshIo, DeadlinesAreAnsweredInTime)
+{
+    target.script = [](const Target::Request &) {};
+    Caller caller(&loop, node.caller_address);
+    ev_tstamp start = ev_time();
+    std::string answer =
+        caller.Call(Caller::Request("POST", "/once/1", "c1", "x", 300));
+    EXPECT_EQ(Status(answer), "504");
+    EXPECT_LT(ev_time() - start, 0.8);
+    EXPECT_TRUE(loop.RunUntil(
+        [&] { return target.requests[0].wire->is_closed; }, 0.5));
+}
+
+// Guards against calls that wait for a node of which nothing is heard: its
+// connections open, and nobody reads.
+TEST_F(MeshIo, SilentNodesAreLeftWithoutARun)
+{
+    Target silent(&loop);  // accepts and never answers
+    silent.script = [](const Target::Request &) {};
+    bb_node_record_t record = {};
+    record.address = const_cast<char *>(silent.address.c_str());
+    record.data_centre = const_cast<char *>("a");
+    record.service = const_cast<char *>("orders");
+    record.target_id = const_cast<char *>("i-9");
+    record.slots = 50;
+    record.is_ready = true;
+    BbFleet_Merge(node.fleet, "silent", &record, 9, 0);
+    BbFleet_Find(node.fleet, "n1")->record.data_centre[0] = 'z';
+    Caller caller(&loop, node.caller_address);
+    ev_tstamp start = ev_time();
+    EXPECT_EQ(
+        Status(caller.Call(Caller::Request("POST", "/once/1", "c1", "x"))),
+        "200");
+    EXPECT_LT(ev_time() - start, 1.0);
+    EXPECT_EQ(target.Runs("c1"), 1);
+}
+
+// Guards against bodies at nodes that refuse them anyway, and against a body
+// that changes on the way.
+TEST_F(MeshTwo, UploadsPassWholeAndNotInVain)
+{
+    std::string body;
+    for (int i = 0; i < 300000; i++) {
+        body += static_cast<char>('a' + i % 23);
+    }
+    std::string seen;
+    other_target.script = [&](const Target::Request &request) {
+        seen = FieldOf(request.head, "Content-Length");
+        request.wire->Send(Target::Answer(request.id, "stored"));
+    };
+    node.ForgetOwn();
+    Caller caller(&loop, node.caller_address);
+    caller.wire.Send(Caller::Request("POST", "/once/1", "c1", body));
+    ASSERT_EQ(Status(caller.Wait(1)), "200");
+    EXPECT_EQ(seen, "300000");
+    other.Beat(2, true);
+    size_t before = caller.wire.received.size();
+    caller.wire.Send(Caller::Request("POST", "/once/1", "c2", body));
+    caller.Wait(2);
+    EXPECT_EQ(Status(caller.wire.received.substr(before)), "503");
+    EXPECT_EQ(other_target.Runs("c2"), 0);
+}
+
+// Guards against requests inside other requests, and against a proxy that
+// passes on what it cannot read.
+TEST_F(MeshIo, MalformedRequestsAreRefused)
+{
+    struct {
+        const char *text;
+        const char *status;
+    } const cases[] = {
+        {"GET /safe/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "400"},
+        {"GET /safe/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+         "Content-Length: 2\r\n\r\nab",
+         "400"},
+        {"nonsense\r\n\r\n", "400"},
+        {"GET /none/1 HTTP/1.1\r\nHost: h\r\n\r\n", "404"},
+    };
+    for (const auto &c : cases) {
+        Caller caller(&loop, node.caller_address);
+        EXPECT_EQ(Status(caller.Call(c.text)), c.status) << c.text;
+    }
+    Caller caller(&loop, node.caller_address);
+    std::string head = "GET /safe/1 HTTP/1.1\r\nHost: h\r\nX: ";
+    EXPECT_EQ(Status(caller.Call(head + std::string(70000, 'x') +
+                                 "\r\n\r\n")),
+              "431");
+    EXPECT_TRUE(target.requests.empty());
+}
+
+// Guards against a queue at the target that its own node cannot see: a node
+// gives its target no more calls than it has slots.
+TEST_F(MeshIo, NeverMoreCallsThanSlots)
+{
+    std::vector<Target::Request> held;
+    target.script = [&](const Target::Request &request) {
+        held.push_back(request);
+    };
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 10; i++) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->wire.Send(
+            Caller::Request("GET", "/safe/1", "c" + std::to_string(i)));
+    }
+    loop.RunFor(0.1);
+    EXPECT_EQ(held.size(), 4u);
+    size_t answered = 0;
+    loop.RunUntil([&] {
+        while (answered < held.size()) {
+            held[answered].wire->Send(
+                Target::Answer(held[answered].id, "ok"));
+            answered++;
+        }
+        return answered == 10;
+    });
+    EXPECT_EQ(answered, 10u);
+}
--- /dev/null
+++ b/tests/unit/mesh_rig.h
@@ -0,0 +1,413 @@
+// Nodes of the mesh, raw targets and raw callers in one event loop, for tests
+// of lib/http and lib/mesh over loopback sockets.
+#ifndef MESH_RIG_H
+#define MESH_RIG_H
+
+#include <arpa/inet.h>
+#include <ev.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bb_call_io.h"
+#include "bb_error.h"
+
+namespace mesh_rig {
+
+const bb_header_names_t kNames = {"Call-Id", "Left-Ms", "Want-Target",
+                                  "Caller",  "Seal",    "Not-Run"};
+
+// A free port of loopback. Another process may take it before it is bound
+// here; tests hold the lock of tests/run.sh.
+inline std::string
+FreeAddress()
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in where = {};
+    socklen_t size = sizeof(where);
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(fd, reinterpret_cast<sockaddr *>(&where), sizeof(where));
+    getsockname(fd, reinterpret_cast<sockaddr *>(&where), &size);
+    close(fd);
+    return "127.0.0.1:" + std::to_string(ntohs(where.sin_port));
+}
+
+class Loop {
+  public:
+    Loop() : loop(ev_loop_new(EVFLAG_AUTO))
+    {
+    }
+    ~Loop()
+    {
+        ev_loop_destroy(loop);
+    }
+    // Runs until the condition holds; false after the time limit.
+    bool RunUntil(std::function<bool()> condition, double limit_s = 10.0)
+    {
+        ev_timer tick;
+        ev_timer_init(&tick, [](struct ev_loop *, ev_timer *, int) {}, 0.002,
+                      0.002);
+        ev_timer_start(loop, &tick);
+        ev_tstamp end = ev_time() + limit_s;
+        while (!condition() && ev_time() < end) {
+            ev_run(loop, EVRUN_ONCE);
+        }
+        ev_timer_stop(loop, &tick);
+        return condition();
+    }
+    void RunFor(double seconds)
+    {
+        ev_tstamp end = ev_time() + seconds;
+        RunUntil([&] { return ev_time() >= end; }, seconds + 1.0);
+    }
+    struct ev_loop *loop;
+};
+
+// One end of a raw connection.
+class Wire {
+  public:
+    Wire(Loop *loop, int fd) : loop_(loop), fd(fd)
+    {
+        ev_io_init(&io_, OnReadable, fd, EV_READ);
+        io_.data = this;
+        ev_io_start(loop_->loop, &io_);
+    }
+    ~Wire()
+    {
+        Close(false);
+    }
+    void Send(const std::string &text)
+    {
+        if (fd >= 0 && send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0) {
+            is_closed = true;
+        }
+    }
+    void Close(bool is_reset)
+    {
+        if (fd < 0) {
+            return;
+        }
+        ev_io_stop(loop_->loop, &io_);
+        if (is_reset) {
+            linger option = {1, 0};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+        }
+        close(fd);
+        fd = -1;
+        is_closed = true;
+    }
+    std::function<void(Wire *)> on_bytes;
+    std::string received;
+    bool is_closed = false;
+
+  private:
+    static void OnReadable(struct ev_loop *, ev_io *io, int)
+    {
+        Wire *wire = static_cast<Wire *>(io->data);
+        char data[65536];
+        ssize_t size = recv(wire->fd, data, sizeof(data), MSG_DONTWAIT);
+        if (size <= 0) {
+            wire->Close(false);
+            return;
+        }
+        wire->received.append(data, static_cast<size_t>(size));
+        if (wire->on_bytes) {
+            wire->on_bytes(wire);
+        }
+    }
+    Loop *loop_;
+    ev_io io_;
+
+  public:
+    int fd;
+};
+
+inline std::string
+FieldOf(const std::string &head, const std::string &name)
+{
+    size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return "";
+    }
+    at += name.size() + 4;
+    return head.substr(at, head.find("\r\n", at) - at);
+}
+
+// A target that answers as its script says.
+class Target {
+  public:
+    struct Request {
+        std::string head;
+        std::string id;
+        Wire *wire;
+    };
+    explicit Target(Loop *loop) : loop_(loop), address(FreeAddress())
+    {
+        fd_ = BbH1_Listen(address.c_str());
+        ev_io_init(&io_, OnAccept, fd_, EV_READ);
+        io_.data = this;
+        ev_io_start(loop->loop, &io_);
+        script = [this](const Request &request) {
+            request.wire->Send(Answer(request.id, "ok"));
+        };
+    }
+    ~Target()
+    {
+        ev_io_stop(loop_->loop, &io_);
+        close(fd_);
+    }
+    static std::string Answer(const std::string &id, const std::string &body,
+                              const std::string &status = "200 OK",
+                              const std::string &fields = "Seal: s\r\n")
+    {
+        return "HTTP/1.1 " + status + "\r\nCall-Id: " + id + "\r\n" + fields +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    }
+    int Runs(const std::string &id) const
+    {
+        auto found = runs.find(id);
+        return found != runs.end() ? found->second : 0;
+    }
+    std::function<void(const Request &)> script;
+    std::map<std::string, int> runs;
+    std::vector<Request> requests;
+    std::vector<std::unique_ptr<Wire>> wires;
+
+  private:
+    static void OnAccept(struct ev_loop *, ev_io *io, int)
+    {
+        Target *target = static_cast<Target *>(io->data);
+        int fd = accept(target->fd_, nullptr, nullptr);
+        if (fd < 0) {
+            return;
+        }
+        target->wires.push_back(std::make_unique<Wire>(target->loop_, fd));
+        target->wires.back()->on_bytes = [target](Wire *wire) {
+            target->Take(wire);
+        };
+    }
+    void Take(Wire *wire)
+    {
+        size_t end;
+        while ((end = wire->received.find("\r\n\r\n")) != std::string::npos) {
+            std::string head = wire->received.substr(0, end + 2);
+            std::string length = FieldOf(head, "Content-Length");
+            size_t body = length.empty() ? 0 : std::stoul(length);
+            if (wire->received.size() < end + 4 + body && !is_early) {
+                return;
+            }
+            wire->received.erase(0, is_early ? wire->received.size()
+                                             : end + 4 + body);
+            Request request = {head, FieldOf(head, "Call-Id"), wire};
+            runs[request.id]++;
+            requests.push_back(request);
+            script(request);
+        }
+    }
+    Loop *loop_;
+    int fd_;
+    ev_io io_;
+
+  public:
+    std::string address;
+    bool is_early = false;  // answers when it has read the head
+};
+
+inline bb_mesh_config_t *
+MakeConfig()
+{
+    bb_mesh_config_t *config = BbMeshConfig_New(3);
+    bb_mesh_route_options_t safe = {"safe", "h", "/safe/", true, 3, 0.5, 1, 2};
+    bb_mesh_route_options_t once = {"once", "h", "/once/", false, 3, 0.5, 1,
+                                    2};
+    BbMeshConfig_AddService(config, "orders", 100);
+    BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &safe), "orders", 1);
+    BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &once), "orders", 1);
+    return config;
+}
+
+// One node with a target of service "orders" beside it.
+class Node {
+  public:
+    Node(Loop *loop, const std::string &name, const std::string &data_centre,
+         Target *target, int slots = 4)
+        : target(target), slots_(slots), caller_address(FreeAddress()),
+          forward_address(FreeAddress()), name(name),
+          data_centre(data_centre)
+    {
+        bb_local_target_options_t local = {target->address.c_str(), "orders"};
+        local_target = BbLocalTarget_New(&local);
+        bb_target_io_options_t target_options = {
+            loop->loop, target->address.c_str(), "orders", &kNames,
+            local_target};
+        target_io = BbTargetIo_New(&target_options);
+        bb_hop_io_options_t hop_options = {};
+        hop_options.loop = loop->loop;
+        hop_options.address = forward_address.c_str();
+        hop_options.link_mbps = 1000;
+        hop_options.target = target_io;
+        hop_options.names = &kNames;
+        hop_options.own_version = [](void *) -> int64_t { return 3; };
+        hop_options.on_version = [](int64_t, const char *, void *) {};
+        EXPECT_EQ(BbHopIo_New(&hop_options, &hop), 0);
+        fleet = BbFleet_New(name.c_str());
+        random = BbRandom_New(1);
+        bb_repeat_budget_options_t budget_options = {1.0, 100};
+        budget = BbRepeatBudget_New(&budget_options);
+        bb_call_io_options_t options = {};
+        options.loop = loop->loop;
+        options.address = caller_address.c_str();
+        options.data_centre = data_centre.c_str();
+        options.service = "orders";
+        options.names = &kNames;
+        options.fleet = fleet;
+        options.target = target_io;
+        options.hop = hop;
+        options.budget = budget;
+        options.random = random;
+        options.spill_share = 0.9;
+        EXPECT_EQ(BbCallIo_New(&options, &calls), 0);
+        config_ = MakeConfig();
+        BbCallIo_SetConfig(calls, config_);
+        Beat(1, false);
+        Know(this, 1);
+    }
+    ~Node()
+    {
+        BbCallIo_Free(calls);
+        BbHopIo_Free(hop);
+        BbTargetIo_Free(target_io);
+        BbLocalTarget_Free(local_target);
+        BbRepeatBudget_Free(budget);
+        BbRandom_Free(random);
+        BbFleet_Free(fleet);
+        BbMeshConfig_Unref(config_);
+    }
+    void Beat(int64_t sequence, bool is_draining)
+    {
+        bb_heartbeat_t heartbeat = {};
+        heartbeat.id = name.c_str();
+        heartbeat.address = target->address.c_str();
+        heartbeat.service = "orders";
+        heartbeat.slots = slots_;
+        heartbeat.is_draining = is_draining;
+        heartbeat.sequence = sequence;
+        BbLocalTarget_Heartbeat(local_target, &heartbeat);
+        BbTargetIo_TargetChanged(target_io);
+    }
+    // Makes another node, or this one, known here.
+    void Know(Node *other, int64_t revision)
+    {
+        bb_node_record_t record = {};
+        record.address = const_cast<char *>(other->forward_address.c_str());
+        record.data_centre = const_cast<char *>(other->data_centre.c_str());
+        record.service = const_cast<char *>("orders");
+        record.target_id = const_cast<char *>(other->name.c_str());
+        record.slots = other->slots_;
+        record.is_ready = true;
+        if (other == this) {
+            BbFleet_SetOwn(fleet, &record, 0);
+        }
+        else {
+            BbFleet_Merge(fleet, other->name.c_str(), &record, revision, 0);
+        }
+    }
+    // Calls go to other nodes only.
+    void ForgetOwn()
+    {
+        BbFleet_Find(fleet, name.c_str())->record.is_ready = false;
+    }
+    Target *target;
+
+  private:
+    int slots_;
+    bb_mesh_config_t *config_;
+
+  public:
+    std::string caller_address, forward_address, name, data_centre;
+    bb_local_target_t *local_target;
+    bb_target_io_t *target_io;
+    bb_hop_io_t *hop;
+    bb_fleet_t *fleet;
+    bb_random_t *random;
+    bb_repeat_budget_t *budget;
+    bb_call_io_t *calls;
+};
+
+// A caller on one raw connection.
+class Caller {
+  public:
+    Caller(Loop *loop, const std::string &address)
+        : loop_(loop), wire(loop, Connect(address))
+    {
+    }
+    static std::string Request(const std::string &method,
+                               const std::string &path, const std::string &id,
+                               const std::string &body = "",
+                               int left_ms = 2000)
+    {
+        std::string text = method + " " + path + " HTTP/1.1\r\nHost: h\r\n" +
+                           "Call-Id: " + id +
+                           "\r\nLeft-Ms: " + std::to_string(left_ms) + "\r\n";
+        if (!body.empty()) {
+            text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        }
+        return text + "\r\n" + body;
+    }
+    // Waits for a number of answers and returns all bytes.
+    std::string Wait(size_t answers, double limit_s = 10.0)
+    {
+        loop_->RunUntil(
+            [&] { return Count() >= answers || wire.is_closed; }, limit_s);
+        return wire.received;
+    }
+    std::string Call(const std::string &text)
+    {
+        size_t before = wire.received.size();
+        size_t count = Count();
+        wire.Send(text);
+        Wait(count + 1);
+        return wire.received.substr(before);
+    }
+    size_t Count() const
+    {
+        size_t count = 0, at = 0;
+        while ((at = wire.received.find("HTTP/1.1 ", at)) !=
+               std::string::npos) {
+            count++;
+            at++;
+        }
+        return count;
+    }
+
+  private:
+    static int Connect(const std::string &address)
+    {
+        int fd = BbH1_Connect(address.c_str());
+        EXPECT_GE(fd, 0);
+        return fd;
+    }
+    Loop *loop_;
+
+  public:
+    Wire wire;
+};
+
+inline std::string
+Status(const std::string &answer)
+{
+    return answer.size() > 12 ? answer.substr(9, 3) : "";
+}
+
+}  // namespace mesh_rig
+
+#endif
--- /dev/null
+++ b/tests/unit/mesh_test.cc
@@ -0,0 +1,655 @@
+// Tests of the decisions of lib/mesh in virtual time: routing, fleet,
+// placement, slot queue, repeat budget, local target, readers, versions.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bb_error.h"
+#include "bb_fleet.h"
+#include "bb_h1_message.h"
+#include "bb_hop.h"
+#include "bb_load.h"
+#include "bb_local_target.h"
+#include "bb_mesh_config.h"
+#include "bb_placement.h"
+#include "bb_readers.h"
+#include "bb_repeat_budget.h"
+#include "bb_slot_queue.h"
+#include "bb_transfer_gate.h"
+#include "bb_versions.h"
+
+namespace {
+
+struct Config {
+    Config() : config(BbMeshConfig_New(7))
+    {
+        BbMeshConfig_AddService(config, "orders", 120);
+        BbMeshConfig_AddService(config, "catalogue", 120);
+    }
+    ~Config()
+    {
+        BbMeshConfig_Unref(config);
+    }
+    bb_mesh_route_t *Route(const char *host, const char *prefix,
+                           const char *service)
+    {
+        bb_mesh_route_options_t options = {};
+        options.name = prefix;
+        options.host = host;
+        options.prefix = prefix;
+        bb_mesh_route_t *route = BbMeshConfig_AddRoute(config, &options);
+        if (service != nullptr) {
+            BbMeshRoute_AddPart(route, service, 1);
+        }
+        return route;
+    }
+    bb_mesh_config_t *config;
+};
+
+}  // namespace
+
+// Guards against a shorter prefix winning, and against a prefix that matches
+// in the middle of a path segment.
+TEST(MeshConfig, TakesTheLongestPrefixOfWholeSegments)
+{
+    Config c;
+    c.Route("a.example", "/", "orders");
+    c.Route("a.example", "/x/", "catalogue");
+    c.Route("a.example", "/x/y/", "orders");
+    auto name = [&](const char *host, const char *target) {
+        bb_mesh_route_t *route =
+            BbMeshConfig_FindRoute(c.config, host, target);
+        return std::string(route != nullptr ? route->name : "none");
+    };
+    EXPECT_EQ(name("a.example", "/x/y/1?q=/z/"), "/x/y/");
+    EXPECT_EQ(name("A.EXAMPLE:8080", "/x/yy"), "/x/");
+    EXPECT_EQ(name("a.example", "/xy"), "/");
+    EXPECT_EQ(name("b.example", "/x/y/"), "none");
+    EXPECT_EQ(name(nullptr, "/x/y/"), "none");
+}
+
+// Guards against a version that points at services it does not have.
+TEST(MeshConfig, RefusesDanglingServicesAndEmptyRoutes)
+{
+    Config c;
+    c.Route("a.example", "/", "payments");
+    c.Route("a.example", "/b/", nullptr);
+    bb_findings_t findings;
+    BbFindings_Init(&findings);
+    EXPECT_EQ(BbMeshConfig_Check(c.config, &findings), BB_ERR_INVALID);
+    EXPECT_EQ(findings.count, 2u);
+    BbFindings_Free(&findings);
+}
+
+// Guards against splits that drift from their weights or come in runs.
+TEST(MeshConfig, SplitsByWeightEvenly)
+{
+    Config c;
+    bb_mesh_route_t *route = c.Route("a.example", "/", nullptr);
+    BbMeshRoute_AddPart(route, "orders", 3);
+    BbMeshRoute_AddPart(route, "catalogue", 1);
+    bb_random_t *random = BbRandom_New(1);
+    BbMeshConfig_ShuffleSplits(c.config, random);
+    BbRandom_Free(random);
+    int orders = 0;
+    for (int i = 0; i < 400; i++) {
+        orders += strcmp(BbMeshRoute_NextService(route), "orders") == 0;
+        int expected = (i + 1) * 3 / 4;
+        EXPECT_LE(std::abs(orders - expected), 2) << i;
+    }
+    EXPECT_EQ(orders, 300);
+}
+
+namespace {
+
+struct Fleet {
+    Fleet() : fleet(BbFleet_New("own")), random(BbRandom_New(5))
+    {
+    }
+    ~Fleet()
+    {
+        BbFleet_Free(fleet);
+        BbRandom_Free(random);
+    }
+    bb_endpoint_t *Add(const char *node, const char *data_centre,
+                       int64_t revision, int slots = 10, int mbps = 100)
+    {
+        std::string address = std::string("10.0.0.1:") +
+                              std::to_string(revision);
+        bb_node_record_t record = {};
+        record.address = const_cast<char *>(address.c_str());
+        record.data_centre = const_cast<char *>(data_centre);
+        record.service = const_cast<char *>("orders");
+        record.target_id = const_cast<char *>(node);
+        record.slots = slots;
+        record.is_ready = true;
+        record.link_mbps = mbps;
+        BbFleet_Merge(fleet, node, &record, revision, 0);
+        return BbFleet_Find(fleet, node);
+    }
+    bb_endpoint_t *Choose(double now, double latency = 1.0,
+                          const char *class_name = "c",
+                          std::vector<bb_endpoint_t *> tried = {})
+    {
+        bb_placement_request_t request = {};
+        request.service = "orders";
+        request.class_name = class_name;
+        request.data_centre = "a";
+        request.target_latency_s = latency;
+        request.spill_share = 0.9;
+        for (auto *endpoint : tried) {
+            request.tried[request.tried_count++] = endpoint;
+        }
+        return BbPlacement_Choose(fleet, &request, random, now, &is_full);
+    }
+    void Report(bb_endpoint_t *endpoint, int running, int waiting,
+                int service_ms, double now)
+    {
+        bb_load_t load = {};
+        load.running = running;
+        load.waiting = waiting;
+        load.slots = 10;
+        load.service_ms = service_ms;
+        BbPlacement_Started(endpoint, now);
+        BbPlacement_Ended(endpoint, BB_ATTEMPT_SERVED, &load, now);
+    }
+    bb_fleet_t *fleet;
+    bb_random_t *random;
+    bool is_full = false;
+};
+
+}  // namespace
+
+// Guards against late news that bring back what is gone.
+TEST(MeshFleet, KeepsTheNewestRevision)
+{
+    Fleet f;
+    f.Add("n1", "a", 5);
+    EXPECT_TRUE(BbFleet_Merge(f.fleet, "n1", nullptr, 9, 0));
+    f.Add("n1", "a", 7);
+    EXPECT_TRUE(BbFleet_Find(f.fleet, "n1")->is_removed);
+    EXPECT_EQ(f.Choose(0), nullptr);
+    f.Add("n1", "a", 10);
+    EXPECT_NE(f.Choose(0), nullptr);
+}
+
+// Guards against nodes that stay known after the history was lost.
+TEST(MeshFleet, ForgetsWhatAWholeReadDoesNotShow)
+{
+    Fleet f;
+    f.Add("n1", "a", 5);
+    f.Add("n2", "a", 6);
+    GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_add(keys, const_cast<char *>("n2"));
+    BbFleet_KeepOnly(f.fleet, keys, 8);
+    g_hash_table_destroy(keys);
+    EXPECT_EQ(f.Choose(0), BbFleet_Find(f.fleet, "n2"));
+    EXPECT_EQ(BbFleet_NodeCount(f.fleet), 1u);
+}
+
+// Guards against records that do not survive their own format.
+TEST(MeshFleet, RecordsRoundTripAndRefuseOtherText)
+{
+    bb_node_record_t record = {};
+    record.address = const_cast<char *>("10.0.0.1:80");
+    record.data_centre = const_cast<char *>("a");
+    record.service = const_cast<char *>("orders");
+    record.target_id = const_cast<char *>("i-1");
+    record.slots = 18;
+    record.is_ready = true;
+    record.link_mbps = 5;
+    record.started_ms = 1234567890123;
+    char *text = BbNodeRecord_Format(&record);
+    bb_node_record_t read;
+    ASSERT_EQ(BbNodeRecord_Parse(text, strlen(text), &read), 0);
+    EXPECT_STREQ(read.address, "10.0.0.1:80");
+    EXPECT_EQ(read.slots, 18);
+    EXPECT_EQ(read.link_mbps, 5);
+    EXPECT_EQ(read.started_ms, 1234567890123);
+    BbNodeRecord_Clear(&read);
+    g_free(text);
+    EXPECT_EQ(BbNodeRecord_Parse("{\"slots\":1}", 11, &read), BB_ERR_PARSE);
+    EXPECT_EQ(BbNodeRecord_Parse("\xff", 1, &read), BB_ERR_PARSE);
+}
+
+// Guards against bytes between data centres while the own one has room, and
+// against a full data centre that keeps calls which would be late there.
+TEST(MeshPlacement, SpillsOnlyWhatWouldBeLate)
+{
+    Fleet f;
+    bb_endpoint_t *near = f.Add("near", "a", 1);
+    bb_endpoint_t *far = f.Add("far", "b", 2);
+    f.Report(near, 10, 20, 200, 1.0);
+    f.Report(far, 0, 0, 200, 1.0);
+    EXPECT_EQ(f.Choose(1.0, 1.0), near);  // 0.2 + 0.42 s is in time
+    EXPECT_EQ(f.Choose(1.0, 0.5), far);   // not within 0.45 s
+}
+
+// Guards against a load report that steers calls for good after it has aged.
+TEST(MeshPlacement, OldReportsFade)
+{
+    Fleet f;
+    bb_endpoint_t *busy = f.Add("busy", "a", 1);
+    f.Report(busy, 10, 100, 200, 1.0);
+    double fresh = BbPlacement_Predict(busy, 1.0);
+    EXPECT_GT(fresh, 2.0);
+    EXPECT_LT(BbPlacement_Predict(busy, 20.0), 0.3);
+}
+
+// Guards against a target that answers failures fast and so attracts calls.
+TEST(MeshPlacement, FailingTargetsLoseCalls)
+{
+    Fleet f;
+    bb_endpoint_t *grey = f.Add("grey", "a", 1);
+    bb_endpoint_t *good = f.Add("good", "a", 2);
+    for (int i = 0; i < 10; i++) {
+        BbPlacement_Started(grey, 1.0);
+        BbPlacement_Ended(grey, BB_ATTEMPT_FAILED, nullptr, 1.0);
+    }
+    for (int i = 0; i < 50; i++) {
+        EXPECT_EQ(f.Choose(1.0), good);
+    }
+}
+
+// Guards against many calls that all try a node which is still lost, and
+// against a suspicion that never ends.
+TEST(MeshPlacement, LostNodesAreTriedByOneCallAtATime)
+{
+    Fleet f;
+    bb_endpoint_t *lost = f.Add("lost", "a", 1);
+    bb_endpoint_t *other = f.Add("other", "b", 2);
+    BbPlacement_Started(lost, 1.0);
+    BbPlacement_Ended(lost, BB_ATTEMPT_LOST, nullptr, 1.0);
+    EXPECT_EQ(f.Choose(1.1), other);
+    ASSERT_EQ(f.Choose(1.6), lost);
+    BbPlacement_Started(lost, 1.6);
+    EXPECT_EQ(f.Choose(1.61), other);
+    BbPlacement_Ended(lost, BB_ATTEMPT_SERVED, nullptr, 1.7);
+    EXPECT_EQ(f.Choose(1.71), lost);
+}
+
+// Guards against asking a node again at once that has no room for a class,
+// and against refusing other classes there.
+TEST(MeshPlacement, RefusalsForWantOfRoomHoldForTheirClass)
+{
+    Fleet f;
+    bb_endpoint_t *near = f.Add("near", "a", 1);
+    BbPlacement_SetFull(near, "lookup", 1.0);
+    EXPECT_EQ(f.Choose(1.01, 1.0, "lookup"), nullptr);
+    EXPECT_TRUE(f.is_full);
+    EXPECT_EQ(f.Choose(1.01, 1.0, "order"), near);
+    EXPECT_EQ(f.Choose(1.2, 1.0, "lookup"), near);
+}
+
+namespace {
+
+struct Queue {
+    explicit Queue(int slots) : queue(BbSlotQueue_New())
+    {
+        BbSlotQueue_SetSlots(queue, slots);
+    }
+    ~Queue()
+    {
+        BbSlotQueue_Free(queue);
+    }
+    bb_slot_ticket_t *Ticket(const char *class_name, double now,
+                             double latency, double deadline, int rank = 1)
+    {
+        tickets.push_back(std::make_unique<bb_slot_ticket_t>());
+        bb_slot_ticket_t *ticket = tickets.back().get();
+        *ticket = {};
+        ticket->class_name = class_name;
+        ticket->rank = rank;
+        ticket->target_latency_s = latency;
+        ticket->target_at = now + latency;
+        ticket->expires_at = now + deadline;
+        return ticket;
+    }
+    // Teaches the queue how long calls of a class take.
+    void Learn(const char *class_name, double service_s)
+    {
+        bb_slot_ticket_t *ticket = Ticket(class_name, 0, 10, 20);
+        ASSERT_EQ(BbSlotQueue_Offer(queue, ticket, 0), BB_SLOT_RUNNING);
+        BbSlotQueue_Finish(queue, ticket, true, service_s);
+    }
+    bb_slot_queue_t *queue;
+    std::vector<std::unique_ptr<bb_slot_ticket_t>> tickets;
+};
+
+}  // namespace
+
+// Guards against calls of running requests that wait behind new requests:
+// the requests that wait for them hold slots meanwhile.
+TEST(MeshSlotQueue, ShortTargetLatencyGoesFirst)
+{
+    Queue q(1);
+    q.Learn("order", 0.2);
+    q.Learn("check", 0.04);
+    auto *running = q.Ticket("order", 1.0, 0.6, 2.0);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, running, 1.0), BB_SLOT_RUNNING);
+    auto *order = q.Ticket("order", 1.0, 0.8, 2.0);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, order, 1.0), BB_SLOT_WAITING);
+    auto *check = q.Ticket("check", 1.1, 0.3, 0.5);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, check, 1.1), BB_SLOT_WAITING);
+    BbSlotQueue_Finish(q.queue, running, true, 1.15);
+    EXPECT_EQ(BbSlotQueue_Next(q.queue, 1.15), check);
+    EXPECT_EQ(BbSlotQueue_Next(q.queue, 1.15), nullptr);
+    BbSlotQueue_Finish(q.queue, check, true, 1.2);
+    EXPECT_EQ(BbSlotQueue_Next(q.queue, 1.2), order);
+}
+
+// Guards against a queue that makes every call late under overload: what
+// would be late is refused at once, what is admitted ends in time.
+TEST(MeshSlotQueue, OverloadServesInTimeAndRefusesAtOnce)
+{
+    const double service_s = 0.1, latency_s = 0.5, step_s = 0.005;
+    Queue q(5);  // 50 calls/s; 100 calls/s are offered
+    q.Learn("lookup", service_s);
+    std::vector<bb_slot_ticket_t *> running;
+    int served = 0, in_time = 0, refused_late = 0, offered = 0;
+    for (int step = 0; step < 2000; step++) {
+        double now = 1.0 + step * step_s;
+        for (size_t i = 0; i < running.size();) {
+            bb_slot_ticket_t *ticket = running[i];
+            if (now - ticket->started_at < service_s - 1e-9) {
+                i++;
+                continue;
+            }
+            BbSlotQueue_Finish(q.queue, ticket, true, now);
+            served++;
+            in_time += now <= ticket->target_at;
+            running.erase(running.begin() + static_cast<long>(i));
+        }
+        if (step % 2 == 0) {
+            auto *ticket = q.Ticket("lookup", now, latency_s, 2.0);
+            offered++;
+            if (BbSlotQueue_Offer(q.queue, ticket, now) == BB_SLOT_RUNNING) {
+                running.push_back(ticket);
+            }
+        }
+        bb_slot_ticket_t *next;
+        while ((next = BbSlotQueue_Next(q.queue, now)) != nullptr) {
+            if (next->state == BB_SLOT_RUNNING) {
+                running.push_back(next);
+            }
+            else {
+                refused_late++;
+            }
+        }
+    }
+    EXPECT_EQ(offered, 1000);
+    EXPECT_GE(served, 480);  // of 500 that fit
+    EXPECT_GE(in_time, served * 95 / 100);
+    EXPECT_LE(refused_late, 10);  // after waiting
+}
+
+// Guards against a class that is never served while others keep coming.
+TEST(MeshSlotQueue, WaitingGainsOnRank)
+{
+    Queue q(1);
+    q.Learn("x", 0.01);
+    auto *running = q.Ticket("x", 1.0, 9, 20);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, running, 1.0), BB_SLOT_RUNNING);
+    auto *low = q.Ticket("x", 1.0, 9, 20, 3);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, low, 1.0), BB_SLOT_WAITING);
+    auto *high = q.Ticket("x", 3.0, 9, 20, 0);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, high, 3.0), BB_SLOT_WAITING);
+    BbSlotQueue_Finish(q.queue, running, false, 3.0);
+    EXPECT_EQ(BbSlotQueue_Next(q.queue, 3.0), low);
+}
+
+// Guards against calls that start with no time left to end.
+TEST(MeshSlotQueue, RefusesWhatCannotEnd)
+{
+    Queue q(4);
+    q.Learn("x", 0.3);
+    auto *late = q.Ticket("x", 1.0, 0.2, 0.2);
+    EXPECT_EQ(BbSlotQueue_Offer(q.queue, late, 1.0), BB_SLOT_REFUSED);
+    EXPECT_EQ(late->reason, BB_REASON_TOO_LATE);
+    EXPECT_EQ(BbSlotQueue_Running(q.queue), 0);
+}
+
+// Guards against a node that repeats without end when a service fails.
+TEST(MeshRepeatBudget, KeepsToItsShare)
+{
+    bb_repeat_budget_options_t options = {0.2, 60};
+    bb_repeat_budget_t *budget = BbRepeatBudget_New(&options);
+    BbRepeatBudget_SetNodes(budget, 10);
+    int repeats = 0;
+    for (int i = 0; i < 1000; i++) {
+        BbRepeatBudget_OnCall(budget, "orders");
+        repeats += BbRepeatBudget_Take(budget, "orders");
+    }
+    // 0.2 x 1000 + 60 / 10 are allowed to this node.
+    EXPECT_LE(repeats, 206);
+    EXPECT_GE(repeats, 50);
+    BbRepeatBudget_Free(budget);
+}
+
+namespace {
+
+const bb_local_target_options_t kTarget = {"10.0.0.1:80", "orders"};
+
+bb_heartbeat_t
+Heartbeat(const char *id, int64_t sequence, int64_t born_ms,
+          bool is_draining = false)
+{
+    bb_heartbeat_t heartbeat = {};
+    heartbeat.id = id;
+    heartbeat.address = kTarget.address;
+    heartbeat.service = kTarget.service;
+    heartbeat.slots = 18;
+    heartbeat.is_draining = is_draining;
+    heartbeat.sequence = sequence;
+    heartbeat.born_ms = born_ms;
+    return heartbeat;
+}
+
+}  // namespace
+
+// Guards against new work at a target that leaves, when a heartbeat from
+// before the leave arrives after it.
+TEST(MeshLocalTarget, LateHeartbeatsDoNotBringBackWhatLeaves)
+{
+    bb_local_target_t *target = BbLocalTarget_New(&kTarget);
+    auto beat = [&](bb_heartbeat_t heartbeat) {
+        return BbLocalTarget_Heartbeat(target, &heartbeat);
+    };
+    EXPECT_EQ(beat(Heartbeat("i-1", 4, 100)), BB_HEARTBEAT_CHANGED);
+    EXPECT_EQ(beat(Heartbeat("i-1", 6, 100, true)), BB_HEARTBEAT_CHANGED);
+    EXPECT_EQ(beat(Heartbeat("i-1", 5, 100)), BB_HEARTBEAT_STALE);
+    EXPECT_EQ(beat(Heartbeat("i-1", 7, 100)), BB_HEARTBEAT_UNCHANGED);
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_DRAINING);
+    EXPECT_TRUE(BbLocalTarget_Leave(target, "i-1"));
+    EXPECT_EQ(beat(Heartbeat("i-1", 8, 100)), BB_HEARTBEAT_STALE);
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
+    // The same id, born anew, counts from the start.
+    EXPECT_EQ(beat(Heartbeat("i-1", 1, 200)), BB_HEARTBEAT_CHANGED);
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+    BbLocalTarget_Free(target);
+}
+
+// Guards against an older incarnation, or another VM's target, in the place
+// of the one beside the node.
+TEST(MeshLocalTarget, IgnoresOlderAndForeignIncarnations)
+{
+    bb_local_target_t *target = BbLocalTarget_New(&kTarget);
+    bb_heartbeat_t newer = Heartbeat("i-2", 1, 200);
+    bb_heartbeat_t older = Heartbeat("i-1", 90, 100);
+    bb_heartbeat_t foreign = Heartbeat("i-3", 1, 300);
+    foreign.address = "10.0.0.2:80";
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &newer), BB_HEARTBEAT_CHANGED);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &older), BB_HEARTBEAT_STALE);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &foreign),
+              BB_HEARTBEAT_FOREIGN);
+    EXPECT_STREQ(BbLocalTarget_Id(target), "i-2");
+    EXPECT_FALSE(BbLocalTarget_Leave(target, "i-1"));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+    BbLocalTarget_Free(target);
+}
+
+// Guards against a fleet in which no node reads the store, or all do.
+TEST(MeshReaders, WidestLinksReadInEachDataCentre)
+{
+    Fleet f;
+    for (int i = 0; i < 60; i++) {
+        std::string name = "n" + std::to_string(i);
+        f.Add(name.c_str(), i % 2 == 0 ? "a" : "b", i + 1, 10,
+              i < 6 ? 100 : 5);
+    }
+    int readers = 0;
+    for (int i = 0; i < 60; i++) {
+        std::string name = "n" + std::to_string(i);
+        bool is_reader = BbReaders_IsOwn(f.fleet, name.c_str());
+        readers += is_reader;
+        EXPECT_TRUE(!is_reader || i < 6) << name;
+    }
+    EXPECT_EQ(readers, 4);
+    GPtrArray *rank = BbReaders_Rank(f.fleet, "b");
+    ASSERT_EQ(rank->len, 4u);
+    auto *first = static_cast<bb_endpoint_t *>(g_ptr_array_index(rank, 0));
+    EXPECT_STREQ(first->record.data_centre, "b");
+    g_ptr_array_unref(rank);
+    EXPECT_TRUE(BbReaders_IsOwn(f.fleet, "unknown"));
+}
+
+// Guards against deltas that are as large as the text, or wrong.
+TEST(MeshVersions, DeltasAreSmallAndExact)
+{
+    std::string old_text, new_text;
+    for (int i = 0; i < 2000; i++) {
+        std::string row = "{\"route\":" + std::to_string(i * 7919 % 100003) +
+                          ",\"service\":\"s" + std::to_string(i % 7) + "\"},";
+        old_text += row;
+        new_text += i == 1000 ? "{\"route\":\"changed\"}," : row;
+    }
+    bb_versions_t *sender = BbVersions_New();
+    bb_versions_t *receiver = BbVersions_New();
+    BbVersions_Add(sender, 1, old_text.data(), old_text.size());
+    BbVersions_Add(receiver, 1, old_text.data(), old_text.size());
+    BbVersions_Add(sender, 4, new_text.data(), new_text.size());
+    int64_t base = -1;
+    const GByteArray *delta = BbVersions_Encode(sender, 1, &base);
+    ASSERT_NE(delta, nullptr);
+    EXPECT_EQ(base, 1);
+    EXPECT_LT(delta->len, 500u);
+    char *text = BbVersions_Decode(receiver, base, delta->data, delta->len,
+                                   new_text.size());
+    ASSERT_NE(text, nullptr);
+    EXPECT_EQ(std::string(text), new_text);
+    g_free(text);
+    // Damaged, or against a version that is not held.
+    EXPECT_EQ(BbVersions_Decode(receiver, 3, delta->data, delta->len,
+                                new_text.size()),
+              nullptr);
+    EXPECT_EQ(BbVersions_Decode(receiver, base, delta->data, delta->len / 2,
+                                new_text.size()),
+              nullptr);
+    // A node that holds nothing gets the whole.
+    delta = BbVersions_Encode(sender, 0, &base);
+    EXPECT_EQ(base, 0);
+    text = BbVersions_Decode(receiver, 0, delta->data, delta->len,
+                             new_text.size());
+    ASSERT_NE(text, nullptr);
+    EXPECT_EQ(std::string(text), new_text);
+    g_free(text);
+    BbVersions_Free(sender);
+    BbVersions_Free(receiver);
+}
+
+// Guards against load and hop fields that another release cannot read, or
+// that a damaged text fills with nonsense.
+TEST(MeshHop, FieldsRoundTripAndRefuseOtherText)
+{
+    bb_hop_call_t hop = {};
+    hop.service = const_cast<char *>("orders");
+    hop.caller_service = const_cast<char *>("catalogue");
+    hop.class_name = const_cast<char *>("r-1");
+    hop.deadline_ms = 900;
+    hop.latency_ms = 500;
+    hop.left_ms = -20;
+    hop.rank = 2;
+    hop.is_once = true;
+    hop.content_length = BB_H1_CHUNKED;
+    char *text = BbHop_Format(&hop);
+    bb_hop_call_t read;
+    ASSERT_EQ(BbHop_Parse(text, &read), 0);
+    EXPECT_STREQ(read.caller_service, "catalogue");
+    EXPECT_EQ(read.left_ms, -20);
+    EXPECT_TRUE(read.is_once);
+    EXPECT_EQ(read.content_length, BB_H1_CHUNKED);
+    BbHop_Clear(&read);
+    g_free(text);
+    for (const char *bad : {"", "a,b,c", "a,b,c,x,1,1,1,0,-1",
+                            ",b,c,1,1,1,1,0,-1", "a,b,c,1,1,1,1,0,-1,9"}) {
+        EXPECT_EQ(BbHop_Parse(bad, &read), BB_ERR_PARSE) << bad;
+    }
+    bb_load_t load;
+    EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,7", &load), 0);
+    EXPECT_EQ(load.version, 7);
+    EXPECT_EQ(BbLoad_Parse("1,2,18", &load), BB_ERR_PARSE);
+    EXPECT_EQ(BbLoad_Parse("-1,2,18,160,30,7", &load), BB_ERR_PARSE);
+    EXPECT_EQ(BbLoad_Parse(nullptr, &load), BB_ERR_PARSE);
+}
+
+// Guards against uploads that share a link until all of them are late: one
+// after the other, each admitted body is here in time.
+TEST(MeshTransferGate, BodiesComeOneAfterTheOther)
+{
+    const double rate = 5e6 / 8, step_s = 0.01, body = 60000, wait_s = 1.0;
+    bb_transfer_gate_t *gate = BbTransferGate_New(5);
+    std::vector<std::unique_ptr<bb_transfer_ticket_t>> tickets;
+    std::vector<std::pair<bb_transfer_ticket_t *, double>> under_way;
+    int offered = 0, arrived = 0, in_time = 0, refused = 0, most = 0;
+    for (int step = 0; step < 2000; step++) {
+        double now = step * step_s;
+        double budget = rate * step_s;  // shared by the bodies under way
+        size_t sharing = under_way.size();
+        for (size_t i = 0; i < under_way.size();) {
+            under_way[i].second -= budget / static_cast<double>(sharing);
+            if (under_way[i].second > 0) {
+                i++;
+                continue;
+            }
+            arrived++;
+            in_time += now <= under_way[i].first->here_by;
+            BbTransferGate_Finish(gate, under_way[i].first);
+            under_way.erase(under_way.begin() + static_cast<long>(i));
+        }
+        if (step % 6 == 0) {  // 16 bodies/s where 10 fit
+            tickets.push_back(std::make_unique<bb_transfer_ticket_t>());
+            bb_transfer_ticket_t *ticket = tickets.back().get();
+            *ticket = {};
+            ticket->bytes = body;
+            ticket->here_by = now + wait_s;
+            offered++;
+            switch (BbTransferGate_Offer(gate, ticket, now)) {
+            case BB_TRANSFER_GRANTED:
+                under_way.emplace_back(ticket, body);
+                break;
+            case BB_TRANSFER_REFUSED:
+                refused++;
+                break;
+            default:
+                break;
+            }
+        }
+        bb_transfer_ticket_t *next;
+        while ((next = BbTransferGate_Next(gate, now)) != nullptr) {
+            if (next->state == BB_TRANSFER_GRANTED) {
+                under_way.emplace_back(next, body);
+            }
+            else {
+                refused++;
+            }
+        }
+        most = std::max(most, static_cast<int>(under_way.size()));
+    }
+    EXPECT_LE(most, 2);
+    EXPECT_GE(arrived, 150);  // of 208 that fit, at 0.8 of the link
+    EXPECT_EQ(in_time, arrived);
+    EXPECT_GT(refused, 80);
+    BbTransferGate_Free(gate);
+}
--- /dev/null
+++ b/tests/unit/platform_adapter_test.cc
@@ -0,0 +1,560 @@
+// Tests of platform/ against a stand-in of the users' store, and of what
+// follows and writes its tables.
+#include <gtest/gtest.h>
+
+#include <jansson.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "bb_follow.h"
+#include "bb_row_writer.h"
+#include "mesh_rig.h"
+#include "platform.h"
+
+using mesh_rig::FreeAddress;
+using mesh_rig::Loop;
+
+namespace {
+
+std::string
+Encode(const std::string &text)
+{
+    gchar *encoded = g_base64_encode(
+        reinterpret_cast<const guchar *>(text.data()), text.size());
+    std::string copy = encoded;
+    g_free(encoded);
+    return copy;
+}
+
+// The store of the users' platform, as far as its page describes the calls
+// that are used here, with faults.
+class StoreStandIn {
+  public:
+    explicit StoreStandIn(Loop *loop) : loop_(loop), address(FreeAddress())
+    {
+        bb_h1_server_options_t options = {};
+        options.loop = loop->loop;
+        options.address = address.c_str();
+        options.handler = &kHandler;
+        options.arg = this;
+        EXPECT_EQ(BbH1Server_New(&options, &server_), 0);
+    }
+    ~StoreStandIn()
+    {
+        BbH1Server_Free(server_);
+    }
+    void Put(const std::string &table, const std::string &key,
+             const std::string &value)
+    {
+        rows[table + "/" + key] = {key, value, ++version, false};
+        Wake();
+    }
+    void Remove(const std::string &table, const std::string &key)
+    {
+        rows[table + "/" + key] = {key, "", ++version, true};
+        Wake();
+    }
+    void Wake()
+    {
+        std::vector<Waiting> waiting;
+        waiting.swap(waiting_);
+        for (const auto &feed : waiting) {
+            AnswerFeed(feed);
+        }
+    }
+    struct Row {
+        std::string key, value;
+        int64_t version;
+        bool is_removed;
+    };
+    std::map<std::string, Row> rows;
+    int64_t version = 100;
+    int64_t history_from = 0;  // older feeds get 410
+    int refuse = 0;            // calls to refuse with this status
+    int refuse_status = 503;
+    int lose_answers = 0;  // writes that are done and not answered
+    bool is_silent = false;
+    int calls = 0;
+
+  private:
+    struct Waiting {
+        bb_h1_request_t *request;
+        std::string table;
+        int64_t after;
+    };
+    static std::string Query(const std::string &target,
+                             const std::string &name)
+    {
+        size_t at = target.find(name + "=");
+        if (at == std::string::npos) {
+            return "";
+        }
+        at += name.size() + 1;
+        return target.substr(at, target.find('&', at) - at);
+    }
+    static void OnHead(bb_h1_request_t *request, void *)
+    {
+        request->user = new std::string();
+    }
+    static void OnBody(bb_h1_request_t *request, const char *data, size_t size,
+                       void *)
+    {
+        static_cast<std::string *>(request->user)->append(data, size);
+    }
+    static void OnEnd(bb_h1_request_t *request, void *arg)
+    {
+        auto *body = static_cast<std::string *>(request->user);
+        std::string text = *body;
+        delete body;
+        request->user = nullptr;
+        static_cast<StoreStandIn *>(arg)->Handle(request, text);
+    }
+    static void OnGone(bb_h1_request_t *request, void *arg)
+    {
+        auto *store = static_cast<StoreStandIn *>(arg);
+        delete static_cast<std::string *>(request->user);
+        for (size_t i = 0; i < store->waiting_.size(); i++) {
+            if (store->waiting_[i].request == request) {
+                store->waiting_.erase(store->waiting_.begin() +
+                                      static_cast<long>(i));
+                return;
+            }
+        }
+    }
+    void Answer(bb_h1_request_t *request, int status, json_t *root)
+    {
+        json_object_set_new(root, "ver", json_integer(version));
+        char *text = json_dumps(root, 0);
+        BbH1_Respond(request, status, nullptr, text, strlen(text));
+        free(text);
+        json_decref(root);
+    }
+    static json_t *Show(const Row &row)
+    {
+        json_t *entry = json_pack("{s:s, s:I}", "key", row.key.c_str(), "ver",
+                                  static_cast<json_int_t>(row.version));
+        if (row.is_removed) {
+            json_object_set_new(entry, "tombstone", json_true());
+        }
+        else {
+            json_object_set_new(entry, "value",
+                                json_string(Encode(row.value).c_str()));
+        }
+        return entry;
+    }
+    json_t *Rows(const std::string &table, int64_t after, bool with_removed)
+    {
+        json_t *list = json_array();
+        for (const auto &entry : rows) {
+            const Row &row = entry.second;
+            if (entry.first.compare(0, table.size() + 1, table + "/") == 0 &&
+                row.version > after && (with_removed || !row.is_removed)) {
+                json_array_append_new(list, Show(row));
+            }
+        }
+        return list;
+    }
+    void AnswerFeed(const Waiting &feed)
+    {
+        json_t *list = Rows(feed.table, feed.after, true);
+        if (json_array_size(list) == 0) {
+            json_decref(list);
+            waiting_.push_back(feed);
+            return;
+        }
+        Answer(feed.request, 200, json_pack("{s:o}", "rows", list));
+    }
+    void Write(bb_h1_request_t *request, const std::string &body)
+    {
+        json_t *root = json_loads(body.c_str(), 0, nullptr);
+        json_t *condition =
+            json_array_get(json_object_get(root, "expected"), 0);
+        std::string table =
+            json_string_value(json_object_get(condition, "table_name"));
+        std::string key = json_string_value(json_object_get(condition, "key"));
+        int64_t expected =
+            json_integer_value(json_object_get(condition, "ver"));
+        auto found = rows.find(table + "/" + key);
+        bool exists = found != rows.end() && !found->second.is_removed;
+        int64_t held = exists ? found->second.version : 0;
+        json_t *upsert = json_array_get(json_object_get(root, "upserts"), 0);
+        if (held != expected) {
+            json_t *list = json_array();
+            if (exists) {
+                json_array_append_new(list, Show(found->second));
+            }
+            json_decref(root);
+            Answer(request, 412, json_pack("{s:o}", "rows", list));
+            return;
+        }
+        if (upsert != nullptr) {
+            gsize size;
+            guchar *value = g_base64_decode(
+                json_string_value(json_object_get(upsert, "value")), &size);
+            Put(table, key,
+                std::string(reinterpret_cast<char *>(value), size));
+            g_free(value);
+        }
+        else {
+            Remove(table, key);
+        }
+        json_decref(root);
+        if (lose_answers > 0) {
+            lose_answers--;
+            BbH1_Abort(request);
+            return;
+        }
+        Answer(request, 200, json_object());
+    }
+    void Handle(bb_h1_request_t *request, const std::string &body)
+    {
+        std::string target = request->target->str;
+        calls++;
+        if (is_silent) {
+            waiting_.push_back({request, "none", INT64_MAX});
+            return;
+        }
+        if (refuse > 0) {
+            refuse--;
+            BbH1_Respond(request, refuse_status, nullptr, nullptr, 0);
+            return;
+        }
+        std::string table = Query(target, "table_name");
+        if (target.find("/v1/rows-get") == 0) {
+            Answer(request, 200,
+                   json_pack("{s:o, s:b}", "rows", Rows(table, 0, false),
+                             "has_more", 0));
+        }
+        else if (target.find("/v1/rows-feed") == 0) {
+            int64_t after = std::stoll(Query(target, "after"));
+            if (after < history_from) {
+                BbH1_Respond(request, 410, nullptr, nullptr, 0);
+                return;
+            }
+            if (std::stoll(Query(target, "wait_ms")) == 0) {
+                Answer(request, 200,
+                       json_pack("{s:o}", "rows", Rows(table, after, true)));
+                return;
+            }
+            AnswerFeed({request, table, after});
+        }
+        else if (target == "/v1/rows-tx") {
+            Write(request, body);
+        }
+        else {
+            BbH1_Respond(request, 404, nullptr, nullptr, 0);
+        }
+    }
+    static const bb_h1_handler_t kHandler;
+    Loop *loop_;
+    bb_h1_server_t *server_ = nullptr;
+    std::vector<Waiting> waiting_;
+
+  public:
+    std::string address;
+};
+
+const bb_h1_handler_t StoreStandIn::kHandler = {OnHead, OnBody, OnEnd, OnGone};
+
+struct PlatformStore : testing::Test {
+    PlatformStore() : stand_in(&loop), random(BbRandom_New(3))
+    {
+        platform_store_options_t options = {loop.loop,
+                                            stand_in.address.c_str(), 0.3};
+        store = PlatformStore_New(&options);
+        follow_options.loop = loop.loop;
+        follow_options.store = store;
+        follow_options.table = "t";
+        follow_options.handler = &kFollow;
+        follow_options.arg = this;
+        follow_options.random = random;
+        writer_options.loop = loop.loop;
+        writer_options.store = store;
+        writer_options.table = "t";
+        writer_options.key = "own";
+        writer_options.random = random;
+    }
+    ~PlatformStore()
+    {
+        BbFollow_Free(follow);
+        BbRowWriter_Free(writer);
+        PlatformStore_Free(store);
+        BbRandom_Free(random);
+    }
+    static void OnRow(const bb_table_row_t *row, void *arg)
+    {
+        auto *test = static_cast<PlatformStore *>(arg);
+        if (row->is_removed) {
+            test->seen.erase(row->key);
+        }
+        else {
+            test->seen[row->key] = std::string(row->value, row->size);
+        }
+    }
+    static void OnSnapshot(GHashTable *keys, int64_t, void *arg)
+    {
+        auto *test = static_cast<PlatformStore *>(arg);
+        for (auto it = test->seen.begin(); it != test->seen.end();) {
+            bool is_kept = g_hash_table_contains(keys, it->first.c_str());
+            it = is_kept ? std::next(it) : test->seen.erase(it);
+        }
+    }
+    static void OnHealth(bool is_connected, int, void *arg)
+    {
+        static_cast<PlatformStore *>(arg)->is_connected = is_connected;
+    }
+    static const bb_follow_handler_t kFollow;
+    Loop loop;
+    StoreStandIn stand_in;
+    bb_random_t *random;
+    bb_table_store_t *store;
+    bb_follow_options_t follow_options = {};
+    bb_row_writer_options_t writer_options = {};
+    bb_follow_t *follow = nullptr;
+    bb_row_writer_t *writer = nullptr;
+    std::map<std::string, std::string> seen;
+    bool is_connected = false;
+};
+
+const bb_follow_handler_t PlatformStore::kFollow = {OnRow, OnSnapshot, OnHealth};
+
+}  // namespace
+
+// Guards against changes that are missed: after the first read, while the
+// store refuses, and across a lost history.
+TEST_F(PlatformStore, FollowsATableThroughRefusalsAndLostHistory)
+{
+    stand_in.Put("t", "a", "1");
+    stand_in.Put("other", "x", "9");
+    follow = BbFollow_New(&follow_options);
+    ASSERT_TRUE(loop.RunUntil([&] { return seen["a"] == "1"; }));
+    EXPECT_EQ(seen.count("x"), 0u);
+    loop.RunFor(0.05);
+    stand_in.Put("t", "b", std::string("2\0z", 3));
+    ASSERT_TRUE(
+        loop.RunUntil([&] { return seen["b"] == std::string("2\0z", 3); }));
+    for (int status : {503, 429, 500}) {
+        stand_in.refuse = 3;
+        stand_in.refuse_status = status;
+        std::string value = std::to_string(status);
+        stand_in.Put("t", "b", value);
+        ASSERT_TRUE(loop.RunUntil([&] { return seen["b"] == value; }));
+    }
+    // The feed is away while a row goes and the history is dropped.
+    stand_in.refuse = 2;
+    stand_in.Put("t", "c", "3");
+    stand_in.Remove("t", "a");
+    stand_in.history_from = stand_in.version + 1;
+    stand_in.version++;
+    ASSERT_TRUE(loop.RunUntil(
+        [&] { return seen.count("a") == 0 && seen["c"] == "3"; }));
+    EXPECT_TRUE(loop.RunUntil([&] { return is_connected; }));
+}
+
+// Guards against a store that answers nothing: it is noticed within the call
+// timeout, and the follower is back soon after it.
+TEST_F(PlatformStore, NoticesSilenceAndRecovers)
+{
+    stand_in.is_silent = true;
+    follow = BbFollow_New(&follow_options);
+    loop.RunFor(0.6);
+    EXPECT_FALSE(is_connected);
+    stand_in.is_silent = false;
+    stand_in.Put("t", "a", "1");
+    EXPECT_TRUE(loop.RunUntil([&] { return seen["a"] == "1"; }, 4.0));
+}
+
+// Guards against a call of every node for every change in quick succession.
+TEST_F(PlatformStore, ReadsChangesInQuickSuccessionTogether)
+{
+    follow_options.pause_s = 0.3;
+    follow = BbFollow_New(&follow_options);
+    ASSERT_TRUE(loop.RunUntil([&] { return is_connected; }));
+    loop.RunFor(0.05);
+    int before = stand_in.calls;
+    for (int i = 0; i < 20; i++) {
+        stand_in.Put("t", "a", std::to_string(i));
+        loop.RunFor(0.01);
+    }
+    ASSERT_TRUE(loop.RunUntil([&] { return seen["a"] == "19"; }));
+    EXPECT_LE(stand_in.calls - before, 3);
+}
+
+// Guards against a row that stays behind what is wanted: another writer, a
+// lost answer, a refusal, changes while a write is under way.
+TEST_F(PlatformStore, WritesItsRowWhateverHappens)
+{
+    stand_in.Put("t", "own", "of an earlier life");
+    writer = BbRowWriter_New(&writer_options);
+    auto held = [&] { return stand_in.rows["t/own"].value; };
+    BbRowWriter_Set(writer, "one");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    EXPECT_EQ(held(), "one");
+    stand_in.lose_answers = 1;
+    BbRowWriter_Set(writer, "two");
+    BbRowWriter_Set(writer, "three");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    EXPECT_EQ(held(), "three");
+    stand_in.refuse = 2;
+    BbRowWriter_Set(writer, nullptr);
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    EXPECT_TRUE(stand_in.rows["t/own"].is_removed);
+}
+
+// Guards against a late effect of an old write: each write names the version
+// that it replaces.
+TEST_F(PlatformStore, OldWritesCannotUndoNewOnes)
+{
+    writer = BbRowWriter_New(&writer_options);
+    BbRowWriter_Set(writer, "one");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    int64_t first = stand_in.rows["t/own"].version;
+    BbRowWriter_Set(writer, "two");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    int error = 0;
+    store->ops->write(
+        store, "t", "own", "late", 4, first,
+        [](const bb_table_result_t *result, void *arg) {
+            *static_cast<int *>(arg) = result->error;
+        },
+        &error);
+    ASSERT_TRUE(loop.RunUntil([&] { return error != 0; }));
+    EXPECT_EQ(error, BB_ERR_CONFLICT);
+    EXPECT_EQ(stand_in.rows["t/own"].value, "two");
+}
+
+namespace {
+
+const char kConfig[] =
+    "{\"version\":\"r12\",\"services\":[{\"name\":\"s1\","
+    "\"max_connections\":120},{\"name\":\"s2\"}],\"limits\":"
+    "{\"header_bytes\":16384,\"body_bytes\":1000,\"header_s\":3,"
+    "\"idle_s\":15},\"virtual_hosts\":[{\"host\":\"H.example\","
+    "\"path_rules\":[{\"name\":\"r-1\",\"prefix\":\"/a/\",\"kind\":"
+    "\"upload\",\"timeout_s\":1.2,\"target_latency_s\":0.6,\"priority\":1,"
+    "\"service\":\"s1\",\"max_attempts\":2,\"new_field\":[]},"
+    "{\"name\":\"r-2\",\"prefix\":\"/b/\",\"kind\":\"safe\","
+    "\"weighted_split\":[{\"service\":\"s1\",\"weight\":90},"
+    "{\"service\":\"s2\",\"weight\":10}]}]}]}";
+
+int
+Decode(const std::string &text, bb_mesh_config_t **config)
+{
+    bb_findings_t findings;
+    BbFindings_Init(&findings);
+    int error = Platform_DecodeConfig(text.data(), text.size(), &findings,
+                                      config);
+    EXPECT_EQ(error != 0, findings.count > 0);
+    BbFindings_Free(&findings);
+    return error;
+}
+
+std::string
+Replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+// Guards against a field that is read wrongly: what may be repeated follows
+// from the kind alone.
+TEST(PlatformConfig, DecodesRoutes)
+{
+    bb_mesh_config_t *config = nullptr;
+    ASSERT_EQ(Decode(kConfig, &config), 0);
+    EXPECT_EQ(BbMeshConfig_Version(config), 12);
+    EXPECT_EQ(BbMeshConfig_Limits(config)->body_bytes, 1000);
+    EXPECT_EQ(BbMeshConfig_MaxConnections(config, "s1"), 120);
+    const bb_mesh_route_t *upload =
+        BbMeshConfig_FindRoute(config, "h.example", "/a/1");
+    ASSERT_NE(upload, nullptr);
+    EXPECT_FALSE(upload->is_idempotent);
+    EXPECT_DOUBLE_EQ(upload->timeout_s, 1.2);
+    EXPECT_DOUBLE_EQ(upload->target_latency_s, 0.6);
+    EXPECT_EQ(upload->max_targets, 2);
+    const bb_mesh_route_t *split =
+        BbMeshConfig_FindRoute(config, "h.example", "/b/1");
+    EXPECT_TRUE(split->is_idempotent);
+    ASSERT_EQ(split->part_count, 2u);
+    EXPECT_EQ(split->parts[1].weight, 10);
+    BbMeshConfig_Unref(config);
+}
+
+// Guards against a bad version in force in part.
+TEST(PlatformConfig, RefusesBadVersionsWhole)
+{
+    const std::string good = kConfig;
+    const std::string bad[] = {
+        good.substr(0, good.size() / 2),
+        Replaced(good, "\"r12\"", "\"12\""),
+        Replaced(good, "\"r12\"", "\"r12x\""),
+        Replaced(good, "\"r12\"", "12"),
+        Replaced(good, "{\"service\":\"s2\",\"weight\":10}",
+                 "{\"service\":\"s3\",\"weight\":10}"),
+        Replaced(good, "\"service\":\"s1\",\"max", "\"max"),
+        Replaced(good, "\"prefix\":\"/a/\",", ""),
+        "",
+        "[]",
+    };
+    for (const auto &text : bad) {
+        bb_mesh_config_t *config = nullptr;
+        EXPECT_NE(Decode(text, &config), 0) << text;
+        EXPECT_EQ(config, nullptr);
+    }
+}
+
+// Guards against entries of another writer that name a target to use.
+TEST(PlatformHeartbeat, DecodesOrRefusesWhole)
+{
+    const std::string good =
+        "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+        "\"version\":\"v1\",\"slots\":9,\"state\":\"draining\","
+        "\"cold_left_s\":1.5,\"sequence\":4,\"born\":1700000000000}";
+    platform_heartbeat_t heartbeat;
+    ASSERT_EQ(Platform_DecodeHeartbeat("i-1", good.data(), good.size(),
+                                       &heartbeat),
+              0);
+    EXPECT_TRUE(heartbeat.heartbeat.is_draining);
+    EXPECT_EQ(heartbeat.heartbeat.slots, 9);
+    EXPECT_EQ(heartbeat.heartbeat.born_ms, 1700000000000);
+    EXPECT_DOUBLE_EQ(heartbeat.heartbeat.cold_left_s, 1.5);
+    Platform_FreeHeartbeat(&heartbeat);
+    const std::string bad[] = {
+        Replaced(good, "draining", "paused"),
+        Replaced(good, "\"slots\":9", "\"slots\":\"9\""),
+        Replaced(good, "\"slots\":9", "\"slots\":-9"),
+        Replaced(good, "\"sequence\":4", "\"sequence\":null"),
+        Replaced(good, "1700000000000", "\"then\""),
+        Replaced(good, "\"service\":\"s1\",", ""),
+        "\xff\xfe",
+        "[]",
+    };
+    for (const auto &text : bad) {
+        EXPECT_EQ(Platform_DecodeHeartbeat("i-1", text.data(), text.size(),
+                                           &heartbeat),
+                  BB_ERR_PARSE)
+            << text;
+    }
+}
+
+// Guards against ids that are cut or misread.
+TEST(PlatformHeartbeat, SortsCalls)
+{
+    char id[BB_TARGET_ID_TEXT + 1];
+    EXPECT_EQ(Platform_SortCall("PUT", "/v1/instances/i%2D1", id, sizeof(id)),
+              PLATFORM_HEARTBEAT);
+    EXPECT_STREQ(id, "i-1");
+    EXPECT_EQ(Platform_SortCall("DELETE", "/v1/instances/i-1", id, sizeof(id)),
+              PLATFORM_LEAVE);
+    EXPECT_EQ(Platform_SortCall("GET", "/v1/instances/i-1", id, sizeof(id)),
+              PLATFORM_OTHER_CALL);
+    EXPECT_EQ(Platform_SortCall("PUT", "/v1/instances/", id, sizeof(id)),
+              PLATFORM_OTHER_CALL);
+    std::string longer = "/v1/instances/" + std::string(300, 'x');
+    EXPECT_EQ(Platform_SortCall("PUT", longer.c_str(), id, sizeof(id)),
+              PLATFORM_OTHER_CALL);
+}
