--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -9,6 +9,7 @@
 
 #include "bb_counters.h"
 #include "bb_event.h"
+#include "bb_transfer_gate.h"
 
 /* The own answer at a deadline leaves this much earlier. */
 #define ANSWER_MARGIN_S 0.02
@@ -472,6 +473,9 @@
         .service = call->service,
         .class_name = call->route->name,
         .data_centre = call->io->data_centre,
+        .has_large_body =
+            call->request->content_length == BB_H1_CHUNKED ||
+            call->request->content_length >= BB_TRANSFER_SMALL_BYTES,
         .target_latency_s = call->route->target_latency_s,
         .spill_share = options->spill_share,
         .tried_count = call->tried_count,
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -39,6 +39,12 @@
 
 #define GATE_CHECK_S 0.02
 
+/* Share of the target latency kept free between the last byte of a body and
+ * the start of its call, since other calls use the link too. */
+#define TRANSFER_MARGIN_SHARE 0.15
+
+#define LATE_TRANSFER_S 0.3
+
 #define QUERY_PREFIX "/burdockbarrow/"
 
 /* A body that waits for a slot is not read beyond this. */
@@ -98,6 +104,7 @@
                           hop->options.own_version(hop->options.arg)};
 
     BbTargetIo_GetLoad(hop->options.target, &load);
+    load.transfer_ms = (int)(BbTransferGate_Wait(hop->gate) * MS_PER_S);
     BbLoad_Format(&load, text, sizeof(text));
     BbH1Fields_Add(fields, BB_HOP_LOAD, text);
 }
@@ -297,14 +304,17 @@
     double now = ev_now(hop->options.loop);
     double service_s =
         BbTargetIo_ServiceTime(hop->options.target, call->told.class_name);
-    double in_time_by = call->asked.target_at - service_s;
+    double in_time_by =
+        call->asked.target_at - service_s -
+        call->asked.target_latency_s * TRANSFER_MARGIN_SHARE;
 
     call->transfer.bytes = call->told.content_length == BB_H1_CHUNKED
                                ? UNKNOWN_BODY_BYTES
                                : (double)MAX(call->told.content_length, 0);
-    call->transfer.here_by = in_time_by > now
-                                 ? in_time_by
-                                 : call->asked.deadline_at - service_s;
+    /* A body that is late already is taken while the link is free. */
+    call->transfer.here_by =
+        MAX(in_time_by, MIN(now + LATE_TRANSFER_S,
+                            call->asked.deadline_at - service_s));
     call->transfer.arg = call;
     switch (BbTransferGate_Offer(hop->gate, &call->transfer, now)) {
     case BB_TRANSFER_GRANTED:
--- a/lib/mesh/bb_load.c
+++ b/lib/mesh/bb_load.c
@@ -8,9 +8,9 @@
 void
 BbLoad_Format(const bb_load_t *load, char *out, size_t size)
 {
-    snprintf(out, size, "%d,%d,%d,%d,%d,%" PRId64, load->running,
+    snprintf(out, size, "%d,%d,%d,%d,%d,%d,%" PRId64, load->running,
              load->waiting, load->slots, load->service_ms, load->fail_permille,
-             load->version);
+             load->transfer_ms, load->version);
 }
 
 int
@@ -19,9 +19,10 @@
     int end = 0;
 
     if (text == NULL ||
-        sscanf(text, "%9d,%9d,%9d,%9d,%9d,%18" SCNd64 "%n", &out->running,
-               &out->waiting, &out->slots, &out->service_ms,
-               &out->fail_permille, &out->version, &end) != 6 ||
+        sscanf(text, "%9d,%9d,%9d,%9d,%9d,%9d,%18" SCNd64 "%n",
+               &out->running, &out->waiting, &out->slots, &out->service_ms,
+               &out->fail_permille, &out->transfer_ms, &out->version,
+               &end) != 7 ||
         text[end] != '\0' || out->running < 0 || out->waiting < 0 ||
         out->slots < 0 || out->service_ms < 0) {
         return BB_ERR_PARSE;
--- a/lib/mesh/bb_load.h
+++ b/lib/mesh/bb_load.h
@@ -26,7 +26,8 @@
     int slots;        /* calls that the target runs at once */
     int service_ms;   /* mean time of a call at the target */
     int fail_permille; /* of recent calls, refused or failed by the target */
-    int64_t version;  /* of the configuration in force there */
+    int transfer_ms;   /* until a large body could come in */
+    int64_t version;   /* of the configuration in force there */
 } bb_load_t;
 
 void BbLoad_Format(const bb_load_t *load, char *out, size_t size);
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -9,6 +9,8 @@
 /* Reports older than this fade: an avoided target sends no news. */
 #define LOAD_FRESH_S 1.0
 #define LOAD_FADE_S 2.0
+#define SERVICE_FADE_S 3.0
+#define SERVICE_KNOWN_S 20.0
 
 #define FAIL_STEP 0.15 /* weight of the newest attempt in the moving share */
 #define FAIL_FADE_S 4.0
@@ -39,13 +41,42 @@
     return MAX(slots, 1);
 }
 
+/*
+ * Mean time of a call at the target. What was told fades towards the best time
+ * of the service: a target that was slow while it was cold, or has never been
+ * asked, gets a call now and then that tells how it is today.
+ */
 static double
-service_time(const bb_endpoint_t *endpoint)
+service_time(const bb_endpoint_t *endpoint, double best_s, double now)
 {
-    if (endpoint->load_at > 0 && endpoint->load.service_ms > 0) {
-        return endpoint->load.service_ms / 1000.0;
+    if (endpoint->load_at <= 0 || endpoint->load.service_ms <= 0) {
+        return best_s;
     }
-    return UNKNOWN_SERVICE_S;
+    double told_s = endpoint->load.service_ms / 1000.0;
+    double age = now - endpoint->load_at;
+    if (age <= LOAD_FRESH_S || told_s <= best_s) {
+        return told_s;
+    }
+    return best_s +
+           (told_s - best_s) * exp(-(age - LOAD_FRESH_S) / SERVICE_FADE_S);
+}
+
+/* Best time that a target of the list has told lately. */
+static double
+best_service_time(const GPtrArray *list, double now)
+{
+    double best_s = 0;
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const bb_endpoint_t *endpoint = g_ptr_array_index(list, i);
+        double told_s = endpoint->load.service_ms / 1000.0;
+        bool is_known = endpoint->load_at > 0 && told_s > 0 &&
+                        now - endpoint->load_at < SERVICE_KNOWN_S;
+        if (is_known && (best_s <= 0 || told_s < best_s)) {
+            best_s = told_s;
+        }
+    }
+    return best_s > 0 ? best_s : UNKNOWN_SERVICE_S;
 }
 
 static double
@@ -79,11 +110,11 @@
     return MAX(own, told);
 }
 
-double
-BbPlacement_Predict(const bb_endpoint_t *endpoint, double now)
+static double
+predict(const bb_endpoint_t *endpoint, double best_s, double now)
 {
     double slots = slots_of(endpoint);
-    double service = service_time(endpoint);
+    double service = service_time(endpoint, best_s, now);
     double load = estimate_load(endpoint, now);
     double wait = 0;
 
@@ -95,6 +126,24 @@
     return service + wait + cost;
 }
 
+double
+BbPlacement_Predict(const bb_endpoint_t *endpoint, double now)
+{
+    return predict(endpoint, UNKNOWN_SERVICE_S, now);
+}
+
+/* Time until a large body could come in; old news fade. */
+static double
+transfer_time(const bb_endpoint_t *endpoint, double now)
+{
+    if (endpoint->load_at <= 0) {
+        return 0;
+    }
+    double age = now - endpoint->load_at;
+    return endpoint->load.transfer_ms / 1000.0 *
+           exp(-MAX(age, 0.0) / LOAD_FADE_S);
+}
+
 static bool
 is_tried(const bb_placement_request_t *request, const bb_endpoint_t *endpoint)
 {
@@ -164,6 +213,7 @@
     const GPtrArray *list = BbFleet_Service(fleet, request->service);
     choice_t near = {0}, any = {0}, suspect = {0};
     double remote_cost = request->target_latency_s * REMOTE_COST_SHARE;
+    double best_s = best_service_time(list, now);
     bool has_full = false;
 
     for (guint i = 0; list != NULL && i < list->len; i++) {
@@ -177,7 +227,10 @@
         }
         bool is_near =
             strcmp(endpoint->record.data_centre, request->data_centre) == 0;
-        double cost = BbPlacement_Predict(endpoint, now);
+        double cost = predict(endpoint, best_s, now);
+        if (request->has_large_body) {
+            cost += transfer_time(endpoint, now);
+        }
         if (endpoint->suspect_until > now) {
             consider(&suspect, endpoint, cost, now, random);
             continue;
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -36,6 +36,7 @@
     const char *service;
     const char *class_name;  /* of the call; may be NULL */
     const char *data_centre; /* of the choosing node */
+    bool has_large_body;
     double target_latency_s; /* 0 when the route has none */
     double spill_share;      /* of it, see above */
     const bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
@@ -53,7 +54,8 @@
 void BbPlacement_SetFull(bb_endpoint_t *endpoint, const char *class_name,
                          double now);
 
-/* Predicted seconds until the end of an attempt begun now. */
+/* Predicted seconds until the end of an attempt begun now, without the time
+ * that a large body takes. */
 double BbPlacement_Predict(const bb_endpoint_t *endpoint, double now);
 
 typedef enum {
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -139,6 +139,7 @@
         request.data_centre = "a";
         request.target_latency_s = latency;
         request.spill_share = 0.9;
+        request.has_large_body = has_large_body;
         for (auto *endpoint : tried) {
             request.tried[request.tried_count++] = endpoint;
         }
@@ -158,6 +159,7 @@
     bb_fleet_t *fleet;
     bb_random_t *random;
     bool is_full = false;
+    bool has_large_body = false;
 };
 
 }  // namespace
@@ -238,6 +240,41 @@
     EXPECT_LT(BbPlacement_Predict(busy, 20.0), 0.3);
 }
 
+// Guards against a new target that nobody asks because its time is not known,
+// and against one that was slow once and is never asked again.
+TEST(MeshPlacement, NewAndOnceSlowTargetsGetCalls)
+{
+    Fleet f;
+    bb_endpoint_t *known = f.Add("known", "a", 1);
+    bb_endpoint_t *fresh = f.Add("fresh", "a", 2);
+    f.Report(known, 5, 0, 40, 1.0);
+    EXPECT_EQ(f.Choose(1.0), fresh);
+    f.Report(fresh, 0, 0, 400, 1.0);
+    EXPECT_EQ(f.Choose(1.1), known);
+    for (double now = 1.5; now < 30; now += 0.5) {
+        f.Report(known, 5, 0, 40, now);
+    }
+    EXPECT_EQ(f.Choose(30.0), fresh);
+}
+
+// Guards against uploads that go where others fill the link.
+TEST(MeshPlacement, LargeBodiesAvoidBusyLinks)
+{
+    Fleet f;
+    bb_endpoint_t *busy = f.Add("busy", "a", 1);
+    bb_endpoint_t *free = f.Add("free", "a", 2);
+    f.Report(free, 3, 0, 100, 1.0);
+    bb_load_t load = {};
+    load.slots = 10;
+    load.service_ms = 100;
+    load.transfer_ms = 900;
+    BbPlacement_Started(busy, 1.0);
+    BbPlacement_Ended(busy, BB_ATTEMPT_SERVED, &load, 1.0);
+    EXPECT_EQ(f.Choose(1.0), busy);
+    f.has_large_body = true;
+    EXPECT_EQ(f.Choose(1.0), free);
+}
+
 // Guards against a target that answers failures fast and so attracts calls.
 TEST(MeshPlacement, FailingTargetsLoseCalls)
 {
@@ -587,10 +624,11 @@
         EXPECT_EQ(BbHop_Parse(bad, &read), BB_ERR_PARSE) << bad;
     }
     bb_load_t load;
-    EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,7", &load), 0);
+    EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,40,7", &load), 0);
     EXPECT_EQ(load.version, 7);
+    EXPECT_EQ(load.transfer_ms, 40);
     EXPECT_EQ(BbLoad_Parse("1,2,18", &load), BB_ERR_PARSE);
-    EXPECT_EQ(BbLoad_Parse("-1,2,18,160,30,7", &load), BB_ERR_PARSE);
+    EXPECT_EQ(BbLoad_Parse("-1,2,18,160,30,40,7", &load), BB_ERR_PARSE);
     EXPECT_EQ(BbLoad_Parse(nullptr, &load), BB_ERR_PARSE);
 }
 
