--- a/lib/common/bb_event.c
+++ b/lib/common/bb_event.c
@@ -95,10 +95,9 @@
 BbEvent_Write(bb_event_t event, json_t *fields)
 {
     event_rate_t *rate = &rates[event];
-    json_t *line = json_pack("{s:f, s:s, s:s}", "time",
-                             (double)g_get_real_time() / G_USEC_PER_SEC,
-                             "node", node_name, "event",
-                             event_info[event].name);
+    json_t *line = json_pack(
+        "{s:f, s:s, s:s}", "time", (double)g_get_real_time() / G_USEC_PER_SEC,
+        "node", node_name, "event", event_info[event].name);
 
     if (fields != NULL) {
         json_object_update(line, fields);
@@ -110,8 +109,7 @@
     if (dropped > 0) {
         json_object_set_new(line, "dropped", json_integer(dropped));
     }
-    char *text =
-        json_dumps(line, JSON_COMPACT | JSON_REAL_PRECISION(15));
+    char *text = json_dumps(line, JSON_COMPACT | JSON_REAL_PRECISION(15));
     size_t size = text != NULL ? strlen(text) : 0;
     if (size == 0 || buffered + size + 1 > sizeof(buffer)) {
         dropped++;
--- /dev/null
+++ b/lib/common/bb_histogram.h
@@ -0,0 +1,46 @@
+/*
+ * bb_histogram - distributions of times in buckets that double
+ *
+ * USE
+ *   BbHistogram_Add(BB_HISTOGRAM_QUEUE_WAIT, seconds);
+ *   BbHistogram_FormatPrometheus(text);
+ *
+ * LIMITS
+ *   The first bucket ends at BB_HISTOGRAM_FIRST_S, each next one at twice the
+ *   end of the one before. Not thread safe. The list is histograms.def.
+ */
+#ifndef BB_HISTOGRAM_H
+#define BB_HISTOGRAM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BB_HISTOGRAM_FIRST_S 0.00025
+#define BB_HISTOGRAM_BUCKETS 18 /* the last finite one ends at 32.8 s */
+
+typedef enum {
+#define BB_HISTOGRAM(id, name, help) BB_HISTOGRAM_##id,
+#include "histograms.def"
+#undef BB_HISTOGRAM
+    BB_HISTOGRAM_COUNT
+} bb_histogram_t;
+
+void BbHistogram_Add(bb_histogram_t histogram, double seconds);
+
+int64_t BbHistogram_Count(bb_histogram_t histogram);
+
+/* Appends all histograms in the Prometheus text format. */
+void BbHistogram_FormatPrometheus(GString *text);
+
+/* Sets all to 0, for tests. */
+void BbHistogram_Reset(void);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -58,8 +58,9 @@
     {"limits", "repeat_extra", TYPE_NUMBER, FIELD(repeat_extra), true, 20, 0,
      1e6, "repeated attempts of a service besides, over all nodes"},
     {"limits", "spill_share", TYPE_NUMBER, FIELD(spill_share), true, 0.9, 0,
-     10, "share of a route's target latency up to which calls stay in the "
-         "data centre"},
+     10,
+     "share of a route's target latency up to which calls stay in the "
+     "data centre"},
 };
 
 static const setting_t *
@@ -148,10 +149,8 @@
     const char *section, *key;
     json_t *table, *value;
 
-    json_object_foreach(root, section, table)
-    {
-        json_object_foreach(table, key, value)
-        {
+    json_object_foreach (root, section, table) {
+        json_object_foreach (table, key, value) {
             if (find_setting(section, key) == NULL) {
                 char *name = g_strconcat(section, ".", key, NULL);
                 BbFindings_Add(findings, path, section, key,
@@ -177,8 +176,8 @@
     for (size_t i = 0; i < G_N_ELEMENTS(settings_table); i++) {
         const setting_t *setting = &settings_table[i];
         json_t *table = json_object_get(root, setting->section);
-        take_setting(setting, json_object_get(table, setting->key), path,
-                     toml, findings, out);
+        take_setting(setting, json_object_get(table, setting->key), path, toml,
+                     findings, out);
     }
     check_unknown(root, path, toml, findings);
     BbToml_Free(toml);
@@ -218,8 +217,7 @@
                     setting->min, setting->max);
         }
         else {
-            fprintf(out, "%s | ",
-                    setting->is_optional ? "none" : "required");
+            fprintf(out, "%s | ", setting->is_optional ? "none" : "required");
         }
         fprintf(out, " | %s |\n", setting->help);
     }
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -37,10 +37,10 @@
     /* [platform] */
     char *platform_address;
     /* [limits] */
-    double shutdown_s;    /* from SIGTERM to the forced end */
-    double repeat_ratio;  /* repeats per call, over the fleet */
-    double repeat_extra;  /* repeats in a window besides, over the fleet */
-    double spill_share;   /* see bb_placement.h */
+    double shutdown_s;   /* from SIGTERM to the forced end */
+    double repeat_ratio; /* repeats per call, over the fleet */
+    double repeat_extra; /* repeats in a window besides, over the fleet */
+    double spill_share;  /* see bb_placement.h */
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -198,8 +198,7 @@
 keep_time(const bb_h1_link_t *link, const bb_h1_fields_t *fields)
 {
     const char *value = BbH1Fields_Get(fields, "Keep-Alive");
-    const char *timeout =
-        value != NULL ? strcasestr(value, "timeout=") : NULL;
+    const char *timeout = value != NULL ? strcasestr(value, "timeout=") : NULL;
     double keep_s = link->client->keep_s;
 
     if (timeout != NULL) {
@@ -280,8 +279,7 @@
 parse_bytes(bb_h1_link_t *link, const char *data, size_t size)
 {
     http_parser *parser = &link->reader.parser;
-    size_t used =
-        http_parser_execute(parser, &response_settings, data, size);
+    size_t used = http_parser_execute(parser, &response_settings, data, size);
     bool is_spoiled = used != size || parser->upgrade;
 
     if (link->is_dead) {
@@ -354,9 +352,8 @@
         return;
     }
     while (link->out_offset < link->out->len) {
-        ssize_t sent =
-            send(link->fd, link->out->data + link->out_offset,
-                 link->out->len - link->out_offset, MSG_NOSIGNAL);
+        ssize_t sent = send(link->fd, link->out->data + link->out_offset,
+                            link->out->len - link->out_offset, MSG_NOSIGNAL);
         if (sent < 0 && errno == EINTR) {
             continue;
         }
@@ -613,12 +610,10 @@
     bb_h1_peer_t *peer = data;
     bb_h1_link_t *link, *next;
 
-    DL_FOREACH_SAFE(peer->idle, link, next)
-    {
+    DL_FOREACH_SAFE (peer->idle, link, next) {
         drop_link(link);
     }
-    DL_FOREACH_SAFE(peer->busy, link, next)
-    {
+    DL_FOREACH_SAFE (peer->busy, link, next) {
         drop_link(link);
     }
     g_free(peer->address);
@@ -665,8 +660,7 @@
     if (peer == NULL) {
         return;
     }
-    DL_FOREACH_SAFE(peer->idle, link, next)
-    {
+    DL_FOREACH_SAFE (peer->idle, link, next) {
         drop_link(link);
     }
 }
--- a/lib/http/bb_h1_message.c
+++ b/lib/http/bb_h1_message.c
@@ -84,10 +84,17 @@
 BbH1_IsHopField(const char *name)
 {
     static const char *const names[] = {
-        "connection",        "keep-alive",          "transfer-encoding",
-        "content-length",    "te",                  "trailer",
-        "upgrade",           "expect",              "proxy-connection",
-        "proxy-authenticate", "proxy-authorization",
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "te",
+        "trailer",
+        "upgrade",
+        "expect",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -263,8 +270,7 @@
     }
     out->sin_family = AF_INET;
     out->sin_port = htons((uint16_t)port);
-    return inet_pton(AF_INET, host, &out->sin_addr) == 1 ? 0
-                                                         : BB_ERR_ARGUMENT;
+    return inet_pton(AF_INET, host, &out->sin_addr) == 1 ? 0 : BB_ERR_ARGUMENT;
 }
 
 static int
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -34,12 +34,12 @@
     int request_count;
     GByteArray *out;
     size_t out_offset;
-    int depth;        /* callbacks in progress; the connection is kept */
-    bool is_paused;   /* by the handler */
-    bool is_last;     /* no further request is read */
+    int depth;         /* callbacks in progress; the connection is kept */
+    bool is_paused;    /* by the handler */
+    bool is_last;      /* no further request is read */
     bool is_lingering; /* the last answer is sent; input is dropped */
     bool is_dead;      /* free at depth 0 */
-    bool has_partial; /* bytes of a request whose head is not complete */
+    bool has_partial;  /* bytes of a request whose head is not complete */
     struct bb_h1_connection *prev, *next;
 };
 
@@ -178,10 +178,9 @@
 write_out(bb_h1_connection_t *connection)
 {
     while (connection->out_offset < connection->out->len) {
-        ssize_t sent = send(connection->fd,
-                            connection->out->data + connection->out_offset,
-                            connection->out->len - connection->out_offset,
-                            MSG_NOSIGNAL);
+        ssize_t sent = send(
+            connection->fd, connection->out->data + connection->out_offset,
+            connection->out->len - connection->out_offset, MSG_NOSIGNAL);
         if (sent < 0) {
             if (errno == EINTR) {
                 continue;
@@ -294,8 +293,7 @@
     if (connection->is_last && is_newest) {
         BbH1_Print(request->out, "Connection: close\r\n");
     }
-    else if (connection->server->is_closing && is_newest &&
-             request->is_read) {
+    else if (connection->server->is_closing && is_newest && request->is_read) {
         connection->is_last = true;
         BbH1_Print(request->out, "Connection: close\r\n");
     }
@@ -550,8 +548,7 @@
     if (connection->is_last && connection->reading == NULL) {
         return; /* bytes behind the last request */
     }
-    size_t used =
-        http_parser_execute(parser, &request_settings, data, size);
+    size_t used = http_parser_execute(parser, &request_settings, data, size);
     if (connection->is_dead) {
         return;
     }
@@ -582,8 +579,8 @@
     }
     else if (!connection->is_lingering) {
         parse_bytes(connection, data, (size_t)size);
-        if (!connection->is_dead && connection->request_count <=
-                                        (connection->has_partial ? 1 : 0)) {
+        if (!connection->is_dead &&
+            connection->request_count <= (connection->has_partial ? 1 : 0)) {
             if (!ev_is_active(&connection->idle_timer)) {
                 restart_idle_timer(connection);
             }
@@ -664,8 +661,7 @@
     }
     ev_io_stop(server->loop, &server->accept_watcher);
     close(server->fd);
-    DL_FOREACH_SAFE(server->connections, connection, next)
-    {
+    DL_FOREACH_SAFE (server->connections, connection, next) {
         connection->depth++;
         close_connection(connection);
         leave_connection(connection);
@@ -695,8 +691,7 @@
     int count = 0;
     const bb_h1_connection_t *connection;
 
-    DL_FOREACH(server->connections, connection)
-    {
+    DL_FOREACH (server->connections, connection) {
         count += connection->request_count;
     }
     return count;
@@ -708,8 +703,7 @@
     size_t bytes = 0;
     const bb_h1_connection_t *connection;
 
-    DL_FOREACH(server->connections, connection)
-    {
+    DL_FOREACH (server->connections, connection) {
         bytes += connection->out->len - connection->out_offset;
     }
     return bytes;
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -42,8 +42,8 @@
 
 typedef struct bb_h1_request {
     const char *method;
-    GString *target;       /* as it was sent, query included */
-    bb_h1_fields_t fields; /* as they were sent */
+    GString *target;        /* as it was sent, query included */
+    bb_h1_fields_t fields;  /* as they were sent */
     int64_t content_length; /* BB_H1_NO_BODY, BB_H1_CHUNKED or the length */
     bool is_read;           /* the whole request has been read */
     void *user;             /* the handler's */
@@ -58,7 +58,7 @@
 typedef struct {
     void (*on_head)(bb_h1_request_t *request, void *arg);
     void (*on_body)(bb_h1_request_t *request, const char *data, size_t size,
-                    void *arg); /* may be NULL */
+                    void *arg);                          /* may be NULL */
     void (*on_end)(bb_h1_request_t *request, void *arg); /* may be NULL */
     /* The client left before the answer was complete. */
     void (*on_gone)(bb_h1_request_t *request, void *arg); /* may be NULL */
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -9,6 +9,7 @@
 
 #include "bb_counters.h"
 #include "bb_event.h"
+#include "bb_histogram.h"
 #include "bb_transfer_gate.h"
 
 /* The own answer at a deadline leaves this much earlier. */
@@ -64,8 +65,8 @@
     bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
     int attempts;
-    int full;              /* attempts refused for want of slots */
-    int targets_reached;   /* attempts that a target may have seen */
+    int full;            /* attempts refused for want of slots */
+    int targets_reached; /* attempts that a target may have seen */
     bool may_have_run;
     bb_reason_t last_reason;
     double retry_after_s;
@@ -175,6 +176,15 @@
     BbEvent_Write(event, fields);
 }
 
+static void
+count_own_answer(const call_t *call, int status, bb_reason_t reason)
+{
+    BbReason_Count(reason);
+    BbHistogram_Add(status == 503 ? BB_HISTOGRAM_CALL_REFUSED
+                                  : BB_HISTOGRAM_CALL_FAILED,
+                    now_of(call) - call->arrived_at);
+}
+
 static void
 answer_own(call_t *call, int status, bb_reason_t reason)
 {
@@ -183,6 +193,7 @@
     bb_h1_request_t *request = call->request;
 
     log_own_answer(call, status, reason);
+    count_own_answer(call, status, reason);
     BbH1Fields_Init(&fields);
     if (call->call_id[0] != '\0') {
         BbH1Fields_Add(&fields, call->io->options.names->call_id,
@@ -213,8 +224,7 @@
         answer_own(call, 503, reason);
     }
     else {
-        answer_own(call, reason == BB_REASON_CALL_TIMEOUT ? 504 : 502,
-                   reason);
+        answer_own(call, reason == BB_REASON_CALL_TIMEOUT ? 504 : 502, reason);
     }
 }
 
@@ -223,6 +233,8 @@
 {
     bb_h1_request_t *request = call->request;
 
+    BbHistogram_Add(BB_HISTOGRAM_CALL_SERVED,
+                    now_of(call) - call->arrived_at);
     if (BbEvent_Allows(BB_EVENT_CALL_SERVED)) {
         BbEvent_Write(BB_EVENT_CALL_SERVED,
                       json_pack("{s:s, s:s, s:i, s:s, s:i, s:f}", "call",
@@ -251,8 +263,7 @@
     bb_call_io_t *io = call->io;
 
     if (call->attempts >= MAX_ATTEMPTS || call->full >= MAX_FULL ||
-        call->body.dropped > 0 ||
-        call->is_streaming ||
+        call->body.dropped > 0 || call->is_streaming ||
         now_of(call) + ANSWER_MARGIN_S >= call->asked.deadline_at) {
         return false;
     }
@@ -262,7 +273,8 @@
     if (call->targets_reached == 0) {
         return true;
     }
-    if (route->max_targets > 0 && call->targets_reached >= route->max_targets) {
+    if (route->max_targets > 0 &&
+        call->targets_reached >= route->max_targets) {
         return false;
     }
     /* Each further arrival at a target is paid from the shared budget. */
@@ -288,16 +300,18 @@
 repeat_now(call_t *call, bb_reason_t reason)
 {
     call->last_reason = reason;
+    BbCounters_Add(call->may_have_run ? BB_COUNTER_REPEATS_RUN
+                                      : BB_COUNTER_REPEATS_NOT_RUN,
+                   1);
     BbH1Fields_Clear(&call->answer_fields);
     g_byte_array_set_size(call->answer, 0);
     call->status = 0;
     if (BbEvent_Allows(BB_EVENT_CALL_REPEATED)) {
-        BbEvent_Write(BB_EVENT_CALL_REPEATED,
-                      json_pack("{s:s, s:s, s:s, s:b, s:i}", "call",
-                                call->call_id, "peer", peer_name(call),
-                                "reason", BbReason_Name(reason), "sent",
-                                call->may_have_run, "attempt",
-                                call->attempts));
+        BbEvent_Write(
+            BB_EVENT_CALL_REPEATED,
+            json_pack("{s:s, s:s, s:s, s:b, s:i}", "call", call->call_id,
+                      "peer", peer_name(call), "reason", BbReason_Name(reason),
+                      "sent", call->may_have_run, "attempt", call->attempts));
     }
     place_call(call);
 }
@@ -331,8 +345,7 @@
     if (reason == BB_REASON_WRONG_SERVICE) {
         BbPlacement_Avoid(endpoint, AVOID_REPLACED_S, now_of(call));
     }
-    if (reason == BB_REASON_NO_TARGET ||
-        reason == BB_REASON_TARGET_DRAINING ||
+    if (reason == BB_REASON_NO_TARGET || reason == BB_REASON_TARGET_DRAINING ||
         reason == BB_REASON_NODE_DRAINING) {
         BbPlacement_Avoid(endpoint, AVOID_S, now_of(call));
     }
@@ -522,7 +535,7 @@
     if (!endpoint->is_local) {
         call->attempt =
             BbHopIo_Start(options->hop, endpoint->record.address, &call->asked,
-                        &call_handler, call, &call->news);
+                          &call_handler, call, &call->news);
         return;
     }
     double retry_after_s = 0;
@@ -673,8 +686,8 @@
         .class_name = call->route->name,
         .rank = call->route->rank,
         .target_latency_s = call->route->target_latency_s,
-        .target_at = call->arrived_at + call->route->target_latency_s -
-                     call->spent_s,
+        .target_at =
+            call->arrived_at + call->route->target_latency_s - call->spent_s,
         .deadline_at = call->arrived_at + allowed_s - ANSWER_MARGIN_S,
     };
     ev_timer_set(&call->deadline_timer,
--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -17,11 +17,11 @@
 BbNodeRecord_Format(const bb_node_record_t *record)
 {
     json_t *object = json_pack(
-        "{s:s, s:s, s:s, s:s, s:i, s:b, s:i, s:I}", "address",
-        record->address,
+        "{s:s, s:s, s:s, s:s, s:i, s:b, s:i, s:I}", "address", record->address,
         "data_centre", record->data_centre, "service", record->service,
         "target", record->target_id, "slots", record->slots, "ready",
-        record->is_ready, "link_mbps", record->link_mbps, "started_ms", (json_int_t)record->started_ms);
+        record->is_ready, "link_mbps", record->link_mbps, "started_ms",
+        (json_int_t)record->started_ms);
     char *text = json_dumps(object, JSON_COMPACT);
     char *copy = g_strdup(text);
 
@@ -153,10 +153,9 @@
 set_record(bb_fleet_t *fleet, bb_endpoint_t *endpoint,
            const bb_node_record_t *record, double now)
 {
-    bool is_new =
-        endpoint->is_removed || endpoint->record.target_id == NULL ||
-        strcmp(endpoint->record.target_id, record->target_id) != 0 ||
-        endpoint->record.started_ms != record->started_ms;
+    bool is_new = endpoint->is_removed || endpoint->record.target_id == NULL ||
+                  strcmp(endpoint->record.target_id, record->target_id) != 0 ||
+                  endpoint->record.started_ms != record->started_ms;
 
     if (is_new) {
         forget_load(endpoint, now);
@@ -191,10 +190,10 @@
     bb_fleet_t *fleet = g_new0(bb_fleet_t, 1);
 
     fleet->own_node = g_strdup(own_node);
-    fleet->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                         unref_endpoint);
-    fleet->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                            unref_list);
+    fleet->nodes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_endpoint);
+    fleet->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_list);
     return fleet;
 }
 
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -32,7 +32,7 @@
     char *service;
     char *target_id; /* incarnation of the target; empty without one */
     int slots;
-    bool is_ready; /* takes new calls */
+    bool is_ready;      /* takes new calls */
     int link_mbps;      /* width of the VM's link */
     int64_t started_ms; /* wall clock, tells incarnations of a node apart */
 } bb_node_record_t;
@@ -52,8 +52,8 @@
     int in_flight_at_load;
     double fail_rate; /* moving share of own attempts that failed */
     double fail_at;
-    double suspect_until; /* not chosen before, but as a last resort */
-    double suspect_s;     /* length of the last suspicion */
+    double suspect_until;   /* not chosen before, but as a last resort */
+    double suspect_s;       /* length of the last suspicion */
     GHashTable *full_until; /* class of calls to the time before which the
                                node has no room for it; NULL while empty */
     double known_since;
--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -31,15 +31,14 @@
 log_state(const bb_follow_t *follow, const char *state, int error)
 {
     if (BbEvent_Allows(BB_EVENT_STORE)) {
-        BbEvent_Write(BB_EVENT_STORE,
-                      json_pack("{s:s, s:s, s:s, s:f}", "table",
-                                follow->table, "state", state, "error",
-                                error != 0 ? BbError_Name(error) : "",
-                                "for_s",
-                                follow->lost_at > 0
-                                    ? ev_now(follow->options.loop) -
-                                          follow->lost_at
-                                    : 0.0));
+        BbEvent_Write(
+            BB_EVENT_STORE,
+            json_pack("{s:s, s:s, s:s, s:f}", "table", follow->table, "state",
+                      state, "error", error != 0 ? BbError_Name(error) : "",
+                      "for_s",
+                      follow->lost_at > 0
+                          ? ev_now(follow->options.loop) - follow->lost_at
+                          : 0.0));
     }
 }
 
@@ -68,8 +67,8 @@
     follow->backoff_s = follow->backoff_s > 0
                             ? MIN(follow->backoff_s * 2, BACKOFF_MAX_S)
                             : BACKOFF_MIN_S;
-    double delay_s = follow->backoff_s *
-                     (0.5 + BbRandom_Unit(follow->options.random));
+    double delay_s =
+        follow->backoff_s * (0.5 + BbRandom_Unit(follow->options.random));
     ev_timer_set(&follow->retry_timer, delay_s, 0.0);
     ev_timer_start(follow->options.loop, &follow->retry_timer);
 }
--- a/lib/mesh/bb_hop.c
+++ b/lib/mesh/bb_hop.c
@@ -23,12 +23,10 @@
 char *
 BbHop_Format(const bb_hop_call_t *hop)
 {
-    return g_strdup_printf("%s,%s,%s,%d,%d,%d,%d,%d,%" PRId64,
-                           hop->service,
-                           hop->caller_service, hop->class_name,
-                           hop->deadline_ms, hop->latency_ms, hop->left_ms,
-                           hop->rank, hop->is_once ? 1 : 0,
-                           hop->content_length);
+    return g_strdup_printf(
+        "%s,%s,%s,%d,%d,%d,%d,%d,%" PRId64, hop->service, hop->caller_service,
+        hop->class_name, hop->deadline_ms, hop->latency_ms, hop->left_ms,
+        hop->rank, hop->is_once ? 1 : 0, hop->content_length);
 }
 
 static bool
--- a/lib/mesh/bb_hop.h
+++ b/lib/mesh/bb_hop.h
@@ -26,7 +26,7 @@
     int latency_ms;       /* target latency of the route */
     int left_ms;          /* until the target latency; negative when late */
     int rank;
-    bool is_once; /* must not run twice */
+    bool is_once;           /* must not run twice */
     int64_t content_length; /* of the caller's body, as in bb_h1_message.h */
 } bb_hop_call_t;
 
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -100,8 +100,7 @@
 add_news(const bb_hop_io_t *hop, bb_h1_fields_t *fields)
 {
     char text[BB_LOAD_TEXT];
-    bb_load_t load = {.version =
-                          hop->options.own_version(hop->options.arg)};
+    bb_load_t load = {.version = hop->options.own_version(hop->options.arg)};
 
     BbTargetIo_GetLoad(hop->options.target, &load);
     load.transfer_ms = (int)(BbTransferGate_Wait(hop->gate) * MS_PER_S);
@@ -304,17 +303,16 @@
     double now = ev_now(hop->options.loop);
     double service_s =
         BbTargetIo_ServiceTime(hop->options.target, call->told.class_name);
-    double in_time_by =
-        call->asked.target_at - service_s -
-        call->asked.target_latency_s * TRANSFER_MARGIN_SHARE;
+    double in_time_by = call->asked.target_at - service_s -
+                        call->asked.target_latency_s * TRANSFER_MARGIN_SHARE;
 
     call->transfer.bytes = call->told.content_length == BB_H1_CHUNKED
                                ? UNKNOWN_BODY_BYTES
                                : (double)MAX(call->told.content_length, 0);
     /* A body that is late already is taken while the link is free. */
     call->transfer.here_by =
-        MAX(in_time_by, MIN(now + LATE_TRANSFER_S,
-                            call->asked.deadline_at - service_s));
+        MAX(in_time_by,
+            MIN(now + LATE_TRANSFER_S, call->asked.deadline_at - service_s));
     call->transfer.arg = call;
     switch (BbTransferGate_Offer(hop->gate, &call->transfer, now)) {
     case BB_TRANSFER_GRANTED:
@@ -358,8 +356,8 @@
         return;
     }
     double retry_after_s;
-    bb_reason_t reason = BbTargetIo_Obstacle(hop->options.target, &call->asked,
-                                             &retry_after_s);
+    bb_reason_t reason =
+        BbTargetIo_Obstacle(hop->options.target, &call->asked, &retry_after_s);
     if (reason != BB_REASON_NONE) {
         hop_refused(reason, retry_after_s, call);
         return;
@@ -508,7 +506,8 @@
         return;
     }
     news->is_loaded = true;
-    options->on_version(news->load.version, attempt->peer->address, options->arg);
+    options->on_version(news->load.version, attempt->peer->address,
+                        options->arg);
 }
 
 /* Whether the body waits to be called for. */
@@ -567,8 +566,8 @@
             BbH1Fields_Add(&passed, name, value);
         }
     }
-    attempt->handler->on_head(status, &passed,
-                              BbAttempt_ContentLength(fields), attempt->arg);
+    attempt->handler->on_head(status, &passed, BbAttempt_ContentLength(fields),
+                              attempt->arg);
     BbH1Fields_Free(&passed);
 }
 
@@ -635,8 +634,7 @@
     hop_attempt_t *attempt, *next;
 
     BbH1Client_CloseIdle(hop->client, peer->address);
-    DL_FOREACH_SAFE(peer->attempts, attempt, next)
-    {
+    DL_FOREACH_SAFE (peer->attempts, attempt, next) {
         if (attempt->request.is_idempotent && !attempt->is_answered &&
             attempt->started_at <= silent_since) {
             report_silence(attempt);
@@ -746,9 +744,9 @@
 
 bb_attempt_t *
 BbHopIo_Start(bb_hop_io_t *hop, const char *address,
-            const bb_attempt_request_t *request,
-            const bb_attempt_handler_t *handler, void *arg,
-            bb_hop_news_t *news)
+              const bb_attempt_request_t *request,
+              const bb_attempt_handler_t *handler, void *arg,
+              bb_hop_news_t *news)
 {
     hop_attempt_t *attempt = g_new0(hop_attempt_t, 1);
     bb_h1_fields_t fields;
@@ -778,8 +776,8 @@
     attempt->exchange = BbH1_Start(hop->client, &options);
     BbH1Fields_Free(&fields);
     feed_body(attempt);
-    ev_timer_init(&attempt->ack_timer, handle_ack_timer,
-                  ack_time(attempt), 0.0);
+    ev_timer_init(&attempt->ack_timer, handle_ack_timer, ack_time(attempt),
+                  0.0);
     attempt->ack_timer.data = attempt;
     ev_timer_start(hop->options.loop, &attempt->ack_timer);
     return &attempt->base;
--- a/lib/mesh/bb_hop_io.h
+++ b/lib/mesh/bb_hop_io.h
@@ -27,7 +27,7 @@
 typedef struct {
     struct ev_loop *loop;
     const char *address; /* for forwarded calls */
-    double link_mbps; /* width of this VM's link */
+    double link_mbps;    /* width of this VM's link */
     bb_target_io_t *target;
     const bb_header_names_t *names;
     /* Version of the configuration in force here, 0 for none. */
@@ -53,9 +53,9 @@
 } bb_hop_news_t;
 
 bb_attempt_t *BbHopIo_Start(bb_hop_io_t *hop, const char *address,
-                          const bb_attempt_request_t *request,
-                          const bb_attempt_handler_t *handler, void *arg,
-                          bb_hop_news_t *news);
+                            const bb_attempt_request_t *request,
+                            const bb_attempt_handler_t *handler, void *arg,
+                            bb_hop_news_t *news);
 
 int BbHopIo_OpenRequests(const bb_hop_io_t *hop);
 
--- a/lib/mesh/bb_load.c
+++ b/lib/mesh/bb_load.c
@@ -19,8 +19,8 @@
     int end = 0;
 
     if (text == NULL ||
-        sscanf(text, "%9d,%9d,%9d,%9d,%9d,%9d,%18" SCNd64 "%n",
-               &out->running, &out->waiting, &out->slots, &out->service_ms,
+        sscanf(text, "%9d,%9d,%9d,%9d,%9d,%9d,%18" SCNd64 "%n", &out->running,
+               &out->waiting, &out->slots, &out->service_ms,
                &out->fail_permille, &out->transfer_ms, &out->version,
                &end) != 7 ||
         text[end] != '\0' || out->running < 0 || out->waiting < 0 ||
--- a/lib/mesh/bb_load.h
+++ b/lib/mesh/bb_load.h
@@ -21,10 +21,10 @@
 #define BB_LOAD_TEXT 96 /* bytes of the longest text */
 
 typedef struct {
-    int running;      /* calls at the target */
-    int waiting;      /* calls in the queue of the node beside it */
-    int slots;        /* calls that the target runs at once */
-    int service_ms;   /* mean time of a call at the target */
+    int running;       /* calls at the target */
+    int waiting;       /* calls in the queue of the node beside it */
+    int slots;         /* calls that the target runs at once */
+    int service_ms;    /* mean time of a call at the target */
     int fail_permille; /* of recent calls, refused or failed by the target */
     int transfer_ms;   /* until a large body could come in */
     int64_t version;   /* of the configuration in force there */
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -81,8 +81,7 @@
     /* A target does not come back from draining within one incarnation. */
     bool is_draining = heartbeat->is_draining ||
                        (is_same && target->state == BB_LOCAL_DRAINING);
-    bb_local_state_t state =
-        is_draining ? BB_LOCAL_DRAINING : BB_LOCAL_READY;
+    bb_local_state_t state = is_draining ? BB_LOCAL_DRAINING : BB_LOCAL_READY;
     bool is_changed = !is_same || state != target->state ||
                       heartbeat->slots != target->slots;
 
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -47,8 +47,7 @@
 
 typedef struct bb_local_target bb_local_target_t;
 
-bb_local_target_t *
-BbLocalTarget_New(const bb_local_target_options_t *options);
+bb_local_target_t *BbLocalTarget_New(const bb_local_target_options_t *options);
 void BbLocalTarget_Free(bb_local_target_t *target);
 
 typedef enum {
--- a/lib/mesh/bb_mesh_config.h
+++ b/lib/mesh/bb_mesh_config.h
@@ -96,8 +96,7 @@
 
 /* Starts each split at a random position, so that the first calls of many
  * nodes do not all go to the same part. */
-void BbMeshConfig_ShuffleSplits(bb_mesh_config_t *config,
-                                bb_random_t *random);
+void BbMeshConfig_ShuffleSplits(bb_mesh_config_t *config, bb_random_t *random);
 
 /* The route with the longest prefix of the path; a query is ignored, as are
  * case and port of the host. NULL when none matches. */
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -63,21 +63,19 @@
     size_t index;
     json_t *entry;
 
-    json_array_foreach(json_object_get(root, "nodes"), index, entry)
-    {
+    json_array_foreach (json_object_get(root, "nodes"), index, entry) {
         const char *node = json_string_value(json_object_get(entry, "node"));
         const char *record =
             json_string_value(json_object_get(entry, "record"));
         int64_t revision =
             json_integer_value(json_object_get(entry, "revision"));
         if (node != NULL) {
-            options->on_node(node, record,
-                             record != NULL ? strlen(record) : 0, revision,
-                             options->arg);
+            options->on_node(node, record, record != NULL ? strlen(record) : 0,
+                             revision, options->arg);
         }
     }
-    options->on_revision(
-        json_integer_value(json_object_get(root, "revision")), options->arg);
+    options->on_revision(json_integer_value(json_object_get(root, "revision")),
+                         options->arg);
 }
 
 static void
--- a/lib/mesh/bb_news_server.c
+++ b/lib/mesh/bb_news_server.c
@@ -74,11 +74,10 @@
     const bb_news_server_options_t *options = &server->options;
     int64_t own_revision = options->revision(options->arg);
     collect_t collect = {json_array(), revision};
-    json_t *root = json_pack(
-        "{s:I, s:b, s:I}", "version",
-        (json_int_t)BbVersions_Newest(options->versions), "connected",
-        options->is_connected(options->arg), "revision",
-        (json_int_t)own_revision);
+    json_t *root = json_pack("{s:I, s:b, s:I}", "version",
+                             (json_int_t)BbVersions_Newest(options->versions),
+                             "connected", options->is_connected(options->arg),
+                             "revision", (json_int_t)own_revision);
 
     add_config(server, version, root);
     BbFleet_ForEach(options->fleet, add_node, &collect);
@@ -153,8 +152,7 @@
 {
     question_t *question, *next;
 
-    DL_FOREACH_SAFE(server->waiting, question, next)
-    {
+    DL_FOREACH_SAFE (server->waiting, question, next) {
         if (question->request == request) {
             ev_timer_stop(server->options.loop, &question->timer);
             DL_DELETE(server->waiting, question);
@@ -168,8 +166,7 @@
 {
     question_t *question, *next;
 
-    DL_FOREACH_SAFE(server->waiting, question, next)
-    {
+    DL_FOREACH_SAFE (server->waiting, question, next) {
         if (has_news(server, question)) {
             answer_question(question);
         }
--- a/lib/mesh/bb_readers.c
+++ b/lib/mesh/bb_readers.c
@@ -86,8 +86,7 @@
         if (endpoint->is_local || !is_reader(all, i)) {
             continue;
         }
-        bool is_near =
-            strcmp(endpoint->record.data_centre, data_centre) == 0;
+        bool is_near = strcmp(endpoint->record.data_centre, data_centre) == 0;
         g_ptr_array_add(is_near ? near : far, endpoint);
     }
     for (guint i = 0; i < far->len; i++) {
--- a/lib/mesh/bb_repeat_budget.c
+++ b/lib/mesh/bb_repeat_budget.c
@@ -70,8 +70,8 @@
 {
     double *tokens = find_tokens(budget, service);
 
-    *tokens = MIN(*tokens + budget->options.ratio * USED_SHARE,
-                  capacity(budget));
+    *tokens =
+        MIN(*tokens + budget->options.ratio * USED_SHARE, capacity(budget));
 }
 
 bool
--- a/lib/mesh/bb_row_writer.c
+++ b/lib/mesh/bb_row_writer.c
@@ -13,8 +13,8 @@
     bb_row_writer_options_t options;
     char *table;
     char *key;
-    char *wanted;  /* NULL: no row */
-    bool is_dirty; /* the wanted value is not acknowledged */
+    char *wanted;    /* NULL: no row */
+    bool is_dirty;   /* the wanted value is not acknowledged */
     bool is_changed; /* while a write was under way */
     int64_t version;
     void *pending;
@@ -93,9 +93,9 @@
         return;
     }
     size_t size = writer->wanted != NULL ? strlen(writer->wanted) : 0;
-    writer->pending = store->ops->write(
-        store, writer->table, writer->key, writer->wanted, size,
-        writer->version, handle_written, writer);
+    writer->pending =
+        store->ops->write(store, writer->table, writer->key, writer->wanted,
+                          size, writer->version, handle_written, writer);
 }
 
 static void
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -111,8 +111,7 @@
     double work_s = 0;
     const bb_slot_ticket_t *other;
 
-    DL_FOREACH(queue->tickets, other)
-    {
+    DL_FOREACH (queue->tickets, other) {
         if (ticket == NULL || goes_first(other, ticket, now)) {
             work_s += other->service_s;
         }
@@ -197,8 +196,8 @@
 static void
 add_measurement(double *mean_s, double took_s)
 {
-    *mean_s = *mean_s <= 0 ? took_s
-                           : *mean_s + SERVICE_WEIGHT * (took_s - *mean_s);
+    *mean_s =
+        *mean_s <= 0 ? took_s : *mean_s + SERVICE_WEIGHT * (took_s - *mean_s);
 }
 
 void
@@ -251,8 +250,7 @@
 {
     bb_slot_ticket_t *ticket, *best = NULL;
 
-    DL_FOREACH(queue->tickets, ticket)
-    {
+    DL_FOREACH (queue->tickets, ticket) {
         if (is_hopeless(queue, ticket, now)) {
             take_out(queue, ticket);
             refuse(ticket, BB_REASON_QUEUE_EXPIRED);
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -42,12 +42,12 @@
 
 /* Times are seconds by the clock of now. */
 typedef struct bb_slot_ticket {
-    const char *class_name; /* calls that take about equally long */
-    int rank;          /* 0 is the most urgent */
+    const char *class_name;  /* calls that take about equally long */
+    int rank;                /* 0 is the most urgent */
     double target_latency_s; /* of the route */
-    double target_at;  /* an answer by then is worth most */
-    double expires_at; /* an answer after it is worth nothing */
-    void *arg;         /* the owner's */
+    double target_at;        /* an answer by then is worth most */
+    double expires_at;       /* an answer after it is worth nothing */
+    void *arg;               /* the owner's */
     /* set here */
     bb_slot_state_t state;
     bb_reason_t reason;
--- a/lib/mesh/bb_table.h
+++ b/lib/mesh/bb_table.h
@@ -52,9 +52,9 @@
                   void *arg);
     /* Writes one row if its version is the expected one, 0 for a new row;
      * value NULL removes it. */
-    void *(*write)(bb_table_store_t *store, const char *table,
-                   const char *key, const char *value, size_t size,
-                   int64_t expected, bb_table_done_t done, void *arg);
+    void *(*write)(bb_table_store_t *store, const char *table, const char *key,
+                   const char *value, size_t size, int64_t expected,
+                   bb_table_done_t done, void *arg);
     void (*cancel)(bb_table_store_t *store, void *handle);
 } bb_table_ops_t;
 
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -7,6 +7,7 @@
 #include "bb_counters.h"
 #include "bb_error.h"
 #include "bb_event.h"
+#include "bb_histogram.h"
 #include "bb_slot_queue.h"
 
 /* The target ends this much before the caller-side node stops to wait. */
@@ -75,6 +76,10 @@
     bb_target_io_t *io = call->io;
 
     if (call->ticket.state == BB_SLOT_RUNNING) {
+        BbHistogram_Add(BB_HISTOGRAM_QUEUE_WAIT,
+                        call->ticket.started_at - call->ticket.arrived_at);
+        BbHistogram_Add(BB_HISTOGRAM_TARGET_TIME,
+                        ev_now(io->loop) - call->ticket.started_at);
         BbSlotQueue_Finish(io->queue, &call->ticket, is_measured,
                            ev_now(io->loop));
     }
@@ -94,15 +99,16 @@
 {
     const bb_target_io_t *io = call->io;
 
+    BbReason_Count(reason);
     if (BbEvent_Allows(BB_EVENT_TARGET_REFUSED)) {
-        BbEvent_Write(
-            BB_EVENT_TARGET_REFUSED,
-            json_pack("{s:s, s:s, s:i, s:i, s:i, s:f}", "call",
-                      call->request.call_id, "reason", BbReason_Name(reason),
-                      "running", BbSlotQueue_Running(io->queue), "waiting",
-                      BbSlotQueue_Waiting(io->queue), "slots",
-                      BbLocalTarget_Slots(io->target), "service_s",
-                      BbSlotQueue_ServiceTime(io->queue)));
+        BbEvent_Write(BB_EVENT_TARGET_REFUSED,
+                      json_pack("{s:s, s:s, s:i, s:i, s:i, s:f}", "call",
+                                call->request.call_id, "reason",
+                                BbReason_Name(reason), "running",
+                                BbSlotQueue_Running(io->queue), "waiting",
+                                BbSlotQueue_Waiting(io->queue), "slots",
+                                BbLocalTarget_Slots(io->target), "service_s",
+                                BbSlotQueue_ServiceTime(io->queue)));
     }
 }
 
@@ -279,8 +285,7 @@
         .target = request->target,
         .fields = &fields,
         .content_length = request->content_length,
-        .max_idle_s =
-            request->is_idempotent ? IDLE_MAX_S : IDLE_MAX_ONCE_S,
+        .max_idle_s = request->is_idempotent ? IDLE_MAX_S : IDLE_MAX_ONCE_S,
         .handler = &exchange_handler,
         .arg = call,
     };
@@ -418,9 +423,8 @@
 static bb_reason_t
 obstacle_for(const bb_target_io_t *io, const bb_attempt_request_t *request)
 {
-    return strcmp(request->service, io->service) != 0
-               ? BB_REASON_WRONG_SERVICE
-               : obstacle(io);
+    return strcmp(request->service, io->service) != 0 ? BB_REASON_WRONG_SERVICE
+                                                      : obstacle(io);
 }
 
 bb_reason_t
@@ -489,8 +493,7 @@
 {
     BbSlotQueue_SetSlots(io->queue, BbLocalTarget_Slots(io->target));
     bb_reason_t reason = obstacle(io);
-    while (reason != BB_REASON_NONE &&
-           reason != BB_REASON_NODE_DRAINING) {
+    while (reason != BB_REASON_NONE && reason != BB_REASON_NODE_DRAINING) {
         bb_slot_ticket_t *ticket = BbSlotQueue_First(io->queue);
         if (ticket == NULL) {
             break;
--- a/lib/mesh/bb_transfer_gate.c
+++ b/lib/mesh/bb_transfer_gate.c
@@ -25,8 +25,8 @@
 {
     bb_transfer_gate_t *gate = g_new0(bb_transfer_gate_t, 1);
 
-    gate->bytes_per_s = MAX(link_mbps, 0.1) * BITS_PER_MBIT / BITS_PER_BYTE *
-                        LINK_SHARE;
+    gate->bytes_per_s =
+        MAX(link_mbps, 0.1) * BITS_PER_MBIT / BITS_PER_BYTE * LINK_SHARE;
     return gate;
 }
 
@@ -105,8 +105,7 @@
 {
     bb_transfer_ticket_t *ticket;
 
-    DL_FOREACH(gate->waiting, ticket)
-    {
+    DL_FOREACH (gate->waiting, ticket) {
         if (!is_in_time(gate, ticket, now)) {
             take_out(gate, ticket);
             ticket->state = BB_TRANSFER_REFUSED;
--- a/programs/bbctl/bbctl.h
+++ b/programs/bbctl/bbctl.h
@@ -57,6 +57,7 @@
 extern const command_t key_commands[];
 extern const command_t node_commands[];
 extern const command_t propose_commands[];
+extern const command_t trace_commands[];
 extern const command_t version_commands[];
 
 #endif
--- a/programs/bbctl/main.c
+++ b/programs/bbctl/main.c
@@ -15,6 +15,7 @@
 static const command_t *const groups[] = {
     key_commands,    draft_commands,   propose_commands,
     accept_commands, version_commands, node_commands,
+    trace_commands,
 };
 
 static void
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -9,6 +9,7 @@
 #include "bb_error.h"
 #include "bb_event.h"
 #include "bb_follow.h"
+#include "bb_histogram.h"
 #include "bb_hop_io.h"
 #include "bb_local_target.h"
 #include "bb_news_client.h"
@@ -144,13 +145,12 @@
     int error = Platform_DecodeConfig(text, size, &findings, &config);
     if (error != 0) {
         if (BbEvent_Allows(BB_EVENT_CONFIG_REFUSED)) {
-            BbEvent_Write(BB_EVENT_CONFIG_REFUSED,
-                          json_pack("{s:s, s:i, s:s}", "error",
-                                    BbError_Name(error), "findings",
-                                    (int)findings.count, "first",
-                                    findings.count > 0
-                                        ? findings.items[0].message
-                                        : ""));
+            BbEvent_Write(
+                BB_EVENT_CONFIG_REFUSED,
+                json_pack("{s:s, s:i, s:s}", "error", BbError_Name(error),
+                          "findings", (int)findings.count, "first",
+                          findings.count > 0 ? findings.items[0].message
+                                             : ""));
         }
         BbFindings_Free(&findings);
         return;
@@ -172,8 +172,8 @@
                       json_pack("{s:I, s:I, s:i, s:s}", "version",
                                 (json_int_t)BbMeshConfig_Version(config),
                                 "previous", (json_int_t)previous, "routes",
-                                (int)BbMeshConfig_RouteCount(config),
-                                "source", source));
+                                (int)BbMeshConfig_RouteCount(config), "source",
+                                source));
     }
 }
 
@@ -204,17 +204,16 @@
 static void
 log_node(const char *node, const bb_node_record_t *record, int64_t revision)
 {
-    const char *state = record == NULL      ? "removed"
+    const char *state = record == NULL     ? "removed"
                         : record->is_ready ? "ready"
-                                            : "not_ready";
+                                           : "not_ready";
 
     if (BbEvent_Allows(BB_EVENT_NODE)) {
         BbEvent_Write(BB_EVENT_NODE,
                       json_pack("{s:s, s:s, s:s, s:I}", "peer", node,
                                 "service",
-                                record != NULL ? record->service : "",
-                                "state", state, "revision",
-                                (json_int_t)revision));
+                                record != NULL ? record->service : "", "state",
+                                state, "revision", (json_int_t)revision));
     }
 }
 
@@ -271,8 +270,7 @@
 own_version(void *arg)
 {
     const sidecar_t *sidecar = arg;
-    return sidecar->config != NULL ? BbMeshConfig_Version(sidecar->config)
-                                   : 0;
+    return sidecar->config != NULL ? BbMeshConfig_Version(sidecar->config) : 0;
 }
 
 /* ---- news of other nodes ---- */
@@ -356,8 +354,7 @@
 static void
 check_role(sidecar_t *sidecar)
 {
-    bool is_reader =
-        BbReaders_IsOwn(sidecar->fleet, sidecar->settings->name);
+    bool is_reader = BbReaders_IsOwn(sidecar->fleet, sidecar->settings->name);
 
     if (is_reader == sidecar->is_reader) {
         return;
@@ -383,9 +380,8 @@
 log_ignored(const char *id, const char *reason)
 {
     if (BbEvent_Allows(BB_EVENT_HEARTBEAT_IGNORED)) {
-        BbEvent_Write(
-            BB_EVENT_HEARTBEAT_IGNORED,
-            json_pack("{s:s, s:s}", "target", id, "reason", reason));
+        BbEvent_Write(BB_EVENT_HEARTBEAT_IGNORED,
+                      json_pack("{s:s, s:s}", "target", id, "reason", reason));
     }
 }
 
@@ -487,14 +483,17 @@
 static void
 answer_metrics(bb_h1_request_t *request)
 {
-    char *text = BbCounters_FormatPrometheus();
+    char *counters = BbCounters_FormatPrometheus();
+    GString *text = g_string_new(counters);
     bb_h1_fields_t fields;
 
     BbH1Fields_Init(&fields);
     BbH1Fields_Add(&fields, "Content-Type", "text/plain; version=0.0.4");
-    BbH1_Respond(request, 200, &fields, text, strlen(text));
+    BbHistogram_FormatPrometheus(text);
+    BbH1_Respond(request, 200, &fields, text->str, text->len);
     BbH1Fields_Free(&fields);
-    g_free(text);
+    g_string_free(text, TRUE);
+    g_free(counters);
 }
 
 static void
@@ -524,12 +523,11 @@
 log_settings(const char *outcome, const bb_findings_t *findings)
 {
     if (BbEvent_Allows(BB_EVENT_SETTINGS)) {
-        BbEvent_Write(BB_EVENT_SETTINGS,
-                      json_pack("{s:s, s:i, s:s}", "outcome", outcome,
-                                "findings", (int)findings->count, "first",
-                                findings->count > 0
-                                    ? findings->items[0].message
-                                    : ""));
+        BbEvent_Write(
+            BB_EVENT_SETTINGS,
+            json_pack("{s:s, s:i, s:s}", "outcome", outcome, "findings",
+                      (int)findings->count, "first",
+                      findings->count > 0 ? findings->items[0].message : ""));
     }
 }
 
@@ -545,8 +543,8 @@
         BbFindings_Free(&findings);
         return;
     }
-    const bb_repeat_budget_options_t budget = {
-        .ratio = changed.repeat_ratio, .extra = changed.repeat_extra};
+    const bb_repeat_budget_options_t budget = {.ratio = changed.repeat_ratio,
+                                               .extra = changed.repeat_extra};
     BbRepeatBudget_SetOptions(sidecar->budget, &budget);
     log_settings("taken", &findings);
     BbSidecarSettings_Free(&changed);
@@ -607,9 +605,8 @@
     sidecar_t *sidecar = timer->data;
     double now = ev_now(loop);
     double since_s = now - sidecar->leaving_since;
-    bool is_left =
-        since_s >= REFUSE_AFTER_S ||
-        now - BbCallIo_LastCallAt(sidecar->call_io) >= QUIET_S;
+    bool is_left = since_s >= REFUSE_AFTER_S ||
+                   now - BbCallIo_LastCallAt(sidecar->call_io) >= QUIET_S;
     bool is_quiet =
         open_calls(sidecar) == 0 && since_s >= LEAVE_MIN_S && is_left;
 
@@ -617,8 +614,8 @@
         BbCallIo_SetRefusing(sidecar->call_io);
     }
 
-    if (is_quiet || since_s >= sidecar->settings->shutdown_s -
-                                   LEAVE_MARGIN_S) {
+    if (is_quiet ||
+        since_s >= sidecar->settings->shutdown_s - LEAVE_MARGIN_S) {
         if (BbEvent_Allows(BB_EVENT_STOP)) {
             BbEvent_Write(BB_EVENT_STOP,
                           json_pack("{s:i, s:f}", "open_calls",
@@ -639,8 +636,8 @@
     }
     sidecar->leaving_since = ev_now(loop);
     if (BbEvent_Allows(BB_EVENT_TERM)) {
-        BbEvent_Write(BB_EVENT_TERM, json_pack("{s:i}", "open_calls",
-                                               open_calls(sidecar)));
+        BbEvent_Write(BB_EVENT_TERM,
+                      json_pack("{s:i}", "open_calls", open_calls(sidecar)));
     }
     BbCallIo_SetLeaving(sidecar->call_io);
     BbTargetIo_SetLeaving(sidecar->target_io);
@@ -762,8 +759,7 @@
 start_store(sidecar_t *sidecar)
 {
     const platform_store_options_t store = {
-        .loop = sidecar->loop,
-        .address = sidecar->settings->platform_address};
+        .loop = sidecar->loop, .address = sidecar->settings->platform_address};
     sidecar->store = PlatformStore_New(&store);
     const bb_row_writer_options_t record = {
         .loop = sidecar->loop,
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -30,7 +30,7 @@
     Node other;
 };
 
-}  // namespace
+} // namespace
 
 // Guards against pipelined lookups that wait for each other.
 TEST_F(MeshIo, PipelinedCallsRunSideBySideAndAnswerInOrder)
@@ -101,9 +101,8 @@
 TEST_F(MeshTwo, CallsThatDidNotRunGoElsewhere)
 {
     auto shed = [](const Target::Request &request) {
-        request.wire->Send(Target::Answer(request.id, "",
-                                          "503 Service Unavailable",
-                                          "Not-Run: 1\r\n"));
+        request.wire->Send(Target::Answer(
+            request.id, "", "503 Service Unavailable", "Not-Run: 1\r\n"));
     };
     target.script = shed;
     Caller caller(&loop, node.caller_address);
@@ -257,9 +256,8 @@
     ASSERT_TRUE(loop.RunUntil([&] { return running.wire != nullptr; }));
     node.Beat(2, true);
     Caller next(&loop, node.caller_address);
-    EXPECT_EQ(
-        Status(next.Call(Caller::Request("POST", "/once/1", "c2", "x"))),
-        "200");
+    EXPECT_EQ(Status(next.Call(Caller::Request("POST", "/once/1", "c2", "x"))),
+              "200");
     EXPECT_EQ(target.Runs("c2"), 0);
     EXPECT_EQ(other_target.Runs("c2"), 1);
     running.wire->Send(Target::Answer("c1", "done"));
@@ -302,7 +300,7 @@
 // connections open, and nobody reads.
 TEST_F(MeshIo, SilentNodesAreLeftWithoutARun)
 {
-    Target silent(&loop);  // accepts and never answers
+    Target silent(&loop); // accepts and never answers
     silent.script = [](const Target::Request &) {};
     bb_node_record_t record = {};
     record.address = const_cast<char *>(silent.address.c_str());
@@ -371,8 +369,7 @@
     }
     Caller caller(&loop, node.caller_address);
     std::string head = "GET /safe/1 HTTP/1.1\r\nHost: h\r\nX: ";
-    EXPECT_EQ(Status(caller.Call(head + std::string(70000, 'x') +
-                                 "\r\n\r\n")),
+    EXPECT_EQ(Status(caller.Call(head + std::string(70000, 'x') + "\r\n\r\n")),
               "431");
     EXPECT_TRUE(target.requests.empty());
 }
@@ -397,8 +394,7 @@
     size_t answered = 0;
     loop.RunUntil([&] {
         while (answered < held.size()) {
-            held[answered].wire->Send(
-                Target::Answer(held[answered].id, "ok"));
+            held[answered].wire->Send(Target::Answer(held[answered].id, "ok"));
             answered++;
         }
         return answered == 10;
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -53,8 +53,8 @@
     bool RunUntil(std::function<bool()> condition, double limit_s = 10.0)
     {
         ev_timer tick;
-        ev_timer_init(&tick, [](struct ev_loop *, ev_timer *, int) {}, 0.002,
-                      0.002);
+        ev_timer_init(
+            &tick, [](struct ev_loop *, ev_timer *, int) {}, 0.002, 0.002);
         ev_timer_start(loop, &tick);
         ev_tstamp end = ev_time() + limit_s;
         while (!condition() && ev_time() < end) {
@@ -219,7 +219,7 @@
 
   public:
     std::string address;
-    bool is_early = false;  // answers when it has read the head
+    bool is_early = false; // answers when it has read the head
 };
 
 inline bb_mesh_config_t *
@@ -227,8 +227,8 @@
 {
     bb_mesh_config_t *config = BbMeshConfig_New(3);
     bb_mesh_route_options_t safe = {"safe", "h", "/safe/", true, 3, 0.5, 1, 2};
-    bb_mesh_route_options_t once = {"once", "h", "/once/", false, 3, 0.5, 1,
-                                    2};
+    bb_mesh_route_options_t once = {"once", "h", "/once/", false,
+                                    3,      0.5, 1,        2};
     BbMeshConfig_AddService(config, "orders", 100);
     BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &safe), "orders", 1);
     BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &once), "orders", 1);
@@ -241,8 +241,7 @@
     Node(Loop *loop, const std::string &name, const std::string &data_centre,
          Target *target, int slots = 4)
         : target(target), slots_(slots), caller_address(FreeAddress()),
-          forward_address(FreeAddress()), name(name),
-          data_centre(data_centre)
+          forward_address(FreeAddress()), name(name), data_centre(data_centre)
     {
         bb_local_target_options_t local = {target->address.c_str(), "orders"};
         local_target = BbLocalTarget_New(&local);
@@ -366,8 +365,8 @@
     // Waits for a number of answers and returns all bytes.
     std::string Wait(size_t answers, double limit_s = 10.0)
     {
-        loop_->RunUntil(
-            [&] { return Count() >= answers || wire.is_closed; }, limit_s);
+        loop_->RunUntil([&] { return Count() >= answers || wire.is_closed; },
+                        limit_s);
         return wire.received;
     }
     std::string Call(const std::string &text)
@@ -408,6 +407,6 @@
     return answer.size() > 12 ? answer.substr(9, 3) : "";
 }
 
-}  // namespace mesh_rig
+} // namespace mesh_rig
 
 #endif
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -48,7 +48,7 @@
     bb_mesh_config_t *config;
 };
 
-}  // namespace
+} // namespace
 
 // Guards against a shorter prefix winning, and against a prefix that matches
 // in the middle of a path segment.
@@ -116,8 +116,8 @@
     bb_endpoint_t *Add(const char *node, const char *data_centre,
                        int64_t revision, int slots = 10, int mbps = 100)
     {
-        std::string address = std::string("10.0.0.1:") +
-                              std::to_string(revision);
+        std::string address =
+            std::string("10.0.0.1:") + std::to_string(revision);
         bb_node_record_t record = {};
         record.address = const_cast<char *>(address.c_str());
         record.data_centre = const_cast<char *>(data_centre);
@@ -162,7 +162,7 @@
     bool has_large_body = false;
 };
 
-}  // namespace
+} // namespace
 
 // Guards against late news that bring back what is gone.
 TEST(MeshFleet, KeepsTheNewestRevision)
@@ -225,8 +225,8 @@
     bb_endpoint_t *far = f.Add("far", "b", 2);
     f.Report(near, 10, 20, 200, 1.0);
     f.Report(far, 0, 0, 200, 1.0);
-    EXPECT_EQ(f.Choose(1.0, 1.0), near);  // 0.2 + 0.42 s is in time
-    EXPECT_EQ(f.Choose(1.0, 0.5), far);   // not within 0.45 s
+    EXPECT_EQ(f.Choose(1.0, 1.0), near); // 0.2 + 0.42 s is in time
+    EXPECT_EQ(f.Choose(1.0, 0.5), far);  // not within 0.45 s
 }
 
 // Guards against a load report that steers calls for good after it has aged.
@@ -355,7 +355,7 @@
     std::vector<std::unique_ptr<bb_slot_ticket_t>> tickets;
 };
 
-}  // namespace
+} // namespace
 
 // Guards against calls of running requests that wait behind new requests:
 // the requests that wait for them hold slots meanwhile.
@@ -382,7 +382,7 @@
 TEST(MeshSlotQueue, OverloadServesInTimeAndRefusesAtOnce)
 {
     const double service_s = 0.1, latency_s = 0.5, step_s = 0.005;
-    Queue q(5);  // 50 calls/s; 100 calls/s are offered
+    Queue q(5); // 50 calls/s; 100 calls/s are offered
     q.Learn("lookup", service_s);
     std::vector<bb_slot_ticket_t *> running;
     int served = 0, in_time = 0, refused_late = 0, offered = 0;
@@ -417,9 +417,9 @@
         }
     }
     EXPECT_EQ(offered, 1000);
-    EXPECT_GE(served, 480);  // of 500 that fit
+    EXPECT_GE(served, 480); // of 500 that fit
     EXPECT_GE(in_time, served * 95 / 100);
-    EXPECT_LE(refused_late, 10);  // after waiting
+    EXPECT_LE(refused_late, 10); // after waiting
 }
 
 // Guards against a class that is never served while others keep coming.
@@ -484,7 +484,7 @@
     return heartbeat;
 }
 
-}  // namespace
+} // namespace
 
 // Guards against new work at a target that leaves, when a heartbeat from
 // before the leave arrives after it.
@@ -519,8 +519,7 @@
     foreign.address = "10.0.0.2:80";
     EXPECT_EQ(BbLocalTarget_Heartbeat(target, &newer), BB_HEARTBEAT_CHANGED);
     EXPECT_EQ(BbLocalTarget_Heartbeat(target, &older), BB_HEARTBEAT_STALE);
-    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &foreign),
-              BB_HEARTBEAT_FOREIGN);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &foreign), BB_HEARTBEAT_FOREIGN);
     EXPECT_STREQ(BbLocalTarget_Id(target), "i-2");
     EXPECT_FALSE(BbLocalTarget_Leave(target, "i-1"));
     EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
@@ -643,7 +642,7 @@
     int offered = 0, arrived = 0, in_time = 0, refused = 0, most = 0;
     for (int step = 0; step < 2000; step++) {
         double now = step * step_s;
-        double budget = rate * step_s;  // shared by the bodies under way
+        double budget = rate * step_s; // shared by the bodies under way
         size_t sharing = under_way.size();
         for (size_t i = 0; i < under_way.size();) {
             under_way[i].second -= budget / static_cast<double>(sharing);
@@ -656,7 +655,7 @@
             BbTransferGate_Finish(gate, under_way[i].first);
             under_way.erase(under_way.begin() + static_cast<long>(i));
         }
-        if (step % 6 == 0) {  // 16 bodies/s where 10 fit
+        if (step % 6 == 0) { // 16 bodies/s where 10 fit
             tickets.push_back(std::make_unique<bb_transfer_ticket_t>());
             bb_transfer_ticket_t *ticket = tickets.back().get();
             *ticket = {};
@@ -686,7 +685,7 @@
         most = std::max(most, static_cast<int>(under_way.size()));
     }
     EXPECT_LE(most, 2);
-    EXPECT_GE(arrived, 150);  // of 208 that fit, at 0.8 of the link
+    EXPECT_GE(arrived, 150); // of 208 that fit, at 0.8 of the link
     EXPECT_EQ(in_time, arrived);
     EXPECT_GT(refused, 80);
     BbTransferGate_Free(gate);
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -72,10 +72,10 @@
     };
     std::map<std::string, Row> rows;
     int64_t version = 100;
-    int64_t history_from = 0;  // older feeds get 410
-    int refuse = 0;            // calls to refuse with this status
+    int64_t history_from = 0; // older feeds get 410
+    int refuse = 0;           // calls to refuse with this status
     int refuse_status = 503;
-    int lose_answers = 0;  // writes that are done and not answered
+    int lose_answers = 0; // writes that are done and not answered
     bool is_silent = false;
     int calls = 0;
 
@@ -319,9 +319,10 @@
     bool is_connected = false;
 };
 
-const bb_follow_handler_t PlatformStore::kFollow = {OnRow, OnSnapshot, OnHealth};
+const bb_follow_handler_t PlatformStore::kFollow = {OnRow, OnSnapshot,
+                                                    OnHealth};
 
-}  // namespace
+} // namespace
 
 // Guards against changes that are missed: after the first read, while the
 // store refuses, and across a lost history.
@@ -445,8 +446,8 @@
 {
     bb_findings_t findings;
     BbFindings_Init(&findings);
-    int error = Platform_DecodeConfig(text.data(), text.size(), &findings,
-                                      config);
+    int error =
+        Platform_DecodeConfig(text.data(), text.size(), &findings, config);
     EXPECT_EQ(error != 0, findings.count > 0);
     BbFindings_Free(&findings);
     return error;
@@ -458,7 +459,7 @@
     return text.replace(text.find(from), from.size(), to);
 }
 
-}  // namespace
+} // namespace
 
 // Guards against a field that is read wrongly: what may be repeated follows
 // from the kind alone.
@@ -515,9 +516,9 @@
         "\"version\":\"v1\",\"slots\":9,\"state\":\"draining\","
         "\"cold_left_s\":1.5,\"sequence\":4,\"born\":1700000000000}";
     platform_heartbeat_t heartbeat;
-    ASSERT_EQ(Platform_DecodeHeartbeat("i-1", good.data(), good.size(),
-                                       &heartbeat),
-              0);
+    ASSERT_EQ(
+        Platform_DecodeHeartbeat("i-1", good.data(), good.size(), &heartbeat),
+        0);
     EXPECT_TRUE(heartbeat.heartbeat.is_draining);
     EXPECT_EQ(heartbeat.heartbeat.slots, 9);
     EXPECT_EQ(heartbeat.heartbeat.born_ms, 1700000000000);
