--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lhttp_parser -lzstd -lm
 
 INCLUDES = -Ilib/common -Ilib/operator -Ilib/platform -Ilib/peer \
-           -Ilib/target -Ilib/caller -Ilib/http -Ilib/mesh -Iplatform
+           -Ilib/target -Ilib/caller -Ilib/http -Ilib/mesh -Iplatform -Itests/unit
 # libev's headers break strict aliasing rules by design.
 WARN = -Wall -Wextra -Werror -Wno-strict-aliasing
 CFLAGS ?= -O2 -g
@@ -71,6 +71,11 @@
 	@echo "  LINK $@"
 	@$(CXX) $(SAN) -o $@ $^ $(SIDECAR_LIBS)
 
+# The soak drives real processes; see tests/soak/soak.cc.
+$(BUILD)/soak: $(BUILD)/tests/soak/soak.o $(LIB) $(BUILD)/bbsidecar
+	@echo "  LINK $@"
+	@$(CXX) $(SAN) -o $@ $(filter %.o %.a,$^) -lgtest -lpthread $(PKG_LIBS)
+
 $(BUILD)/unit_tests: $(UNIT_OBJ) $(LIB)
 	@echo "  LINK $@"
 	@$(CXX) $(SAN) -o $@ $^ -lgtest -lgtest_main -lpthread $(PKG_LIBS)
@@ -85,7 +90,7 @@
 	@echo "  CXX  $<"
 	@$(CXX) $(ALL_CXXFLAGS) -c -o $@ $<
 
-unit: $(BUILD)/unit_tests
+unit: $(BUILD)/unit_tests $(BUILD)/soak
 
 # A second make, since the compiler flags of missing packages are not known
 # before they are installed.
--- /dev/null
+++ b/tests/unit/store_stand_in.h
@@ -0,0 +1,260 @@
+// Stand-in of the users' store, as far as its page describes the calls that
+// the adapter makes, with faults.
+#ifndef STORE_STAND_IN_H
+#define STORE_STAND_IN_H
+
+#include <jansson.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "mesh_rig.h"
+
+namespace mesh_rig {
+
+inline std::string
+Encode(const std::string &text)
+{
+    gchar *encoded = g_base64_encode(
+        reinterpret_cast<const guchar *>(text.data()), text.size());
+    std::string copy = encoded;
+    g_free(encoded);
+    return copy;
+}
+
+// The store of the users' platform, as far as its page describes the calls
+// that are used here, with faults.
+class StoreStandIn {
+  public:
+    explicit StoreStandIn(Loop *loop) : loop_(loop), address(FreeAddress())
+    {
+        bb_h1_server_options_t options = {};
+        options.loop = loop->loop;
+        options.address = address.c_str();
+        options.handler = &kHandler;
+        options.arg = this;
+        EXPECT_EQ(BbH1Server_New(&options, &server_), 0);
+    }
+    ~StoreStandIn()
+    {
+        BbH1Server_Free(server_);
+    }
+    void Put(const std::string &table, const std::string &key,
+             const std::string &value)
+    {
+        rows[table + "/" + key] = {key, value, ++version, false};
+        Wake();
+    }
+    void Remove(const std::string &table, const std::string &key)
+    {
+        rows[table + "/" + key] = {key, "", ++version, true};
+        Wake();
+    }
+    void Wake()
+    {
+        std::vector<Waiting> waiting;
+        waiting.swap(waiting_);
+        for (const auto &feed : waiting) {
+            AnswerFeed(feed);
+        }
+    }
+    struct Row {
+        std::string key, value;
+        int64_t version;
+        bool is_removed;
+    };
+    std::map<std::string, Row> rows;
+    int64_t version = 100;
+    int64_t history_from = 0; // older feeds get 410
+    int refuse = 0;           // calls to refuse with this status
+    int refuse_status = 503;
+    int lose_answers = 0; // writes that are done and not answered
+    bool is_silent = false;
+    int calls = 0;
+
+  private:
+    struct Waiting {
+        bb_h1_request_t *request;
+        std::string table;
+        int64_t after;
+    };
+    static std::string Query(const std::string &target,
+                             const std::string &name)
+    {
+        size_t at = target.find(name + "=");
+        if (at == std::string::npos) {
+            return "";
+        }
+        at += name.size() + 1;
+        return target.substr(at, target.find('&', at) - at);
+    }
+    static void OnHead(bb_h1_request_t *request, void *)
+    {
+        request->user = new std::string();
+    }
+    static void OnBody(bb_h1_request_t *request, const char *data, size_t size,
+                       void *)
+    {
+        static_cast<std::string *>(request->user)->append(data, size);
+    }
+    static void OnEnd(bb_h1_request_t *request, void *arg)
+    {
+        auto *body = static_cast<std::string *>(request->user);
+        std::string text = *body;
+        delete body;
+        request->user = nullptr;
+        static_cast<StoreStandIn *>(arg)->Handle(request, text);
+    }
+    static void OnGone(bb_h1_request_t *request, void *arg)
+    {
+        auto *store = static_cast<StoreStandIn *>(arg);
+        delete static_cast<std::string *>(request->user);
+        for (size_t i = 0; i < store->waiting_.size(); i++) {
+            if (store->waiting_[i].request == request) {
+                store->waiting_.erase(store->waiting_.begin() +
+                                      static_cast<long>(i));
+                return;
+            }
+        }
+    }
+    void Answer(bb_h1_request_t *request, int status, json_t *root)
+    {
+        json_object_set_new(root, "ver", json_integer(version));
+        char *text = json_dumps(root, 0);
+        BbH1_Respond(request, status, nullptr, text, strlen(text));
+        free(text);
+        json_decref(root);
+    }
+    static json_t *Show(const Row &row)
+    {
+        json_t *entry = json_pack("{s:s, s:I}", "key", row.key.c_str(), "ver",
+                                  static_cast<json_int_t>(row.version));
+        if (row.is_removed) {
+            json_object_set_new(entry, "tombstone", json_true());
+        }
+        else {
+            json_object_set_new(entry, "value",
+                                json_string(Encode(row.value).c_str()));
+        }
+        return entry;
+    }
+    json_t *Rows(const std::string &table, int64_t after, bool with_removed)
+    {
+        json_t *list = json_array();
+        for (const auto &entry : rows) {
+            const Row &row = entry.second;
+            if (entry.first.compare(0, table.size() + 1, table + "/") == 0 &&
+                row.version > after && (with_removed || !row.is_removed)) {
+                json_array_append_new(list, Show(row));
+            }
+        }
+        return list;
+    }
+    void AnswerFeed(const Waiting &feed)
+    {
+        json_t *list = Rows(feed.table, feed.after, true);
+        if (json_array_size(list) == 0) {
+            json_decref(list);
+            waiting_.push_back(feed);
+            return;
+        }
+        Answer(feed.request, 200, json_pack("{s:o}", "rows", list));
+    }
+    void Write(bb_h1_request_t *request, const std::string &body)
+    {
+        json_t *root = json_loads(body.c_str(), 0, nullptr);
+        json_t *condition =
+            json_array_get(json_object_get(root, "expected"), 0);
+        std::string table =
+            json_string_value(json_object_get(condition, "table_name"));
+        std::string key = json_string_value(json_object_get(condition, "key"));
+        int64_t expected =
+            json_integer_value(json_object_get(condition, "ver"));
+        auto found = rows.find(table + "/" + key);
+        bool exists = found != rows.end() && !found->second.is_removed;
+        int64_t held = exists ? found->second.version : 0;
+        json_t *upsert = json_array_get(json_object_get(root, "upserts"), 0);
+        if (held != expected) {
+            json_t *list = json_array();
+            if (exists) {
+                json_array_append_new(list, Show(found->second));
+            }
+            json_decref(root);
+            Answer(request, 412, json_pack("{s:o}", "rows", list));
+            return;
+        }
+        if (upsert != nullptr) {
+            gsize size;
+            guchar *value = g_base64_decode(
+                json_string_value(json_object_get(upsert, "value")), &size);
+            Put(table, key,
+                std::string(reinterpret_cast<char *>(value), size));
+            g_free(value);
+        }
+        else {
+            Remove(table, key);
+        }
+        json_decref(root);
+        if (lose_answers > 0) {
+            lose_answers--;
+            BbH1_Abort(request);
+            return;
+        }
+        Answer(request, 200, json_object());
+    }
+    void Handle(bb_h1_request_t *request, const std::string &body)
+    {
+        std::string target = request->target->str;
+        calls++;
+        if (is_silent) {
+            waiting_.push_back({request, "none", INT64_MAX});
+            return;
+        }
+        if (refuse > 0) {
+            refuse--;
+            BbH1_Respond(request, refuse_status, nullptr, nullptr, 0);
+            return;
+        }
+        std::string table = Query(target, "table_name");
+        if (target.find("/v1/rows-get") == 0) {
+            Answer(request, 200,
+                   json_pack("{s:o, s:b}", "rows", Rows(table, 0, false),
+                             "has_more", 0));
+        }
+        else if (target.find("/v1/rows-feed") == 0) {
+            int64_t after = std::stoll(Query(target, "after"));
+            if (after < history_from) {
+                BbH1_Respond(request, 410, nullptr, nullptr, 0);
+                return;
+            }
+            if (std::stoll(Query(target, "wait_ms")) == 0) {
+                Answer(request, 200,
+                       json_pack("{s:o}", "rows", Rows(table, after, true)));
+                return;
+            }
+            AnswerFeed({request, table, after});
+        }
+        else if (target == "/v1/rows-tx") {
+            Write(request, body);
+        }
+        else {
+            BbH1_Respond(request, 404, nullptr, nullptr, 0);
+        }
+    }
+    static const bb_h1_handler_t kHandler;
+    Loop *loop_;
+    bb_h1_server_t *server_ = nullptr;
+    std::vector<Waiting> waiting_;
+
+  public:
+    std::string address;
+};
+
+inline const bb_h1_handler_t StoreStandIn::kHandler = {OnHead, OnBody, OnEnd,
+                                                       OnGone};
+
+} // namespace mesh_rig
+
+#endif
