--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -25,7 +25,8 @@
 /* An answer is held back until it is whole, up to this size. */
 #define HELD_ANSWER_BYTES (1024 * 1024)
 
-/* Attempts at nodes, refusals of nodes included. */
+/* Attempts at nodes, refusals of nodes included, but not of those that
+ * leave: many may leave at once, and each says so only once. */
 #define MAX_ATTEMPTS 5
 
 /* Nodes that refuse for want of slots before a call is given up: when two of
@@ -36,9 +37,13 @@
 #define DEFAULT_RETRY_AFTER_S 0.3
 #define MAX_RETRY_AFTER_S 2.0
 
-/* A node without a target that takes calls is not asked for this long. */
+/* A node that knows no target is not asked for this long. */
 #define AVOID_S 1.0
 
+/* A target or node that leaves does not come back in the same incarnation;
+ * the record of the next one ends the avoidance. */
+#define AVOID_LEAVING_S 5.0
+
 /* A node that has not told that it read a call is not asked for this long. */
 #define SILENT_S 0.5
 
@@ -65,6 +70,7 @@
     bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
     int attempts;
+    int leaving;         /* attempts refused by what leaves */
     int full;            /* attempts refused for want of slots */
     int targets_reached; /* attempts that a target may have seen */
     bool may_have_run;
@@ -261,8 +267,9 @@
     const bb_mesh_route_t *route = call->route;
     bb_call_io_t *io = call->io;
 
-    if (call->attempts >= MAX_ATTEMPTS || call->full >= MAX_FULL ||
-        call->body.dropped > 0 || call->is_streaming ||
+    if (call->attempts - call->leaving >= MAX_ATTEMPTS ||
+        call->full >= MAX_FULL || call->body.dropped > 0 ||
+        call->is_streaming ||
         now_of(call) + ANSWER_MARGIN_S >= call->asked.deadline_at) {
         return false;
     }
@@ -344,10 +351,14 @@
     if (reason == BB_REASON_WRONG_SERVICE) {
         BbPlacement_Avoid(endpoint, AVOID_REPLACED_S, now_of(call));
     }
-    if (reason == BB_REASON_NO_TARGET || reason == BB_REASON_TARGET_DRAINING ||
-        reason == BB_REASON_NODE_DRAINING) {
+    if (reason == BB_REASON_NO_TARGET) {
         BbPlacement_Avoid(endpoint, AVOID_S, now_of(call));
     }
+    if (reason == BB_REASON_TARGET_DRAINING ||
+        reason == BB_REASON_NODE_DRAINING) {
+        call->leaving++;
+        BbPlacement_Avoid(endpoint, AVOID_LEAVING_S, now_of(call));
+    }
     call->targets_reached += is_by_target;
     if (reason == BB_REASON_QUEUE_FULL || reason == BB_REASON_QUEUE_EXPIRED ||
         reason == BB_REASON_TOO_LATE) {
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -30,7 +30,7 @@
 extern "C" {
 #endif
 
-#define BB_PLACEMENT_MAX_TRIED 8
+#define BB_PLACEMENT_MAX_TRIED 16
 
 typedef struct {
     const char *service;
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -414,3 +414,24 @@
     EXPECT_EQ(Status(caller.Wait(1)), "504");
     EXPECT_EQ(BbCallIo_OpenCalls(node.calls), 0);
 }
+
+// Guards against a call that is refused because the first nodes it meets all
+// leave (found in a trace of a hunted day: five draining nodes in a row).
+TEST_F(MeshIo, NodesThatLeaveDoNotUseUpTheAttempts)
+{
+    std::vector<std::unique_ptr<Target>> targets;
+    std::vector<std::unique_ptr<Node>> leaving;
+    for (int i = 0; i < 7; i++) {
+        targets.push_back(std::make_unique<Target>(&loop));
+        leaving.push_back(std::make_unique<Node>(
+            &loop, "l" + std::to_string(i), "a", targets.back().get()));
+        leaving.back()->Beat(2, true);
+        node.Know(leaving.back().get(), 10 + i);
+    }
+    BbFleet_Find(node.fleet, "n1")->record.data_centre[0] = 'z';
+    Caller caller(&loop, node.caller_address);
+    EXPECT_EQ(
+        Status(caller.Call(Caller::Request("POST", "/once/1", "c1", "x"))),
+        "200");
+    EXPECT_EQ(target.Runs("c1"), 1);
+}
