Let nodes that were restarted during an outage hear of others

Ruled out: capacity. Change: gossip while the store is lost; a record whose address serves another service is not used.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -47,9 +47,6 @@
 /* A node that has not told that it read a call is not asked for this long. */
 #define SILENT_S 0.5
 
-/* Another node has the address; the record is that of a lost one. */
-#define AVOID_REPLACED_S 60.0
-
 typedef struct call {
     bb_call_io_t *io;
     bb_h1_request_t *request;
@@ -349,7 +346,9 @@
         outcome = BB_ATTEMPT_LOST;
     }
     if (reason == BB_REASON_WRONG_SERVICE) {
-        BbPlacement_Avoid(endpoint, AVOID_REPLACED_S, now_of(call));
+        /* Another node has the address. The record is that of a lost one and
+         * says nothing until it changes. */
+        endpoint->record.is_ready = false;
     }
     if (reason == BB_REASON_NO_TARGET) {
         BbPlacement_Avoid(endpoint, AVOID_S, now_of(call));
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -21,9 +21,13 @@
 
 #define CHECK_S 0.1
 
-/* A version heard of is asked for after this time. */
+/* A version heard of is asked for after this time; at once by a node that
+ * holds none. */
 #define HINT_S 0.7
 
+/* While the store is lost a random node is asked this often. */
+#define GOSSIP_S 0.3
+
 typedef struct {
     bb_news_client_t *owner;
     char *address; /* NULL while no question is open */
@@ -46,6 +50,9 @@
     int64_t hint_version;
     double hint_at;
     char *hint_address;
+    char *address;
+    bool is_store_lost;
+    double gossip_at;
 };
 
 static double
@@ -218,14 +225,15 @@
 {
     bb_news_client_t *client = question->owner;
     const bb_news_client_options_t *options = &client->options;
-    char target[160];
+    char target[200];
     bb_h1_fields_t fields;
 
     g_snprintf(target, sizeof(target),
                BB_NEWS_PATH "?version=%" PRId64 "&revision=%" PRId64
-                            "&wait_ms=%d",
+                            "&wait_ms=%d&from=%s",
                BbVersions_Newest(options->versions),
-               options->revision(options->arg), (int)(wait_s * 1000));
+               options->revision(options->arg), (int)(wait_s * 1000),
+               client->address);
     question->address = g_strdup(address);
     question->status = 0;
     g_byte_array_set_size(question->answer, 0);
@@ -311,6 +319,29 @@
     }
 }
 
+static void
+collect_address(bb_endpoint_t *endpoint, void *arg)
+{
+    if (!endpoint->is_local && endpoint->record.address != NULL) {
+        g_ptr_array_add(arg, endpoint->record.address);
+    }
+}
+
+static void
+ask_random_node(bb_news_client_t *client)
+{
+    question_t *question = &client->questions[BB_NEWS_SUBSCRIPTIONS];
+    GPtrArray *addresses = g_ptr_array_new();
+
+    BbFleet_ForEach(client->options.fleet, collect_address, addresses);
+    if (addresses->len > 0 && question->exchange == NULL) {
+        int32_t index =
+            BbRandom_Below(client->options.random, (int32_t)addresses->len);
+        ask(question, g_ptr_array_index(addresses, index), 0.0);
+    }
+    g_ptr_array_unref(addresses);
+}
+
 static void
 handle_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -321,6 +352,11 @@
     if (client->hint_version > 0) {
         check_hint(client);
     }
+    if (client->is_store_lost &&
+        now_of(client) - client->gossip_at >= GOSSIP_S) {
+        client->gossip_at = now_of(client);
+        ask_random_node(client);
+    }
     if (!client->is_active) {
         return;
     }
@@ -338,12 +374,19 @@
         version <= BbVersions_Newest(client->options.versions)) {
         return;
     }
+    bool holds_none = BbVersions_Newest(client->options.versions) == 0;
     client->hint_version = version;
-    client->hint_at = now_of(client);
+    client->hint_at = holds_none ? 0 : now_of(client);
     g_free(client->hint_address);
     client->hint_address = g_strdup(address);
 }
 
+void
+BbNewsClient_SetStoreLost(bb_news_client_t *client, bool is_lost)
+{
+    client->is_store_lost = is_lost;
+}
+
 void
 BbNewsClient_SetActive(bb_news_client_t *client, bool is_active)
 {
@@ -374,6 +417,7 @@
 
     client->options = *options;
     client->data_centre = g_strdup(options->data_centre);
+    client->address = g_strdup(options->address);
     client->passed_over =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     for (int i = 0; i <= BB_NEWS_SUBSCRIPTIONS; i++) {
@@ -409,5 +453,6 @@
     g_hash_table_destroy(client->passed_over);
     g_free(client->hint_address);
     g_free(client->data_centre);
+    g_free(client->address);
     g_free(client);
 }
--- a/lib/mesh/bb_news_client.h
+++ b/lib/mesh/bb_news_client.h
@@ -7,6 +7,10 @@
  * no reader has answered for FED_S, on_fed(false) tells the owner to read the
  * store itself.
  *
+ * While the store is lost, a node asks random nodes, also those that have left
+ * lately: one that was restarted meanwhile knows nobody, and hears of the
+ * asker by its question.
+ *
  * USE
  *   BbNewsClient_SetActive(client, true) while this node is no reader;
  *   BbNewsClient_Hint() when another node tells a newer version.
@@ -18,6 +22,7 @@
 
 #include "bb_fleet.h"
 #include "bb_h1_client.h"
+#include "bb_random.h"
 #include "bb_versions.h"
 
 #ifdef __cplusplus
@@ -33,7 +38,9 @@
     bb_h1_client_t *client;  /* borrowed */
     bb_fleet_t *fleet;       /* borrowed */
     bb_versions_t *versions; /* borrowed */
+    bb_random_t *random;     /* borrowed */
     const char *data_centre;
+    const char *address; /* own, for forwarded calls */
     void (*on_config)(const char *text, size_t size, const char *source,
                       void *arg);
     /* text NULL: the node was removed. */
@@ -54,6 +61,9 @@
 /* Whether questions to readers are kept open. */
 void BbNewsClient_SetActive(bb_news_client_t *client, bool is_active);
 
+/* Whether this node reads the store and does not reach it. */
+void BbNewsClient_SetStoreLost(bb_news_client_t *client, bool is_lost);
+
 /* A node has told a version; it is asked if the version does not come by
  * itself within a moment. */
 void BbNewsClient_Hint(bb_news_client_t *client, int64_t version,
--- a/lib/mesh/bb_news_server.c
+++ b/lib/mesh/bb_news_server.c
@@ -114,6 +114,19 @@
     return found != NULL ? g_ascii_strtoll(found + strlen(name), NULL, 10) : 0;
 }
 
+static void
+tell_newer(const bb_news_server_t *server, const question_t *asked)
+{
+    const bb_news_server_options_t *options = &server->options;
+    const char *from = strstr(asked->request->target->str, "from=");
+
+    if (from != NULL &&
+        asked->version > BbVersions_Newest(options->versions)) {
+        options->on_newer(asked->version, from + strlen("from="),
+                          options->arg);
+    }
+}
+
 static bool
 has_news(const bb_news_server_t *server, const question_t *question)
 {
@@ -135,6 +148,7 @@
         .revision = query_number(target, "revision="),
     };
 
+    tell_newer(server, &asked);
     if (wait_s <= 0 || has_news(server, &asked)) {
         answer(server, request, asked.version, asked.revision);
         return;
--- a/lib/mesh/bb_news_server.h
+++ b/lib/mesh/bb_news_server.h
@@ -1,8 +1,10 @@
 /*
  * bb_news_server - configuration and node records, told to other nodes
  *
- * Answers GET BB_NEWS_PATH?version=V&revision=R&wait_ms=W: at once when this
- * node holds more than that, else when it does, or after W milliseconds.
+ * Answers GET BB_NEWS_PATH?version=V&revision=R&wait_ms=W&from=ADDRESS: at once
+ * when this node holds more than that, else when it does, or after W
+ * milliseconds. An asker that holds more is told to the owner, who may ask
+ * back: so a node that knows nobody hears of others.
  *
  * The answer is JSON: "version" in force here, "connected" (this node reads
  * the store itself and reaches it), "revision" up to which the node records
@@ -34,6 +36,8 @@
     /* Revision up to which this node knows all records. */
     int64_t (*revision)(void *arg);
     bool (*is_connected)(void *arg);
+    /* An asker holds a newer version. */
+    void (*on_newer)(int64_t version, const char *address, void *arg);
     void *arg;
 } bb_news_server_options_t;
 
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -373,7 +373,12 @@
 {
     (void)loop;
     (void)events;
-    check_role(timer->data);
+    sidecar_t *sidecar = timer->data;
+    bool is_reading = !BbFollow_IsSuspended(sidecar->config_follow);
+
+    check_role(sidecar);
+    BbNewsClient_SetStoreLost(sidecar->news_client,
+                              is_reading && !is_connected(sidecar));
 }
 
 /* ---- announcements of the target ---- */
@@ -732,6 +737,7 @@
         .versions = sidecar->versions,
         .revision = known_revision,
         .is_connected = is_connected,
+        .on_newer = version_heard,
         .arg = sidecar,
     };
     const bb_news_client_options_t client = {
@@ -739,7 +745,9 @@
         .client = BbHopIo_Client(sidecar->hop),
         .fleet = sidecar->fleet,
         .versions = sidecar->versions,
+        .random = sidecar->random,
         .data_centre = sidecar->settings->data_centre,
+        .address = sidecar->settings->forward_address,
         .on_config = take_config,
         .on_node = take_node,
         .on_revision = revision_told,
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -1,5 +1,7 @@
 // Tests of lib/http and lib/mesh over loopback: what callers get and what
 // targets run when targets, nodes and callers misbehave.
+#include "bb_news_client.h"
+#include "bb_news_server.h"
 #include "mesh_rig.h"
 
 using mesh_rig::Caller;
@@ -435,3 +437,108 @@
         "200");
     EXPECT_EQ(target.Runs("c1"), 1);
 }
+
+namespace {
+
+// The news side of one node: what it holds, answers and asks.
+struct NewsNode {
+    NewsNode(Loop *loop, const char *name)
+        : address(mesh_rig::FreeAddress()), fleet(BbFleet_New(name)),
+          versions(BbVersions_New()), random(BbRandom_New(2))
+    {
+        bb_news_server_options_t news = {};
+        news.loop = loop->loop;
+        news.fleet = fleet;
+        news.versions = versions;
+        news.revision = [](void *) -> int64_t { return 1; };
+        news.is_connected = [](void *) { return false; };
+        news.on_newer = [](int64_t version, const char *from, void *arg) {
+            BbNewsClient_Hint(static_cast<NewsNode *>(arg)->client, version,
+                              from);
+        };
+        news.arg = this;
+        server = BbNewsServer_New(&news);
+        bb_h1_server_options_t listen = {};
+        listen.loop = loop->loop;
+        listen.address = address.c_str();
+        listen.handler = &kHandler;
+        listen.arg = this;
+        EXPECT_EQ(BbH1Server_New(&listen, &http), 0);
+        bb_h1_client_options_t http_options = {loop->loop, 0, 0, 0};
+        http_client = BbH1Client_New(&http_options);
+        bb_news_client_options_t options = {};
+        options.loop = loop->loop;
+        options.client = http_client;
+        options.fleet = fleet;
+        options.versions = versions;
+        options.random = random;
+        options.data_centre = "a";
+        options.address = address.c_str();
+        options.on_config = [](const char *text, size_t size, const char *,
+                               void *arg) {
+            auto *node = static_cast<NewsNode *>(arg);
+            node->config = std::string(text, size);
+            BbVersions_Add(node->versions, 7, text, size);
+        };
+        options.on_node = [](const char *node, const char *, size_t, int64_t,
+                             void *arg) {
+            static_cast<NewsNode *>(arg)->told = node;
+        };
+        options.on_revision = [](int64_t, void *) {};
+        options.on_fed = [](bool, void *) {};
+        options.revision = [](void *) -> int64_t { return 0; };
+        options.arg = this;
+        client = BbNewsClient_New(&options);
+    }
+    ~NewsNode()
+    {
+        BbNewsClient_Free(client);
+        BbNewsServer_Free(server);
+        BbH1Client_Free(http_client);
+        BbH1Server_Free(http);
+        BbVersions_Free(versions);
+        BbFleet_Free(fleet);
+        BbRandom_Free(random);
+    }
+    static void OnHead(bb_h1_request_t *request, void *arg)
+    {
+        BbNewsServer_Ask(static_cast<NewsNode *>(arg)->server, request);
+    }
+    static void OnGone(bb_h1_request_t *request, void *arg)
+    {
+        BbNewsServer_Gone(static_cast<NewsNode *>(arg)->server, request);
+    }
+    static const bb_h1_handler_t kHandler;
+    std::string address, config, told;
+    bb_fleet_t *fleet;
+    bb_versions_t *versions;
+    bb_random_t *random;
+    bb_news_server_t *server;
+    bb_h1_server_t *http;
+    bb_h1_client_t *http_client;
+    bb_news_client_t *client;
+};
+
+const bb_h1_handler_t NewsNode::kHandler = {OnHead, nullptr, nullptr, OnGone};
+
+} // namespace
+
+// Guards against a node that is restarted while the store is away, and serves
+// nobody until it is back because it knows no other node (incident inc-dfac).
+TEST(MeshNews, RestartedNodesHearOfOthersWhileTheStoreIsLost)
+{
+    Loop loop;
+    NewsNode old_node(&loop, "old"), restarted(&loop, "restarted");
+    BbVersions_Add(old_node.versions, 7, "the tables", 10);
+    bb_node_record_t record = {};
+    record.address = const_cast<char *>(restarted.address.c_str());
+    record.data_centre = const_cast<char *>("a");
+    record.service = const_cast<char *>("orders");
+    record.target_id = const_cast<char *>("i-1");
+    BbFleet_Merge(old_node.fleet, "restarted", &record, 5, 0);
+    BbFleet_Merge(old_node.fleet, "restarted", nullptr, 6, 0);
+    BbNewsClient_SetStoreLost(old_node.client, true);
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return restarted.config == "the tables"; }, 2.0));
+    EXPECT_EQ(restarted.told, "restarted");
+}
