--- a/lib/mesh/bb_news_server.h
+++ b/lib/mesh/bb_news_server.h
@@ -1,8 +1,8 @@
 /*
  * bb_news_server - configuration and node records, told to other nodes
  *
- * Answers GET BB_NEWS_PATH?version=V&revision=R&wait_ms=W&from=ADDRESS: at once
- * when this node holds more than that, else when it does, or after W
+ * Answers GET BB_NEWS_PATH?version=V&revision=R&wait_ms=W&from=ADDRESS: at
+ * once when this node holds more than that, else when it does, or after W
  * milliseconds. An asker that holds more is told to the owner, who may ask
  * back: so a node that knows nobody hears of others.
  *
--- a/programs/bbctl/main.c
+++ b/programs/bbctl/main.c
@@ -13,9 +13,8 @@
 #define USAGE_COLUMNS 34 /* characters before the summary in the help */
 
 static const command_t *const groups[] = {
-    key_commands,    draft_commands,   propose_commands,
-    accept_commands, version_commands, node_commands,
-    trace_commands,
+    key_commands,     draft_commands, propose_commands, accept_commands,
+    version_commands, node_commands,  trace_commands,
 };
 
 static void
--- a/programs/bbctl/trace.c
+++ b/programs/bbctl/trace.c
@@ -125,8 +125,7 @@
 
     printf("%+9.4f  %-24s %-16s", time_of(line) - trace->first,
            text_of(line, "node"), text_of(line, "event"));
-    json_object_foreach(line, key, value)
-    {
+    json_object_foreach (line, key, value) {
         if (strcmp(key, "time") == 0 || strcmp(key, "node") == 0 ||
             strcmp(key, "event") == 0 || strcmp(key, "call") == 0) {
             continue;
