--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 # The sidecar needs few packages and starts on machines that have no others,
 # so it is linked from its own parts instead of the whole library.
-SIDECAR_COMMON := bb_counters bb_error bb_event bb_findings bb_histogram \
+SIDECAR_COMMON := bb_clock bb_counters bb_error bb_event bb_findings bb_histogram \
                   bb_random \
                   bb_reason bb_sidecar_settings
 SIDECAR_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/bbsidecar/*.c \
--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -1,4 +1,5 @@
 #include "bb_h1_client.h"
+#include "bb_clock.h"
 
 #include <assert.h>
 #include <errno.h>
@@ -143,7 +144,7 @@
     DL_DELETE(peer->busy, link);
     DL_PREPEND(peer->idle, link);
     peer->idle_count++;
-    link->idle_since = ev_now(client->loop);
+    link->idle_since = BbClock_Now(client->loop);
     link->timer.repeat = link->keep_s;
     ev_timer_again(client->loop, &link->timer);
     if (peer->idle_count > client->max_idle) {
@@ -512,7 +513,7 @@
     bb_h1_peer_t *peer = find_peer(client, options->address);
     bb_h1_exchange_t *exchange = g_new0(bb_h1_exchange_t, 1);
     bb_h1_link_t *link =
-        take_idle(peer, options->max_idle_s, ev_now(client->loop));
+        take_idle(peer, options->max_idle_s, BbClock_Now(client->loop));
 
     if (link == NULL) {
         link = open_link(client, peer);
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -1,4 +1,5 @@
 #include "bb_call_io.h"
+#include "bb_clock.h"
 
 #include <assert.h>
 #include <inttypes.h>
@@ -102,7 +103,7 @@
 static double
 now_of(const call_t *call)
 {
-    return ev_now(call->io->options.loop);
+    return BbClock_Now(call->io->options.loop);
 }
 
 static void
@@ -625,7 +626,7 @@
     call->io = io;
     call->request = request;
     call->call_id = g_strdup(id != NULL ? id : "");
-    call->arrived_at = ev_now(io->options.loop);
+    call->arrived_at = BbClock_Now(io->options.loop);
     call->answer = g_byte_array_new();
     BbH1Fields_Init(&call->fields);
     BbH1Fields_Init(&call->answer_fields);
--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -1,4 +1,5 @@
 #include "bb_follow.h"
+#include "bb_clock.h"
 
 #include "bb_error.h"
 #include "bb_event.h"
@@ -37,7 +38,7 @@
                       state, "error", error != 0 ? BbError_Name(error) : "",
                       "for_s",
                       follow->lost_at > 0
-                          ? ev_now(follow->options.loop) - follow->lost_at
+                          ? BbClock_Now(follow->options.loop) - follow->lost_at
                           : 0.0));
     }
 }
@@ -53,7 +54,7 @@
     }
     follow->is_connected = is_connected;
     if (!is_connected) {
-        follow->lost_at = ev_now(follow->options.loop);
+        follow->lost_at = BbClock_Now(follow->options.loop);
     }
     log_state(follow, is_connected ? "regained" : "lost", error);
     follow->options.handler->on_health(is_connected, error,
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -1,4 +1,5 @@
 #include "bb_hop_io.h"
+#include "bb_clock.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -217,7 +218,7 @@
     hop_call_t *call = g_new0(hop_call_t, 1);
     const bb_h1_fields_t *fields = &request->fields;
     const char *id = BbH1Fields_Get(fields, hop->options.names->call_id);
-    double now = ev_now(hop->options.loop);
+    double now = BbClock_Now(hop->options.loop);
 
     call->hop = hop;
     call->request = request;
@@ -276,8 +277,8 @@
 {
     bb_transfer_ticket_t *ticket;
 
-    while ((ticket = BbTransferGate_Next(hop->gate,
-                                         ev_now(hop->options.loop))) != NULL) {
+    while ((ticket = BbTransferGate_Next(
+                hop->gate, BbClock_Now(hop->options.loop))) != NULL) {
         hop_call_t *call = ticket->arg;
         if (ticket->state == BB_TRANSFER_GRANTED) {
             BbH1_RespondInterim(call->request, STATUS_SEND_BODY);
@@ -300,7 +301,7 @@
 call_for_body(hop_call_t *call)
 {
     bb_hop_io_t *hop = call->hop;
-    double now = ev_now(hop->options.loop);
+    double now = BbClock_Now(hop->options.loop);
     double service_s =
         BbTargetIo_ServiceTime(hop->options.target, call->told.class_name);
     double in_time_by = call->asked.target_at - service_s -
@@ -492,7 +493,7 @@
 static void
 note_heard(hop_attempt_t *attempt)
 {
-    attempt->peer->heard_at = ev_now(attempt->hop->options.loop);
+    attempt->peer->heard_at = BbClock_Now(attempt->hop->options.loop);
     ev_timer_stop(attempt->hop->options.loop, &attempt->ack_timer);
 }
 
@@ -712,7 +713,7 @@
 add_hop_field(const bb_hop_io_t *hop, const bb_attempt_request_t *request,
               bb_h1_fields_t *fields)
 {
-    double now = ev_now(hop->options.loop);
+    double now = BbClock_Now(hop->options.loop);
     const bb_hop_call_t told = {
         .service = (char *)request->service,
         .caller_service = (char *)request->caller_service,
@@ -754,7 +755,7 @@
     attempt->base.ops = &client_ops;
     attempt->hop = hop;
     attempt->peer = find_peer(hop, address);
-    attempt->started_at = ev_now(hop->options.loop);
+    attempt->started_at = BbClock_Now(hop->options.loop);
     DL_APPEND(attempt->peer->attempts, attempt);
     attempt->request = *request;
     attempt->handler = handler;
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -1,4 +1,5 @@
 #include "bb_news_client.h"
+#include "bb_clock.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -58,7 +59,7 @@
 static double
 now_of(const bb_news_client_t *client)
 {
-    return ev_now(client->options.loop);
+    return BbClock_Now(client->options.loop);
 }
 
 /* ---- answers ---- */
--- a/lib/mesh/bb_news_client.h
+++ b/lib/mesh/bb_news_client.h
@@ -8,7 +8,7 @@
  * store itself.
  *
  * While the store is lost, a node asks random nodes, also those that have left
- * lately: one that was restarted meanwhile knows nobody, and hears of the
+ * before: one that was restarted meanwhile knows nobody, and hears of the
  * asker by its question.
  *
  * USE
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -1,4 +1,5 @@
 #include "bb_target_io.h"
+#include "bb_clock.h"
 
 #include <math.h>
 #include <string.h>
@@ -79,9 +80,9 @@
         BbHistogram_Add(BB_HISTOGRAM_QUEUE_WAIT,
                         call->ticket.started_at - call->ticket.arrived_at);
         BbHistogram_Add(BB_HISTOGRAM_TARGET_TIME,
-                        ev_now(io->loop) - call->ticket.started_at);
+                        BbClock_Now(io->loop) - call->ticket.started_at);
         BbSlotQueue_Finish(io->queue, &call->ticket, is_measured,
-                           ev_now(io->loop));
+                           BbClock_Now(io->loop));
     }
     else if (call->ticket.state == BB_SLOT_WAITING) {
         BbSlotQueue_Cancel(io->queue, &call->ticket);
@@ -133,7 +134,7 @@
     bb_target_io_t *io = call->io;
     const bb_attempt_handler_t *handler = call->handler;
     void *arg = call->arg;
-    double now = ev_now(io->loop);
+    double now = BbClock_Now(io->loop);
 
     if (BbEvent_Allows(BB_EVENT_TARGET_FAILED)) {
         BbEvent_Write(BB_EVENT_TARGET_FAILED,
@@ -268,7 +269,7 @@
     bb_h1_fields_t fields;
     char deadline_ms[24];
     double left_s =
-        request->deadline_at - DEADLINE_MARGIN_S - ev_now(io->loop);
+        request->deadline_at - DEADLINE_MARGIN_S - BbClock_Now(io->loop);
 
     g_snprintf(deadline_ms, sizeof(deadline_ms), "%d",
                (int)MAX(left_s * 1000, 1));
@@ -326,7 +327,8 @@
 {
     bb_slot_ticket_t *ticket;
 
-    while ((ticket = BbSlotQueue_Next(io->queue, ev_now(io->loop))) != NULL) {
+    while ((ticket = BbSlotQueue_Next(io->queue, BbClock_Now(io->loop))) !=
+           NULL) {
         target_call_t *call = ticket->arg;
         if (ticket->state == BB_SLOT_RUNNING) {
             start_call(call);
@@ -436,7 +438,7 @@
 
     *retry_after_s = 0;
     if (reason == BB_REASON_NONE &&
-        BbSlotQueue_WouldRefuse(io->queue, &ticket, ev_now(io->loop))) {
+        BbSlotQueue_WouldRefuse(io->queue, &ticket, BbClock_Now(io->loop))) {
         *retry_after_s = BbSlotQueue_Wait(io->queue);
         reason = BB_REASON_QUEUE_FULL;
     }
@@ -449,7 +451,7 @@
                  const bb_attempt_handler_t *handler, void *arg,
                  double *retry_after_s, bb_attempt_t **attempt)
 {
-    double now = ev_now(io->loop);
+    double now = BbClock_Now(io->loop);
     bb_reason_t reason = obstacle_for(io, request);
 
     *retry_after_s = 0;
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -1,4 +1,5 @@
 #include "sidecar.h"
+#include "bb_clock.h"
 
 #include <signal.h>
 #include <sys/stat.h>
@@ -52,7 +53,7 @@
         .started_ms = sidecar->started_ms,
     };
 
-    BbFleet_SetOwn(sidecar->fleet, &record, ev_now(sidecar->loop));
+    BbFleet_SetOwn(sidecar->fleet, &record, BbClock_Now(sidecar->loop));
     if (sidecar->leaving_since > 0) {
         BbRowWriter_Set(sidecar->record, NULL);
         return;
@@ -164,7 +165,7 @@
 {
     (void)events;
     sidecar_t *sidecar = timer->data;
-    double now = ev_now(loop);
+    double now = BbClock_Now(loop);
     double since_s = now - sidecar->leaving_since;
     bool is_left = since_s >= REFUSE_AFTER_S ||
                    now - BbCallIo_LastCallAt(sidecar->call_io) >= QUIET_S;
@@ -195,7 +196,7 @@
     if (sidecar->leaving_since > 0) {
         return;
     }
-    sidecar->leaving_since = ev_now(loop);
+    sidecar->leaving_since = BbClock_Now(loop);
     if (BbEvent_Allows(BB_EVENT_TERM)) {
         BbEvent_Write(BB_EVENT_TERM,
                       json_pack("{s:i}", "open_calls", open_calls(sidecar)));
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "bb_clock.h"
 #include "bb_error.h"
 #include "bb_event.h"
 #include "bb_readers.h"
@@ -113,7 +114,7 @@
         return; /* of another writer or a later release */
     }
     if (BbFleet_Merge(sidecar->fleet, node, is_readable ? &record : NULL,
-                      revision, ev_now(sidecar->loop))) {
+                      revision, BbClock_Now(sidecar->loop))) {
         log_node(node, is_readable ? &record : NULL, revision);
         BbRepeatBudget_SetNodes(sidecar->budget,
                                 (int)BbFleet_NodeCount(sidecar->fleet));
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -2,11 +2,16 @@
 // placement, slot queue, repeat budget, local target, readers, versions.
 #include <gtest/gtest.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "bb_clock.h"
 #include "bb_error.h"
+#include "bb_event.h"
 #include "bb_fleet.h"
 #include "bb_h1_message.h"
 #include "bb_hop.h"
@@ -690,3 +695,46 @@
     EXPECT_GT(refused, 80);
     BbTransferGate_Free(gate);
 }
+
+// Guards against decisions that follow steps of the time of day (own day
+// freeze-and-clock: 44% of the calls refused after a step of 3 s).
+TEST(MeshClock, FollowsTheMonotonicClock)
+{
+    struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+    ev_now_update(loop);
+    double monotonic_s = static_cast<double>(g_get_monotonic_time()) / 1e6;
+    double now = BbClock_Now(loop);
+    EXPECT_NEAR(now, monotonic_s, 0.5);
+    EXPECT_EQ(BbClock_Now(loop), now); // the same within one turn
+    usleep(2000);
+    ev_now_update(loop);
+    EXPECT_GT(BbClock_Now(loop), now);
+    ev_loop_destroy(loop);
+}
+
+// Guards against calls that wait for a reader of the log: standard output is
+// a pipe that nobody reads.
+TEST(MeshEvent, NeverWaitsForStandardOutput)
+{
+    int ends[2], saved = dup(STDOUT_FILENO);
+    fflush(stdout);
+    ASSERT_EQ(pipe(ends), 0);
+    ASSERT_GE(dup2(ends[1], STDOUT_FILENO), 0);
+    BbEvent_Init("n");
+    gint64 start = g_get_monotonic_time();
+    for (int i = 0; i < 5000; i++) {
+        BbEvent_Write(BB_EVENT_CALL_REFUSED,
+                      json_pack("{s:s}", "call", "a call with a long name"));
+    }
+    double took_s = static_cast<double>(g_get_monotonic_time() - start) / 1e6;
+    // What fitted is whole lines; the rest is counted in the next line.
+    char text[4096];
+    ssize_t size = read(ends[0], text, sizeof(text));
+    dup2(saved, STDOUT_FILENO);
+    close(saved);
+    close(ends[0]);
+    close(ends[1]);
+    EXPECT_LT(took_s, 2.0);
+    ASSERT_GT(size, 100);
+    EXPECT_EQ(text[0], '{');
+}
