Call the answers to open calls at the end of a node

Cause: the change that answers open calls before the forced end added the function and its unit test, but the sidecar did not call it. Ruled out: kills, frozen processes, lost answers.

--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -175,9 +175,11 @@
     if (since_s >= REFUSE_AFTER_S) {
         BbCallIo_SetRefusing(sidecar->call_io);
     }
-
-    if (is_quiet ||
-        since_s >= sidecar->settings->shutdown_s - LEAVE_MARGIN_S) {
+    double end_s = sidecar->settings->shutdown_s - LEAVE_MARGIN_S;
+    if (since_s >= end_s) {
+        BbCallIo_EndAll(sidecar->call_io);
+    }
+    if (is_quiet || since_s >= end_s + LAST_ANSWERS_S) {
         if (BbEvent_Allows(BB_EVENT_STOP)) {
             BbEvent_Write(BB_EVENT_STOP,
                           json_pack("{s:i, s:f}", "open_calls",
