Hear of versions from other data centres; stop accepting before a node ends

Change: a reader of a large fleet also keeps one question open at a reader of another data centre; a hint is followed after 0.4 s instead of 0.7 s.

Ruled out: a call cut in flight (the log says 0 left in flight). Change: a drained node accepts what waits in the queue of its listener, closes it, and answers what came before it ends. Test: Proxy.AnswersWaitingConnectionsAndTakesNoMoreAfterADrain, fails without.

--- a/lib/caller/bb_proxy_io.c
+++ b/lib/caller/bb_proxy_io.c
@@ -98,6 +98,7 @@
 
     ev_timer_stop(proxy->options.loop, &proxy->drain_timer);
     proxy->drain_done = NULL;
+    BbMhd_StopAccepting(proxy->mhd);
     if (done != NULL) {
         done(proxy->drain_arg);
     }
--- a/lib/caller/bb_proxy_io.h
+++ b/lib/caller/bb_proxy_io.h
@@ -95,7 +95,8 @@
 /*
  * Drains admission, refuses new work as not-run ("node_draining") and calls
  * done once, from the loop, when no call is in flight or drain_ms is over.
- * Calls still in flight at that time are cut by BbProxy_Free().
+ * From then on no connection is accepted. Calls that came on connections
+ * accepted before are still refused, until BbProxy_Free() cuts what is left.
  */
 void BbProxy_Drain(bb_proxy_t *proxy, void (*done)(void *arg), void *arg);
 
--- a/lib/common/bb_http_io.c
+++ b/lib/common/bb_http_io.c
@@ -178,15 +178,34 @@
     return 0;
 }
 
+/* Closing the listener resets connections that are not accepted yet, so the
+ * daemon gets all of them before. */
+static void
+accept_pending(bb_mhd_t *mhd, int listen_fd)
+{
+    struct sockaddr_in name;
+    socklen_t size = sizeof(name);
+    int fd;
+
+    while ((fd = accept4(listen_fd, (struct sockaddr *)&name, &size,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        /* The daemon closes the socket when it has no room for it. */
+        MHD_add_connection(mhd->daemon, fd, (struct sockaddr *)&name, size);
+        size = sizeof(name);
+    }
+}
+
 void
 BbMhd_StopAccepting(bb_mhd_t *mhd)
 {
     if (mhd->listen_fd >= 0) {
         MHD_socket fd = MHD_quiesce_daemon(mhd->daemon);
         if (fd != MHD_INVALID_SOCKET) {
+            accept_pending(mhd, fd);
             close(fd);
         }
         mhd->listen_fd = -1;
+        BbMhd_Kick(mhd);
     }
 }
 
--- a/lib/common/bb_http_io.h
+++ b/lib/common/bb_http_io.h
@@ -49,7 +49,8 @@
 /* Runs the daemon once from the loop, after the current callbacks. */
 void BbMhd_Kick(bb_mhd_t *mhd);
 
-/* Stops accepting; open connections go on. */
+/* Stops accepting; open connections go on, also those that wait in the queue
+ * of the listener. */
 void BbMhd_StopAccepting(bb_mhd_t *mhd);
 
 /* Number of open connections. */
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -24,7 +24,7 @@
 
 /* A version heard of is asked for after this time; at once by a node that
  * holds none. */
-#define HINT_S 0.7
+#define HINT_S 0.4
 
 /* While the store is lost a random node is asked this often. */
 #define GOSSIP_S 0.3
@@ -42,7 +42,7 @@
 struct bb_news_client {
     bb_news_client_options_t options;
     char *data_centre;
-    bool is_active;
+    bb_news_scope_t scope;
     bool is_fed;
     double fed_at;
     question_t questions[BB_NEWS_SUBSCRIPTIONS + 1]; /* the last for hints */
@@ -155,7 +155,7 @@
     json_decref(root);
     if (!question->is_hint && is_connected) {
         client->fed_at = now_of(client);
-        set_fed(client, true);
+        set_fed(client, client->scope == BB_NEWS_READERS);
     }
     fill_questions(client);
 }
@@ -257,10 +257,15 @@
 }
 
 static bool
-is_usable(const bb_news_client_t *client, const char *address)
+is_usable(const bb_news_client_t *client, const bb_endpoint_t *endpoint)
 {
+    const char *address = endpoint->record.address;
     const double *until = g_hash_table_lookup(client->passed_over, address);
 
+    if (client->scope == BB_NEWS_REMOTE &&
+        strcmp(endpoint->record.data_centre, client->data_centre) == 0) {
+        return false;
+    }
     if (until != NULL && *until > now_of(client)) {
         return false;
     }
@@ -277,22 +282,38 @@
 {
     for (guint i = 0; i < readers->len; i++) {
         const bb_endpoint_t *endpoint = g_ptr_array_index(readers, i);
-        if (is_usable(client, endpoint->record.address)) {
+        if (is_usable(client, endpoint)) {
             return endpoint->record.address;
         }
     }
     return NULL;
 }
 
+static int
+subscription_count(const bb_news_client_t *client)
+{
+    switch (client->scope) {
+    case BB_NEWS_NONE:
+        return 0;
+    case BB_NEWS_REMOTE:
+        return 1;
+    case BB_NEWS_READERS:
+        return BB_NEWS_SUBSCRIPTIONS;
+    }
+    return 0;
+}
+
 static void
 fill_questions(bb_news_client_t *client)
 {
-    if (!client->is_active) {
+    int count = subscription_count(client);
+
+    if (count == 0) {
         return;
     }
     GPtrArray *readers =
         BbReaders_Rank(client->options.fleet, client->data_centre);
-    for (int i = 0; i < BB_NEWS_SUBSCRIPTIONS; i++) {
+    for (int i = 0; i < count; i++) {
         question_t *question = &client->questions[i];
         if (question->exchange != NULL) {
             continue;
@@ -358,11 +379,9 @@
         client->gossip_at = now_of(client);
         ask_random_node(client);
     }
-    if (!client->is_active) {
-        return;
-    }
     fill_questions(client);
-    if (client->is_fed && now_of(client) - client->fed_at > FED_S) {
+    if (client->scope == BB_NEWS_READERS && client->is_fed &&
+        now_of(client) - client->fed_at > FED_S) {
         set_fed(client, false);
     }
 }
@@ -388,25 +407,27 @@
     client->is_store_lost = is_lost;
 }
 
-void
-BbNewsClient_SetActive(bb_news_client_t *client, bool is_active)
+static void
+cancel_question(question_t *question)
 {
-    if (client->is_active == is_active) {
-        return;
+    if (question->exchange != NULL) {
+        BbH1_Cancel(question->exchange);
+        close_question(question);
     }
-    client->is_active = is_active;
-    if (is_active) {
-        fill_questions(client);
+}
+
+void
+BbNewsClient_SetScope(bb_news_client_t *client, bb_news_scope_t scope)
+{
+    if (client->scope == scope) {
         return;
     }
+    client->scope = scope;
     client->is_fed = false;
     for (int i = 0; i < BB_NEWS_SUBSCRIPTIONS; i++) {
-        question_t *question = &client->questions[i];
-        if (question->exchange != NULL) {
-            BbH1_Cancel(question->exchange);
-            close_question(question);
-        }
+        cancel_question(&client->questions[i]);
     }
+    fill_questions(client);
 }
 
 /* ---- life ---- */
@@ -441,15 +462,10 @@
     if (client == NULL) {
         return;
     }
-    BbNewsClient_SetActive(client, false);
     ev_timer_stop(client->options.loop, &client->check_timer);
     for (int i = 0; i <= BB_NEWS_SUBSCRIPTIONS; i++) {
-        question_t *question = &client->questions[i];
-        if (question->exchange != NULL) {
-            BbH1_Cancel(question->exchange);
-            close_question(question);
-        }
-        g_byte_array_unref(question->answer);
+        cancel_question(&client->questions[i]);
+        g_byte_array_unref(client->questions[i].answer);
     }
     g_hash_table_destroy(client->passed_over);
     g_free(client->hint_address);
--- a/lib/mesh/bb_news_client.h
+++ b/lib/mesh/bb_news_client.h
@@ -7,12 +7,16 @@
  * no reader has answered for FED_S, on_fed(false) tells the owner to read the
  * store itself.
  *
+ * A reader keeps one question open at a reader of another data centre: when
+ * the store falls silent for it without a reset, it learns so only at the end
+ * of its feed call, and its whole data centre would wait for it.
+ *
  * While the store is lost, a node asks random nodes, also those that have left
  * before: one that was restarted meanwhile knows nobody, and hears of the
  * asker by its question.
  *
  * USE
- *   BbNewsClient_SetActive(client, true) while this node is no reader;
+ *   BbNewsClient_SetScope() when the role of this node changes;
  *   BbNewsClient_Hint() when another node tells a newer version.
  */
 #ifndef BB_NEWS_CLIENT_H
@@ -33,6 +37,13 @@
 
 typedef struct bb_news_client bb_news_client_t;
 
+/* At which nodes questions are kept open. */
+typedef enum {
+    BB_NEWS_NONE,    /* every node reads the store itself */
+    BB_NEWS_REMOTE,  /* this node reads: one reader of another data centre */
+    BB_NEWS_READERS, /* readers, those of the own data centre first */
+} bb_news_scope_t;
+
 typedef struct {
     struct ev_loop *loop;
     bb_h1_client_t *client;  /* borrowed */
@@ -48,7 +59,7 @@
                     int64_t revision, void *arg);
     /* All records up to this revision have been told. */
     void (*on_revision)(int64_t revision, void *arg);
-    /* Readers answer, or none does any more. */
+    /* In scope BB_NEWS_READERS: readers answer, or none does any more. */
     void (*on_fed)(bool is_fed, void *arg);
     /* Revision up to which this node knows all records. */
     int64_t (*revision)(void *arg);
@@ -58,8 +69,7 @@
 bb_news_client_t *BbNewsClient_New(const bb_news_client_options_t *options);
 void BbNewsClient_Free(bb_news_client_t *client);
 
-/* Whether questions to readers are kept open. */
-void BbNewsClient_SetActive(bb_news_client_t *client, bool is_active);
+void BbNewsClient_SetScope(bb_news_client_t *client, bb_news_scope_t scope);
 
 /* Whether this node reads the store and does not reach it. */
 void BbNewsClient_SetStoreLost(bb_news_client_t *client, bool is_lost);
--- a/programs/bbnode/node.c
+++ b/programs/bbnode/node.c
@@ -15,8 +15,10 @@
  * together stay below the 3 s of G7. */
 #define TICK_S 0.1
 
-/* The leave message gets this long to reach the links before the exit. */
+/* The leave message gets this long to reach the links before the exit, and
+ * calls on connections that were accepted last get their answers. */
 #define LEAVE_S 0.1
+#define LEAVE_MAX_S 1.0
 
 /* First reads of a herd of starting nodes spread over this time: 3,400 nodes
  * in 2 s are 1,700 reads/s, below the 2,000 that the platform gives. */
@@ -183,9 +185,13 @@
 static void
 handle_leave_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
-    (void)timer;
     (void)events;
-    ev_break(loop, EVBREAK_ALL);
+    node_t *node = timer->data;
+
+    if (BbProxy_InFlight(node->proxy) == 0 ||
+        Node_NowMs() - node->drained_ms >= LEAVE_MAX_S * 1000) {
+        ev_break(loop, EVBREAK_ALL);
+    }
 }
 
 static void
@@ -196,7 +202,8 @@
     BbLog_Write(BB_LOG_NOTICE, "drained, %d calls left in flight",
                 BbProxy_InFlight(node->proxy));
     BbPeer_Leave(node->peer);
-    ev_timer_set(&node->leave_timer, LEAVE_S, 0.0);
+    node->drained_ms = Node_NowMs();
+    ev_timer_set(&node->leave_timer, LEAVE_S, LEAVE_S);
     ev_timer_start(node->loop, &node->leave_timer);
 }
 
@@ -403,6 +410,7 @@
     node->term_signal.data = node;
     node->interrupt_signal.data = node;
     node->tick.data = node;
+    node->leave_timer.data = node;
     ev_signal_start(node->loop, &node->term_signal);
     ev_signal_start(node->loop, &node->interrupt_signal);
     ev_timer_start(node->loop, &node->tick);
--- a/programs/bbnode/node_internal.h
+++ b/programs/bbnode/node_internal.h
@@ -34,6 +34,7 @@
     bb_trusted_owner_t owners[BB_MAX_OWNERS];
     uint64_t node_id;
     int64_t started_ms;
+    int64_t drained_ms; /* when no call was in flight after SIGTERM */
     bb_random_t *random;
     bb_curl_t *platform_curl;
     bb_curl_t *call_curl;
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -239,12 +239,15 @@
 check_role(sidecar_t *sidecar)
 {
     bool is_reader = BbReaders_IsOwn(sidecar->fleet, sidecar->settings->name);
+    bb_news_scope_t scope = BB_NEWS_READERS;
 
-    if (is_reader == sidecar->is_reader) {
-        return;
+    if (is_reader) {
+        scope = BbFleet_NodeCount(sidecar->fleet) > BB_READERS_ALL
+                    ? BB_NEWS_REMOTE
+                    : BB_NEWS_NONE;
     }
     sidecar->is_reader = is_reader;
-    BbNewsClient_SetActive(sidecar->news_client, !is_reader);
+    BbNewsClient_SetScope(sidecar->news_client, scope);
     if (is_reader) {
         set_reading(sidecar, true);
     }
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -450,8 +450,12 @@
         news.loop = loop->loop;
         news.fleet = fleet;
         news.versions = versions;
-        news.revision = [](void *) -> int64_t { return 1; };
-        news.is_connected = [](void *) { return false; };
+        news.revision = [](void *arg) {
+            return static_cast<NewsNode *>(arg)->revision;
+        };
+        news.is_connected = [](void *arg) {
+            return static_cast<NewsNode *>(arg)->is_connected;
+        };
         news.on_newer = [](int64_t version, const char *from, void *arg) {
             BbNewsClient_Hint(static_cast<NewsNode *>(arg)->client, version,
                               from);
@@ -510,6 +514,8 @@
     }
     static const bb_h1_handler_t kHandler;
     std::string address, config, told;
+    int64_t revision = 1;
+    bool is_connected = false;
     bb_fleet_t *fleet;
     bb_versions_t *versions;
     bb_random_t *random;
@@ -542,3 +548,33 @@
         loop.RunUntil([&] { return restarted.config == "the tables"; }, 2.0));
     EXPECT_EQ(restarted.told, "restarted");
 }
+
+// Guards against a data centre that gets a version late because the store is
+// silent for its readers, which learn so only at the end of a feed call.
+TEST(MeshNews, ReadersHearOfVersionsFromOtherDataCentres)
+{
+    Loop loop;
+    NewsNode deaf(&loop, "deaf"), near(&loop, "near"), remote(&loop, "remote");
+    const auto add = [&deaf](const NewsNode &node, const char *name,
+                             const char *data_centre) {
+        bb_node_record_t record = {};
+        record.address = const_cast<char *>(node.address.c_str());
+        record.data_centre = const_cast<char *>(data_centre);
+        record.service = const_cast<char *>("orders");
+        record.target_id = const_cast<char *>(name);
+        BbFleet_Merge(deaf.fleet, name, &record, 5, 0);
+    };
+    near.revision = remote.revision = 0;
+    near.is_connected = remote.is_connected = true;
+    add(near, "near", "a");
+    add(remote, "remote", "b");
+    BbNewsClient_SetScope(deaf.client, BB_NEWS_REMOTE);
+    EXPECT_FALSE(loop.RunUntil([&] { return deaf.config != ""; }, 0.1));
+    BbVersions_Add(near.versions, 7, "of the neighbour", 16);
+    BbNewsServer_Changed(near.server);
+    EXPECT_FALSE(loop.RunUntil([&] { return deaf.config != ""; }, 0.1));
+    BbVersions_Add(remote.versions, 7, "the tables", 10);
+    BbNewsServer_Changed(remote.server);
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return deaf.config == "the tables"; }, 1.0));
+}
--- a/tests/unit/proxy_test.cc
+++ b/tests/unit/proxy_test.cc
@@ -345,6 +345,20 @@
     }
 };
 
+// A connected socket, or -1.
+int
+Connect(const std::string &address)
+{
+    struct sockaddr_in name;
+    BbHttp_ParseAddress(address.c_str(), &name);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (connect(fd, (struct sockaddr *)&name, sizeof(name)) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
 // ---- nodes ----
 
 const char kDocument[] =
@@ -991,6 +1005,35 @@
     EXPECT_EQ(BbCounters_Get(BB_COUNTER_DRAIN_CUT), 1);
 }
 
+// Guards against calls cut at the end of a node (calls_replace): one that came
+// on a connection which the node had not accepted yet, and one on a connection
+// made between the last call and the end of the process.
+TEST_F(Proxy, AnswersWaitingConnectionsAndTakesNoMoreAfterADrain)
+{
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+    Start();
+    std::vector<int> sockets;
+    for (int i = 0; i < 20; i++) {
+        sockets.push_back(Connect(target.address));
+        ASSERT_GE(sockets.back(), 0);
+        send(sockets.back(), request.data(), request.size(), MSG_NOSIGNAL);
+    }
+    BbMhd_StopAccepting(target.mhd);
+    for (int fd : sockets) {
+        char block[12] = "";
+        ASSERT_TRUE(RunUntil([&] {
+            return recv(fd, block, sizeof(block), MSG_PEEK | MSG_DONTWAIT) > 0;
+        }));
+        EXPECT_EQ(std::string(block, 9), "HTTP/1.1 ");
+        close(fd);
+    }
+    int drained = 0;
+    BbProxy_Drain(
+        a.proxy, [](void *arg) { ++*static_cast<int *>(arg); }, &drained);
+    ASSERT_TRUE(RunUntil([&] { return drained == 1; }));
+    EXPECT_LT(Connect(a.address), 0);
+}
+
 // Guards against a stream that hangs for ever when the target goes silent,
 // and against a slow caller that holds a slot.
 TEST_F(Proxy, EndsStalledStreams)
