--- /dev/null
+++ b/lib/http/bb_h1_fetch.h
@@ -0,0 +1,56 @@
+/*
+ * bb_h1_fetch - one small request whose whole response is wanted
+ *
+ * USE
+ *   fetch = BbH1Fetch_Start(&options);
+ *   done is called once, from the loop, unless BbH1Fetch_Cancel() comes
+ *   first. The fetch must not be used after either of them.
+ *
+ * ERRORS
+ *   Those of bb_h1_client; BB_ERR_TIMEOUT; BB_ERR_LIMIT for a response body
+ *   of more than BB_H1_FETCH_MAX_BYTES. A response of any status is no error.
+ */
+#ifndef BB_H1_FETCH_H
+#define BB_H1_FETCH_H
+
+#include "bb_h1_client.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BB_H1_FETCH_MAX_BYTES (16 * 1024 * 1024)
+
+typedef struct bb_h1_fetch bb_h1_fetch_t;
+
+/* Valid during the call of done. */
+typedef struct {
+    int error;
+    int status;
+    const char *body; /* not terminated */
+    size_t size;
+} bb_h1_fetched_t;
+
+typedef struct {
+    struct ev_loop *loop;
+    bb_h1_client_t *client; /* borrowed */
+    const char *address;    /* "IP:PORT", also the Host */
+    const char *method;
+    const char *target;
+    const char *json;  /* body, NULL for none */
+    double max_idle_s; /* see bb_h1_exchange_options_t */
+    double timeout_s;  /* from the start to the last byte */
+    void (*done)(const bb_h1_fetched_t *fetched, void *arg);
+    void *arg;
+} bb_h1_fetch_options_t;
+
+bb_h1_fetch_t *BbH1Fetch_Start(const bb_h1_fetch_options_t *options);
+
+/* done is not called any more. */
+void BbH1Fetch_Cancel(bb_h1_fetch_t *fetch);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -520,10 +520,10 @@
     if (BbEvent_Allows(BB_EVENT_CALL_PLACED)) {
         BbEvent_Write(
             BB_EVENT_CALL_PLACED,
-            json_pack("{s:s, s:s, s:s, s:s, s:i, s:f, s:f, s:I}", "call",
-                      call->call_id, "route", call->route->name, "service",
-                      call->service, "peer", endpoint->node, "attempt",
-                      call->attempts, "predicted_s",
+            json_pack("{s:s, s:s, s:i, s:s, s:s, s:i, s:f, s:f, s:I}", "call",
+                      call->call_id, "route", call->route->name, "rank",
+                      call->route->rank, "service", call->service, "peer",
+                      endpoint->node, "attempt", call->attempts, "predicted_s",
                       BbPlacement_Predict(endpoint, now), "load_age_s",
                       endpoint->load_at > 0 ? now - endpoint->load_at : -1.0,
                       "version",
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "bb_h1_fetch.h"
 #include "bb_news_server.h"
 #include "bb_readers.h"
 
@@ -32,10 +33,7 @@
 typedef struct {
     bb_news_client_t *owner;
     char *address; /* NULL while no question is open */
-    bb_h1_exchange_t *exchange;
-    int status;
-    GByteArray *answer;
-    ev_timer timer;
+    bb_h1_fetch_t *fetch;
     bool is_hint; /* asked for one version, not a subscription */
 } question_t;
 
@@ -129,19 +127,17 @@
 static void
 close_question(question_t *question)
 {
-    ev_timer_stop(question->owner->options.loop, &question->timer);
-    question->exchange = NULL;
+    question->fetch = NULL;
     g_clear_pointer(&question->address, g_free);
 }
 
 static void fill_questions(bb_news_client_t *client);
 
 static void
-take_answer(question_t *question)
+take_answer(question_t *question, const bb_h1_fetched_t *fetched)
 {
     bb_news_client_t *client = question->owner;
-    json_t *root = json_loadb((const char *)question->answer->data,
-                              question->answer->len, 0, NULL);
+    json_t *root = json_loadb(fetched->body, fetched->size, 0, NULL);
     bool is_connected = json_is_true(json_object_get(root, "connected"));
 
     if (!question->is_hint && !is_connected) {
@@ -157,66 +153,22 @@
         client->fed_at = now_of(client);
         set_fed(client, client->scope == BB_NEWS_READERS);
     }
-    fill_questions(client);
-}
-
-static void
-handle_head(int status, const bb_h1_fields_t *fields, void *arg)
-{
-    question_t *question = arg;
-    (void)fields;
-    question->status = status;
-}
-
-static void
-handle_data(const char *data, size_t size, void *arg)
-{
-    question_t *question = arg;
-    g_byte_array_append(question->answer, (const guint8 *)data, (guint)size);
 }
 
 static void
-handle_fail(int error, bool is_sent, void *arg)
+handle_fetched(const bb_h1_fetched_t *fetched, void *arg)
 {
     question_t *question = arg;
     bb_news_client_t *client = question->owner;
-    (void)error;
-    (void)is_sent;
-
-    pass_over(client, question->address);
-    close_question(question);
-    fill_questions(client);
-}
 
-static void
-handle_end(void *arg)
-{
-    question_t *question = arg;
-
-    if (question->status == 200) {
-        take_answer(question);
+    if (fetched->error == 0 && fetched->status == 200) {
+        take_answer(question, fetched);
     }
     else {
-        handle_fail(0, true, question);
+        pass_over(client, question->address);
+        close_question(question);
     }
-}
-
-static const bb_h1_exchange_handler_t exchange_handler = {
-    .on_head = handle_head,
-    .on_data = handle_data,
-    .on_end = handle_end,
-    .on_fail = handle_fail,
-};
-
-static void
-handle_timeout(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)loop;
-    (void)events;
-    question_t *question = timer->data;
-
-    BbH1_Cancel(question->exchange);
-    handle_fail(0, true, question);
+    fill_questions(client);
 }
 
 /* ---- questions ---- */
@@ -227,7 +179,6 @@
     bb_news_client_t *client = question->owner;
     const bb_news_client_options_t *options = &client->options;
     char target[200];
-    bb_h1_fields_t fields;
 
     g_snprintf(target, sizeof(target),
                BB_NEWS_PATH "?version=%" PRId64 "&revision=%" PRId64
@@ -236,24 +187,18 @@
                options->revision(options->arg), (int)(wait_s * 1000),
                client->address);
     question->address = g_strdup(address);
-    question->status = 0;
-    g_byte_array_set_size(question->answer, 0);
-    BbH1Fields_Init(&fields);
-    BbH1Fields_Add(&fields, "Host", address);
-    const bb_h1_exchange_options_t exchange = {
+    const bb_h1_fetch_options_t fetch = {
+        .loop = options->loop,
+        .client = options->client,
         .address = address,
         .method = "GET",
         .target = target,
-        .fields = &fields,
-        .content_length = BB_H1_NO_BODY,
         .max_idle_s = WAIT_S,
-        .handler = &exchange_handler,
+        .timeout_s = wait_s + ANSWER_S,
+        .done = handle_fetched,
         .arg = question,
     };
-    question->exchange = BbH1_Start(options->client, &exchange);
-    BbH1Fields_Free(&fields);
-    ev_timer_set(&question->timer, wait_s + ANSWER_S, 0.0);
-    ev_timer_start(options->loop, &question->timer);
+    question->fetch = BbH1Fetch_Start(&fetch);
 }
 
 static bool
@@ -315,7 +260,7 @@
         BbReaders_Rank(client->options.fleet, client->data_centre);
     for (int i = 0; i < count; i++) {
         question_t *question = &client->questions[i];
-        if (question->exchange != NULL) {
+        if (question->fetch != NULL) {
             continue;
         }
         const char *address = next_reader(client, readers);
@@ -335,7 +280,7 @@
         client->hint_version = 0;
     }
     else if (now_of(client) - client->hint_at >= HINT_S &&
-             question->exchange == NULL) {
+             question->fetch == NULL) {
         client->hint_version = 0;
         ask(question, client->hint_address, 0.0);
     }
@@ -356,7 +301,7 @@
     GPtrArray *addresses = g_ptr_array_new();
 
     BbFleet_ForEach(client->options.fleet, collect_address, addresses);
-    if (addresses->len > 0 && question->exchange == NULL) {
+    if (addresses->len > 0 && question->fetch == NULL) {
         int32_t index =
             BbRandom_Below(client->options.random, (int32_t)addresses->len);
         ask(question, g_ptr_array_index(addresses, index), 0.0);
@@ -410,8 +355,8 @@
 static void
 cancel_question(question_t *question)
 {
-    if (question->exchange != NULL) {
-        BbH1_Cancel(question->exchange);
+    if (question->fetch != NULL) {
+        BbH1Fetch_Cancel(question->fetch);
         close_question(question);
     }
 }
@@ -445,10 +390,7 @@
     for (int i = 0; i <= BB_NEWS_SUBSCRIPTIONS; i++) {
         question_t *question = &client->questions[i];
         question->owner = client;
-        question->answer = g_byte_array_new();
         question->is_hint = i == BB_NEWS_SUBSCRIPTIONS;
-        ev_init(&question->timer, handle_timeout);
-        question->timer.data = question;
     }
     ev_timer_init(&client->check_timer, handle_check, CHECK_S, CHECK_S);
     client->check_timer.data = client;
@@ -465,7 +407,6 @@
     ev_timer_stop(client->options.loop, &client->check_timer);
     for (int i = 0; i <= BB_NEWS_SUBSCRIPTIONS; i++) {
         cancel_question(&client->questions[i]);
-        g_byte_array_unref(client->questions[i].answer);
     }
     g_hash_table_destroy(client->passed_over);
     g_free(client->hint_address);
