Probe nodes that may be lost instead of trying them with calls

Ruled out: lost connections to live nodes (their targets had ended). Change: a node known by its record only, or lost, is doubted: a last resort until a probe (bb_probe) or an answer shows it. After a refusal for want of room no doubted node is tried. Tests: MeshPlacement.LostNodesAreProbedAndGetNoCallsMeanwhile (replaces LostNodesAreTriedByOneCallAtATime: no call at all is allowed now), two more, MeshProbe.FindsNodesThatAreThere.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -541,7 +541,7 @@
     call->endpoint = BbEndpoint_Ref(endpoint);
     call->news.is_loaded = false;
     log_placed(call);
-    BbPlacement_Started(endpoint, now_of(call));
+    BbPlacement_Started(endpoint);
     if (!endpoint->is_local) {
         call->attempt =
             BbHopIo_Start(options->hop, endpoint->record.address, &call->asked,
--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -137,15 +137,18 @@
     g_ptr_array_add(list, endpoint);
 }
 
-/* What was learned of one target says nothing of the next. */
+/* What was learned of one target says nothing of the next. The record may be
+ * that of a VM that was lost, so the node is doubted until it is heard of. */
 static void
 forget_load(bb_endpoint_t *endpoint, double now)
 {
     endpoint->load_at = 0;
     endpoint->fail_rate = 0;
-    endpoint->suspect_until = 0;
-    endpoint->suspect_s = 0;
-    endpoint->known_since = now;
+    endpoint->avoid_until = 0;
+    endpoint->is_doubted = !endpoint->is_local;
+    endpoint->doubted_at = now;
+    endpoint->probe_at = now;
+    endpoint->probe_backoff_s = 0;
     g_clear_pointer(&endpoint->full_until, g_hash_table_destroy);
 }
 
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -52,12 +52,15 @@
     int in_flight_at_load;
     double fail_rate; /* moving share of own attempts that failed */
     double fail_at;
-    double suspect_until;   /* not chosen before, but as a last resort */
-    double suspect_s;       /* length of the last suspicion */
+    double avoid_until; /* not chosen before, but as a last resort */
+    bool is_doubted;    /* lost, or not heard of yet: a last resort too */
+    bool is_wanted;     /* a call would have gone there but for the doubt */
+    bool is_probed;     /* a probe is under way */
+    double doubted_at;
+    double probe_at; /* not before */
+    double probe_backoff_s;
     GHashTable *full_until; /* class of calls to the time before which the
                                node has no room for it; NULL while empty */
-    double known_since;
-    double last_chosen;
 } bb_endpoint_t;
 
 typedef struct bb_fleet bb_fleet_t;
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -17,9 +17,10 @@
 #define FAIL_COST_S 1.0 /* added to the predicted time at a share of 1 */
 #define FAIL_TOLERATED 0.05
 
-#define SUSPECT_MIN_S 0.5
-#define SUSPECT_MAX_S 4.0
-#define TRIAL_S 0.3
+/* A doubted node is probed after these times. */
+#define PROBE_FIRST_S 0.1
+#define PROBE_MIN_S 0.25
+#define PROBE_MAX_S 4.0
 
 /* Added for a node in another data centre when both are past the share. */
 #define REMOTE_COST_SHARE 0.3
@@ -211,28 +212,32 @@
                    double now, bool *is_full)
 {
     const GPtrArray *list = BbFleet_Service(fleet, request->service);
-    choice_t near = {0}, any = {0}, suspect = {0};
+    choice_t near = {0}, any = {0}, last = {0};
     double remote_cost = request->target_latency_s * REMOTE_COST_SHARE;
     double best_s = best_service_time(list, now);
     bool has_full = false;
 
     for (guint i = 0; list != NULL && i < list->len; i++) {
         bb_endpoint_t *endpoint = g_ptr_array_index(list, i);
-        if (!endpoint->record.is_ready || is_tried(request, endpoint)) {
+        if (!endpoint->record.is_ready) {
             continue;
         }
         if (is_full_for(endpoint, request->class_name, now)) {
             has_full = true;
             continue;
         }
+        if (is_tried(request, endpoint)) {
+            continue;
+        }
         bool is_near =
             strcmp(endpoint->record.data_centre, request->data_centre) == 0;
         double cost = predict(endpoint, best_s, now);
         if (request->has_large_body) {
             cost += transfer_time(endpoint, now);
         }
-        if (endpoint->suspect_until > now) {
-            consider(&suspect, endpoint, cost, now, random);
+        if (endpoint->is_doubted || endpoint->avoid_until > now) {
+            endpoint->is_wanted = true;
+            consider(&last, endpoint, cost, now, random);
             continue;
         }
         if (is_near) {
@@ -251,20 +256,53 @@
     if (any.endpoint != NULL) {
         return any.endpoint;
     }
-    return has_full ? NULL : suspect.endpoint;
+    return has_full ? NULL : last.endpoint;
 }
 
 void
-BbPlacement_Started(bb_endpoint_t *endpoint, double now)
+BbPlacement_Started(bb_endpoint_t *endpoint)
 {
     endpoint->in_flight++;
-    endpoint->last_chosen = now;
-    if (endpoint->suspect_s > 0) {
-        /* One call tries whether the node is back. */
-        endpoint->suspect_until = MAX(endpoint->suspect_until, now + TRIAL_S);
+}
+
+void
+BbPlacement_Trust(bb_endpoint_t *endpoint)
+{
+    endpoint->is_doubted = false;
+    endpoint->is_wanted = false;
+    endpoint->probe_backoff_s = 0;
+}
+
+static void
+doubt(bb_endpoint_t *endpoint, double now)
+{
+    if (!endpoint->is_doubted) {
+        endpoint->is_doubted = true;
+        endpoint->is_wanted = true;
+        endpoint->doubted_at = now;
+        endpoint->probe_at = now + PROBE_FIRST_S;
     }
 }
 
+bool
+BbPlacement_IsProbeDue(const bb_endpoint_t *endpoint, double now)
+{
+    return endpoint->is_doubted && endpoint->is_wanted &&
+           !endpoint->is_local && !endpoint->is_removed &&
+           now >= endpoint->probe_at;
+}
+
+void
+BbPlacement_ProbeFailed(bb_endpoint_t *endpoint, double now)
+{
+    endpoint->is_wanted = false;
+    endpoint->probe_backoff_s =
+        endpoint->probe_backoff_s > 0
+            ? MIN(endpoint->probe_backoff_s * 2, PROBE_MAX_S)
+            : PROBE_MIN_S;
+    endpoint->probe_at = now + endpoint->probe_backoff_s;
+}
+
 static void
 add_failure(bb_endpoint_t *endpoint, double failure, double now)
 {
@@ -278,7 +316,7 @@
 void
 BbPlacement_Avoid(bb_endpoint_t *endpoint, double seconds, double now)
 {
-    endpoint->suspect_until = MAX(endpoint->suspect_until, now + seconds);
+    endpoint->avoid_until = MAX(endpoint->avoid_until, now + seconds);
 }
 
 void
@@ -293,24 +331,18 @@
     }
     switch (outcome) {
     case BB_ATTEMPT_SERVED:
-        endpoint->suspect_s = 0;
-        endpoint->suspect_until = 0;
+        endpoint->avoid_until = 0;
+        BbPlacement_Trust(endpoint);
         add_failure(endpoint, 0.0, now);
         break;
     case BB_ATTEMPT_FAILED:
         add_failure(endpoint, 1.0, now);
         break;
     case BB_ATTEMPT_LOST:
-        if (endpoint->suspect_until > now + TRIAL_S) {
-            break; /* one of several calls that were lost together */
-        }
-        endpoint->suspect_s = endpoint->suspect_s > 0
-                                  ? MIN(endpoint->suspect_s * 2, SUSPECT_MAX_S)
-                                  : SUSPECT_MIN_S;
-        endpoint->suspect_until = now + endpoint->suspect_s;
+        doubt(endpoint, now);
         break;
     case BB_ATTEMPT_REFUSED:
-        endpoint->suspect_s = 0;
+        BbPlacement_Trust(endpoint);
         break;
     case BB_ATTEMPT_DROPPED:
         break;
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -14,8 +14,10 @@
  * once, and asking all nodes again for each call costs bytes and serves none.
  *
  * Targets that fail are found by their answers: a high share of failures
- * adds to the predicted time, a lost connection makes the node suspect for a
- * time that doubles up to SUSPECT_MAX_S.
+ * adds to the predicted time. A node that was lost, or is known by its record
+ * only, is doubted: it gets calls as a last resort until a probe (bb_probe) or
+ * an answer shows that it is there. A call that a live node has just refused
+ * for want of room is refused, not tried at a node that is likely dead.
  *
  * Answers the load: data centres with unequal targets for nearly equal
  * traffic; targets that differ in speed; grey, slow, new and lost targets.
@@ -67,12 +69,21 @@
     BB_ATTEMPT_DROPPED, /* says nothing about the target */
 } bb_attempt_outcome_t;
 
-void BbPlacement_Started(bb_endpoint_t *endpoint, double now);
+void BbPlacement_Started(bb_endpoint_t *endpoint);
 
 /* load may be NULL. Exactly once for each Started. */
 void BbPlacement_Ended(bb_endpoint_t *endpoint, bb_attempt_outcome_t outcome,
                        const bb_load_t *load, double now);
 
+/* The node is there. */
+void BbPlacement_Trust(bb_endpoint_t *endpoint);
+
+/* Whether the node is doubted, was passed over, and is to be asked now. */
+bool BbPlacement_IsProbeDue(const bb_endpoint_t *endpoint, double now);
+
+/* It has not answered; the next probe is due later. */
+void BbPlacement_ProbeFailed(bb_endpoint_t *endpoint, double now);
+
 /* The node says that it takes no calls for the service now. */
 void BbPlacement_Avoid(bb_endpoint_t *endpoint, double seconds, double now);
 
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -341,6 +341,7 @@
     ev_timer_stop(loop, &sidecar->role_timer);
     ev_timer_stop(loop, &sidecar->leave_timer);
     BbNewsClient_Free(sidecar->news_client);
+    BbProbe_Free(sidecar->probe);
     BbNewsServer_Free(sidecar->news_server);
     BbFollow_Free(sidecar->config_follow);
     BbFollow_Free(sidecar->node_follow);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -12,6 +12,7 @@
 #include "bb_local_target.h"
 #include "bb_news_client.h"
 #include "bb_news_server.h"
+#include "bb_probe.h"
 #include "bb_row_writer.h"
 #include "platform.h"
 #include "sidecar.h"
@@ -36,6 +37,7 @@
     bb_versions_t *versions;
     bb_news_server_t *news_server;
     bb_news_client_t *news_client;
+    bb_probe_t *probe;
     int64_t told_revision; /* of node records, by other nodes */
     bool is_reader;
     bb_h1_server_t *admin;
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -298,6 +298,12 @@
 
     sidecar->news_server = BbNewsServer_New(&server);
     sidecar->news_client = BbNewsClient_New(&client);
+    const bb_probe_options_t probe = {
+        .loop = sidecar->loop,
+        .client = BbHopIo_Client(sidecar->hop),
+        .fleet = sidecar->fleet,
+    };
+    sidecar->probe = BbProbe_New(&probe);
     sidecar->is_reader = true;
     ev_timer_init(&sidecar->role_timer, handle_role_timer, ROLE_CHECK_S,
                   ROLE_CHECK_S);
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -2,6 +2,7 @@
 // targets run when targets, nodes and callers misbehave.
 #include "bb_news_client.h"
 #include "bb_news_server.h"
+#include "bb_probe.h"
 #include "mesh_rig.h"
 
 using mesh_rig::Caller;
@@ -549,6 +550,37 @@
     EXPECT_EQ(restarted.told, "restarted");
 }
 
+// Guards against nodes that stay doubted though they are there, and against
+// probes of a lost one without pause.
+TEST(MeshProbe, FindsNodesThatAreThere)
+{
+    Loop loop;
+    NewsNode own(&loop, "own"), there(&loop, "there");
+    const auto add = [&own](const std::string &address, const char *name) {
+        bb_node_record_t record = {};
+        record.address = const_cast<char *>(address.c_str());
+        record.data_centre = const_cast<char *>("a");
+        record.service = const_cast<char *>("orders");
+        record.target_id = const_cast<char *>(name);
+        BbFleet_Merge(own.fleet, name, &record, 5, 0);
+        BbFleet_Find(own.fleet, name)->is_wanted = true;
+    };
+    add(there.address, "there");
+    add(mesh_rig::FreeAddress(), "lost");
+    bb_probe_options_t options = {loop.loop, own.http_client, own.fleet};
+    bb_probe_t *probe = BbProbe_New(&options);
+    bb_endpoint_t *lost = BbFleet_Find(own.fleet, "lost");
+    EXPECT_TRUE(loop.RunUntil(
+        [&] {
+            return !BbFleet_Find(own.fleet, "there")->is_doubted &&
+                   lost->probe_backoff_s > 0;
+        },
+        2.0));
+    EXPECT_TRUE(lost->is_doubted);
+    EXPECT_FALSE(lost->is_wanted); // until the next call that wants it
+    BbProbe_Free(probe);
+}
+
 // Guards against a data centre that gets a version late because the store is
 // silent for its readers, which learn so only at the end of a feed call.
 TEST(MeshNews, ReadersHearOfVersionsFromOtherDataCentres)
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -132,7 +132,11 @@
         record.is_ready = true;
         record.link_mbps = mbps;
         BbFleet_Merge(fleet, node, &record, revision, 0);
-        return BbFleet_Find(fleet, node);
+        bb_endpoint_t *endpoint = BbFleet_Find(fleet, node);
+        if (!is_doubting) {
+            BbPlacement_Trust(endpoint);
+        }
+        return endpoint;
     }
     bb_endpoint_t *Choose(double now, double latency = 1.0,
                           const char *class_name = "c",
@@ -158,11 +162,12 @@
         load.waiting = waiting;
         load.slots = 10;
         load.service_ms = service_ms;
-        BbPlacement_Started(endpoint, now);
+        BbPlacement_Started(endpoint);
         BbPlacement_Ended(endpoint, BB_ATTEMPT_SERVED, &load, now);
     }
     bb_fleet_t *fleet;
     bb_random_t *random;
+    bool is_doubting = false; // nodes are known by their records only
     bool is_full = false;
     bool has_large_body = false;
 };
@@ -273,7 +278,7 @@
     load.slots = 10;
     load.service_ms = 100;
     load.transfer_ms = 900;
-    BbPlacement_Started(busy, 1.0);
+    BbPlacement_Started(busy);
     BbPlacement_Ended(busy, BB_ATTEMPT_SERVED, &load, 1.0);
     EXPECT_EQ(f.Choose(1.0), busy);
     f.has_large_body = true;
@@ -287,7 +292,7 @@
     bb_endpoint_t *grey = f.Add("grey", "a", 1);
     bb_endpoint_t *good = f.Add("good", "a", 2);
     for (int i = 0; i < 10; i++) {
-        BbPlacement_Started(grey, 1.0);
+        BbPlacement_Started(grey);
         BbPlacement_Ended(grey, BB_ATTEMPT_FAILED, nullptr, 1.0);
     }
     for (int i = 0; i < 50; i++) {
@@ -295,21 +300,57 @@
     }
 }
 
-// Guards against many calls that all try a node which is still lost, and
-// against a suspicion that never ends.
-TEST(MeshPlacement, LostNodesAreTriedByOneCallAtATime)
+// Guards against calls that are held up by trying a node which is still lost,
+// and against a doubt that never ends.
+TEST(MeshPlacement, LostNodesAreProbedAndGetNoCallsMeanwhile)
 {
     Fleet f;
     bb_endpoint_t *lost = f.Add("lost", "a", 1);
     bb_endpoint_t *other = f.Add("other", "b", 2);
-    BbPlacement_Started(lost, 1.0);
+    BbPlacement_Started(lost);
     BbPlacement_Ended(lost, BB_ATTEMPT_LOST, nullptr, 1.0);
-    EXPECT_EQ(f.Choose(1.1), other);
-    ASSERT_EQ(f.Choose(1.6), lost);
-    BbPlacement_Started(lost, 1.6);
-    EXPECT_EQ(f.Choose(1.61), other);
-    BbPlacement_Ended(lost, BB_ATTEMPT_SERVED, nullptr, 1.7);
-    EXPECT_EQ(f.Choose(1.71), lost);
+    EXPECT_FALSE(BbPlacement_IsProbeDue(lost, 1.0));
+    EXPECT_TRUE(BbPlacement_IsProbeDue(lost, 1.1));
+    int probes = 0;
+    for (double now = 1.1; now < 21.0; now += 0.05) {
+        EXPECT_EQ(f.Choose(now), other);
+        if (BbPlacement_IsProbeDue(lost, now)) {
+            BbPlacement_ProbeFailed(lost, now);
+            probes++;
+        }
+    }
+    EXPECT_GE(probes, 7);
+    EXPECT_LE(probes, 11);
+    BbPlacement_Trust(lost);
+    EXPECT_EQ(f.Choose(21.0), lost);
+}
+
+// Guards against calls that are held up at VMs which are gone, whose records
+// are all that a restarted node has.
+TEST(MeshPlacement, NodesKnownByTheirRecordsAreALastResort)
+{
+    Fleet f;
+    f.is_doubting = true;
+    bb_endpoint_t *record = f.Add("record", "a", 1);
+    EXPECT_FALSE(BbPlacement_IsProbeDue(record, 1.0)); // no call wanted it
+    EXPECT_EQ(f.Choose(1.0), record);
+    EXPECT_TRUE(BbPlacement_IsProbeDue(record, 1.0));
+    f.is_doubting = false;
+    bb_endpoint_t *heard = f.Add("heard", "b", 2);
+    EXPECT_EQ(f.Choose(1.0), heard);
+}
+
+// Guards against a refusal that comes late, because a node that is likely dead
+// is tried after the only live one has refused for want of room.
+TEST(MeshPlacement, FullNodesAreNotFollowedByDoubtedOnes)
+{
+    Fleet f;
+    bb_endpoint_t *live = f.Add("live", "a", 1);
+    f.is_doubting = true;
+    f.Add("dead", "a", 2);
+    BbPlacement_SetFull(live, "c", 1.0);
+    EXPECT_EQ(f.Choose(1.0, 1.0, "c", {live}), nullptr);
+    EXPECT_TRUE(f.is_full);
 }
 
 // Guards against asking a node again at once that has no room for a class,
