--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <glib.h>
+#include <math.h>
 #include <utlist.h>
 
 /* A call of the next lower rank goes first after waiting this much longer. */
@@ -14,6 +15,17 @@
 /* Weight of the newest call in the mean times. */
 #define SERVICE_WEIGHT 0.05
 
+/* A mean time that nothing has confirmed for the first time fades with the
+ * second: calls that are refused because of it would never correct it. */
+#define MEAN_FRESH_S 1.0
+#define MEAN_FADE_S 2.0
+
+/* Mean seconds of calls at the target. */
+typedef struct {
+    double mean_s;
+    double measured_at;
+} mean_t;
+
 /* Expected times are multiplied by this to decide what is let in, since half
  * of the calls take longer than the mean. A call that waits already keeps its
  * place without that margin: refusing it late helps nobody. */
@@ -27,8 +39,8 @@
     int slots;
     int running;
     int waiting;
-    double service_s;          /* mean over all classes */
-    GHashTable *classes;       /* name to mean seconds */
+    mean_t all;
+    GHashTable *classes;       /* name to mean_t */
     bb_slot_ticket_t *tickets; /* waiting, by arrival */
 };
 
@@ -55,12 +67,28 @@
     queue->slots = slots;
 }
 
+/* How much of a mean still holds, 0 to 1. */
+static double
+weight_of(const mean_t *mean, double now)
+{
+    double age = now - mean->measured_at - MEAN_FRESH_S;
+
+    return age > 0 ? exp(-age / MEAN_FADE_S) : 1.0;
+}
+
+static double
+current_mean(const mean_t *mean, double now)
+{
+    return mean->mean_s * weight_of(mean, now);
+}
+
 double
-BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name)
+BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
+                      double now)
 {
-    const double *mean_s =
+    const mean_t *mean =
         name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
-    return mean_s != NULL ? *mean_s : queue->service_s;
+    return current_mean(mean != NULL ? mean : &queue->all, now);
 }
 
 static double
@@ -96,12 +124,12 @@
 
 /* Seconds until a slot is free behind an amount of waiting work. */
 static double
-predict_wait(const bb_slot_queue_t *queue, double work_s)
+predict_wait(const bb_slot_queue_t *queue, double work_s, double now)
 {
     if (queue->running < queue->slots && work_s <= 0) {
         return 0;
     }
-    return (work_s + queue->service_s) / MAX(queue->slots, 1);
+    return (work_s + current_mean(&queue->all, now)) / MAX(queue->slots, 1);
 }
 
 static double
@@ -120,9 +148,9 @@
 }
 
 double
-BbSlotQueue_Wait(const bb_slot_queue_t *queue)
+BbSlotQueue_Wait(const bb_slot_queue_t *queue, double now)
 {
-    return predict_wait(queue, work_ahead(queue, NULL, 0));
+    return predict_wait(queue, work_ahead(queue, NULL, now), now);
 }
 
 static bb_slot_state_t
@@ -148,7 +176,7 @@
 {
     ticket->arrived_at = now;
     ticket->reason = BB_REASON_NONE;
-    ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name);
+    ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name, now);
     if (now > start_by(ticket)) {
         return refuse(ticket, BB_REASON_TOO_LATE);
     }
@@ -174,14 +202,14 @@
     bb_slot_ticket_t probe = *ticket;
 
     probe.arrived_at = now;
-    probe.service_s = BbSlotQueue_ClassTime(queue, probe.class_name);
+    probe.service_s = BbSlotQueue_ClassTime(queue, probe.class_name, now);
     if (now > start_by(&probe)) {
         return true;
     }
     if (queue->waiting == 0 && queue->running < queue->slots) {
         return false;
     }
-    double wait_s = predict_wait(queue, work_ahead(queue, &probe, now));
+    double wait_s = predict_wait(queue, work_ahead(queue, &probe, now), now);
     return !may_wait(&probe, wait_s, now) || now + wait_s > start_by(&probe);
 }
 
@@ -194,10 +222,14 @@
 }
 
 static void
-add_measurement(double *mean_s, double took_s)
+add_measurement(mean_t *mean, double took_s, double now)
 {
-    *mean_s =
-        *mean_s <= 0 ? took_s : *mean_s + SERVICE_WEIGHT * (took_s - *mean_s);
+    double kept = mean->measured_at > 0
+                      ? (1.0 - SERVICE_WEIGHT) * weight_of(mean, now)
+                      : 0.0;
+
+    mean->mean_s = took_s + kept * (mean->mean_s - took_s);
+    mean->measured_at = now;
 }
 
 void
@@ -212,17 +244,17 @@
     if (!is_measured) {
         return;
     }
-    add_measurement(&queue->service_s, took_s);
+    add_measurement(&queue->all, took_s, now);
     if (ticket->class_name == NULL) {
         return;
     }
-    double *mean_s = g_hash_table_lookup(queue->classes, ticket->class_name);
-    if (mean_s == NULL) {
-        mean_s = g_new0(double, 1);
+    mean_t *mean = g_hash_table_lookup(queue->classes, ticket->class_name);
+    if (mean == NULL) {
+        mean = g_new0(mean_t, 1);
         g_hash_table_insert(queue->classes, g_strdup(ticket->class_name),
-                            mean_s);
+                            mean);
     }
-    add_measurement(mean_s, took_s);
+    add_measurement(mean, took_s, now);
 }
 
 void
@@ -242,7 +274,8 @@
         return true;
     }
     return !is_in_time(ticket, now, WAITING_MARGIN) &&
-           predict_wait(queue, work_ahead(queue, ticket, now)) > LATE_WAIT_S;
+           predict_wait(queue, work_ahead(queue, ticket, now), now) >
+               LATE_WAIT_S;
 }
 
 bb_slot_ticket_t *
@@ -289,7 +322,7 @@
 }
 
 double
-BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue)
+BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now)
 {
-    return queue->service_s;
+    return current_mean(&queue->all, now);
 }
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -89,14 +89,16 @@
 int BbSlotQueue_Running(const bb_slot_queue_t *queue);
 int BbSlotQueue_Waiting(const bb_slot_queue_t *queue);
 
-/* Mean seconds of a call at the target, 0 while not known. */
-double BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue);
+/* Mean seconds of a call at the target, 0 while not known. A mean that no call
+ * confirms fades, so that a target which was slow gets calls again. */
+double BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now);
 
 /* The same of a class, or the mean of all while the class is not known. */
-double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name);
+double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
+                             double now);
 
 /* Seconds until a call that arrives now would start. */
-double BbSlotQueue_Wait(const bb_slot_queue_t *queue);
+double BbSlotQueue_Wait(const bb_slot_queue_t *queue, double now);
 
 #ifdef __cplusplus
 }
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -102,14 +102,15 @@
 
     BbReason_Count(reason);
     if (BbEvent_Allows(BB_EVENT_TARGET_REFUSED)) {
-        BbEvent_Write(BB_EVENT_TARGET_REFUSED,
-                      json_pack("{s:s, s:s, s:i, s:i, s:i, s:f}", "call",
-                                call->request.call_id, "reason",
-                                BbReason_Name(reason), "running",
-                                BbSlotQueue_Running(io->queue), "waiting",
-                                BbSlotQueue_Waiting(io->queue), "slots",
-                                BbLocalTarget_Slots(io->target), "service_s",
-                                BbSlotQueue_ServiceTime(io->queue)));
+        BbEvent_Write(
+            BB_EVENT_TARGET_REFUSED,
+            json_pack(
+                "{s:s, s:s, s:i, s:i, s:i, s:f}", "call",
+                call->request.call_id, "reason", BbReason_Name(reason),
+                "running", BbSlotQueue_Running(io->queue), "waiting",
+                BbSlotQueue_Waiting(io->queue), "slots",
+                BbLocalTarget_Slots(io->target), "service_s",
+                BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop))));
     }
 }
 
@@ -119,7 +120,7 @@
     bb_target_io_t *io = call->io;
     const bb_attempt_handler_t *handler = call->handler;
     void *arg = call->arg;
-    double retry_after_s = BbSlotQueue_Wait(io->queue);
+    double retry_after_s = BbSlotQueue_Wait(io->queue, BbClock_Now(io->loop));
 
     log_refusal(call, reason);
     release_ticket(call, false);
@@ -439,7 +440,7 @@
     *retry_after_s = 0;
     if (reason == BB_REASON_NONE &&
         BbSlotQueue_WouldRefuse(io->queue, &ticket, BbClock_Now(io->loop))) {
-        *retry_after_s = BbSlotQueue_Wait(io->queue);
+        *retry_after_s = BbSlotQueue_Wait(io->queue, BbClock_Now(io->loop));
         reason = BB_REASON_QUEUE_FULL;
     }
     return reason != BB_REASON_NONE ? refuse_offer(io, request, reason)
@@ -468,7 +469,7 @@
     call->ticket.arg = call;
     if (BbSlotQueue_Offer(io->queue, &call->ticket, now) == BB_SLOT_REFUSED) {
         reason = call->ticket.reason;
-        *retry_after_s = BbSlotQueue_Wait(io->queue);
+        *retry_after_s = BbSlotQueue_Wait(io->queue, BbClock_Now(io->loop));
         g_free(call);
         return refuse_offer(io, request, reason);
     }
@@ -517,14 +518,15 @@
     load->running = BbSlotQueue_Running(io->queue);
     load->waiting = BbSlotQueue_Waiting(io->queue);
     load->slots = BbLocalTarget_Slots(io->target);
-    load->service_ms = (int)lrint(BbSlotQueue_ServiceTime(io->queue) * 1000);
+    load->service_ms = (int)lrint(
+        BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop)) * 1000);
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
 }
 
 double
 BbTargetIo_ServiceTime(const bb_target_io_t *io, const char *class_name)
 {
-    return BbSlotQueue_ClassTime(io->queue, class_name);
+    return BbSlotQueue_ClassTime(io->queue, class_name, BbClock_Now(io->loop));
 }
 
 int
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -483,6 +483,35 @@
     EXPECT_EQ(BbSlotQueue_Next(q.queue, 3.0), low);
 }
 
+// Guards against a target that was slow for a while and gets no call of a
+// class any more, since none runs that would show that it is fast again.
+TEST(MeshSlotQueue, SlowTargetsGetCallsAgain)
+{
+    Queue q(2);
+    q.Learn("lookup", 3.0);
+    bb_slot_ticket_t *refused = q.Ticket("lookup", 3.1, 0.5, 1.0);
+    EXPECT_EQ(BbSlotQueue_Offer(q.queue, refused, 3.1), BB_SLOT_REFUSED);
+    EXPECT_EQ(refused->reason, BB_REASON_TOO_LATE);
+    int tries = 0, now_ms = 3200;
+    for (; now_ms < 20000; now_ms += 100) {
+        bb_slot_ticket_t *ticket =
+            q.Ticket("lookup", now_ms / 1000.0, 0.5, 1.0);
+        if (BbSlotQueue_Offer(q.queue, ticket, now_ms / 1000.0) ==
+            BB_SLOT_RUNNING) {
+            /* Still slow: one call in a while finds out. */
+            BbSlotQueue_Finish(q.queue, ticket, true, now_ms / 1000.0 + 1.5);
+            now_ms += 1500;
+            tries++;
+        }
+    }
+    EXPECT_GE(tries, 4);
+    EXPECT_LE(tries, 8);
+    bb_slot_ticket_t *fast = q.Ticket("lookup", 30.0, 0.5, 1.0);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, fast, 30.0), BB_SLOT_RUNNING);
+    BbSlotQueue_Finish(q.queue, fast, true, 30.1);
+    EXPECT_LT(BbSlotQueue_ClassTime(q.queue, "lookup", 30.1), 0.2);
+}
+
 // Guards against calls that start with no time left to end.
 TEST(MeshSlotQueue, RefusesWhatCannotEnd)
 {
