Remember across restarts that a target has announced its leave

Cause (found by reading): a node that was killed after it had acknowledged a leave knows nothing of it; a heartbeat from before the leave that arrives then made the target ready again until its next heartbeat, and for ever when the target had sent its leave and no more heartbeats. Change: the node's own record names the target that has left and its birth; the row writer hands over what an earlier process has left in the row before it replaces it, and the node recalls the leave. Not covered: the row is removed at SIGTERM, so a node stopped in an orderly way while its target drains recalls nothing; the store may be away. Tests: MeshLocalTarget.RecallsWhatAnEarlierProcessAcknowledged, PlatformStore.HandsOverWhatAnEarlierProcessLeft.

--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -22,6 +22,10 @@
         "target", record->target_id, "slots", record->slots, "ready",
         record->is_ready, "link_mbps", record->link_mbps, "started_ms",
         (json_int_t)record->started_ms);
+    if (record->is_target_left) {
+        json_object_set_new(object, "left_born_ms",
+                            json_integer(record->target_born_ms));
+    }
     char *text = json_dumps(object, JSON_COMPACT);
     char *copy = g_strdup(text);
 
@@ -53,6 +57,9 @@
         out->is_ready = is_ready;
         out->link_mbps = link_mbps;
         out->started_ms = started_ms;
+        const json_t *left = json_object_get(object, "left_born_ms");
+        out->is_target_left = json_is_integer(left);
+        out->target_born_ms = json_integer_value(left);
     }
     json_decref(object);
     return error == 0 ? 0 : BB_ERR_PARSE;
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -30,7 +30,9 @@
     char *address; /* for forwarded calls, "IP:PORT" */
     char *data_centre;
     char *service;
-    char *target_id; /* incarnation of the target; empty without one */
+    char *target_id;        /* incarnation of the target; empty without one */
+    bool is_target_left;    /* it has announced that it leaves */
+    int64_t target_born_ms; /* wall clock at its start, told when it left */
     int slots;
     bool is_ready;      /* takes new calls */
     int link_mbps;      /* width of the VM's link */
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -93,18 +93,46 @@
     return is_changed ? BB_HEARTBEAT_CHANGED : BB_HEARTBEAT_UNCHANGED;
 }
 
+static void
+note_departed(bb_local_target_t *target, const char *id, int64_t born_ms)
+{
+    gint64 *value = g_new(gint64, 1);
+
+    *value = born_ms;
+    if (g_hash_table_size(target->departed) >= MAX_DEPARTED) {
+        g_hash_table_remove_all(target->departed);
+    }
+    g_hash_table_replace(target->departed, g_strdup(id), value);
+}
+
+bool
+BbLocalTarget_Recall(bb_local_target_t *target, const char *id,
+                     int64_t born_ms)
+{
+    bool is_first = target->id[0] == '\0';
+    bool is_current =
+        strcmp(id, target->id) == 0 && born_ms == target->born_ms;
+
+    note_departed(target, id, born_ms);
+    if (is_first) {
+        g_strlcpy(target->id, id, sizeof(target->id));
+        target->born_ms = born_ms;
+    }
+    if (!is_first && (!is_current || target->state != BB_LOCAL_READY)) {
+        return false;
+    }
+    target->state = BB_LOCAL_GONE;
+    return true;
+}
+
 bool
 BbLocalTarget_Leave(bb_local_target_t *target, const char *id)
 {
     bool is_current = strcmp(id, target->id) == 0;
-    gint64 *born_ms = g_new(gint64, 1);
 
     /* An unknown incarnation cannot have been born later than now. */
-    *born_ms = is_current ? target->born_ms : g_get_real_time() / 1000;
-    if (g_hash_table_size(target->departed) >= MAX_DEPARTED) {
-        g_hash_table_remove_all(target->departed);
-    }
-    g_hash_table_replace(target->departed, g_strdup(id), born_ms);
+    note_departed(target, id,
+                  is_current ? target->born_ms : g_get_real_time() / 1000);
     if (is_current) {
         target->state = BB_LOCAL_GONE;
     }
@@ -131,6 +159,12 @@
     return target->id;
 }
 
+int64_t
+BbLocalTarget_BornMs(const bb_local_target_t *target)
+{
+    return target->born_ms;
+}
+
 int
 BbLocalTarget_Slots(const bb_local_target_t *target)
 {
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -63,12 +63,19 @@
 /* The incarnation leaves. True when it was the current one. */
 bool BbLocalTarget_Leave(bb_local_target_t *target, const char *id);
 
+/* An earlier process of this node has acknowledged that the incarnation
+ * leaves, so heartbeats of it that arrive late count no more. True when the
+ * state changed. */
+bool BbLocalTarget_Recall(bb_local_target_t *target, const char *id,
+                          int64_t born_ms);
+
 /* Another incarnation answered at the address: nothing is known until the
  * next heartbeat. */
 void BbLocalTarget_Mismatch(bb_local_target_t *target);
 
 bb_local_state_t BbLocalTarget_State(const bb_local_target_t *target);
 const char *BbLocalTarget_Id(const bb_local_target_t *target);
+int64_t BbLocalTarget_BornMs(const bb_local_target_t *target);
 int BbLocalTarget_Slots(const bb_local_target_t *target);
 
 /* "unknown", "ready", "draining" or "gone". */
--- a/lib/mesh/bb_row_writer.c
+++ b/lib/mesh/bb_row_writer.c
@@ -47,15 +47,30 @@
     ev_timer_start(writer->options.loop, &writer->retry_timer);
 }
 
-static int64_t
-version_of(const bb_row_writer_t *writer, const bb_table_result_t *result)
+static const bb_table_row_t *
+find_row(const bb_row_writer_t *writer, const bb_table_result_t *result)
 {
     for (size_t i = 0; i < result->count; i++) {
-        if (strcmp(result->rows[i].key, writer->key) == 0) {
-            return result->rows[i].is_removed ? 0 : result->rows[i].version;
+        if (strcmp(result->rows[i].key, writer->key) == 0 &&
+            !result->rows[i].is_removed) {
+            return &result->rows[i];
         }
     }
-    return 0;
+    return NULL;
+}
+
+static void
+handle_conflict(bb_row_writer_t *writer, const bb_table_result_t *result)
+{
+    const bb_table_row_t *row = find_row(writer, result);
+
+    writer->version = row != NULL ? row->version : 0;
+    if (row != NULL && writer->options.on_found != NULL) {
+        writer->options.on_found(row, writer->options.arg);
+    }
+    if (writer->pending == NULL) { /* on_found may have set a value */
+        write_row(writer);
+    }
 }
 
 static void
@@ -66,8 +81,7 @@
     writer->pending = NULL;
     log_outcome(result->error);
     if (result->error == BB_ERR_CONFLICT) {
-        writer->version = version_of(writer, result);
-        write_row(writer);
+        handle_conflict(writer, result);
         return;
     }
     if (result->error != 0) {
--- a/lib/mesh/bb_row_writer.h
+++ b/lib/mesh/bb_row_writer.h
@@ -28,6 +28,10 @@
     const char *table;
     const char *key;
     bb_random_t *random;
+    /* Gets the value that another writer, or an earlier process, has left in
+     * the row, before it is replaced. May be NULL. */
+    void (*on_found)(const bb_table_row_t *row, void *arg);
+    void *arg;
 } bb_row_writer_options_t;
 
 bb_row_writer_t *BbRowWriter_New(const bb_row_writer_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -42,11 +42,14 @@
 Sidecar_PublishRecord(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
+    bb_local_state_t state = BbLocalTarget_State(sidecar->target);
     const bb_node_record_t record = {
         .address = settings->forward_address,
         .data_centre = settings->data_centre,
         .service = settings->service,
         .target_id = (char *)BbLocalTarget_Id(sidecar->target),
+        .is_target_left = state == BB_LOCAL_DRAINING || state == BB_LOCAL_GONE,
+        .target_born_ms = BbLocalTarget_BornMs(sidecar->target),
         .slots = BbLocalTarget_Slots(sidecar->target),
         .is_ready = takes_calls(sidecar),
         .link_mbps = (int)sidecar->settings->link_mbps,
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -124,6 +124,25 @@
     }
 }
 
+/* What an earlier process of this node has left in its row. */
+static void
+own_row_found(const bb_table_row_t *row, void *arg)
+{
+    sidecar_t *sidecar = arg;
+    bb_node_record_t record;
+
+    if (row->value == NULL ||
+        BbNodeRecord_Parse(row->value, row->size, &record) != 0) {
+        return;
+    }
+    if (record.is_target_left &&
+        BbLocalTarget_Recall(sidecar->target, record.target_id,
+                             record.target_born_ms)) {
+        Sidecar_TargetChanged(sidecar, "recalled");
+    }
+    BbNodeRecord_Clear(&record);
+}
+
 static void
 node_row(const bb_table_row_t *row, void *arg)
 {
@@ -131,6 +150,7 @@
 
     if (strcmp(row->key, sidecar->settings->name) == 0) {
         BbRowWriter_Observe(sidecar->record, row->version, row->is_removed);
+        own_row_found(row, sidecar);
     }
     take_node(row->key, row->is_removed ? NULL : row->value, row->size,
               row->version, sidecar);
@@ -323,6 +343,8 @@
         .table = PLATFORM_NODE_TABLE,
         .key = sidecar->settings->name,
         .random = sidecar->random,
+        .on_found = own_row_found,
+        .arg = sidecar,
     };
     sidecar->record = BbRowWriter_New(&record);
     bb_follow_options_t follow = {
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -601,6 +601,36 @@
     BbLocalTarget_Free(target);
 }
 
+// Guards against work for a leaving target, when its node was restarted after
+// it had acknowledged the leave and a heartbeat from before arrives late (G7).
+TEST(MeshLocalTarget, RecallsWhatAnEarlierProcessAcknowledged)
+{
+    bb_local_target_options_t options = {"10.0.0.1:80", "orders"};
+    bb_heartbeat_t late = {"i-1", "10.0.0.1:80", "orders", 9, false, 0,
+                           7,     1000};
+    bb_heartbeat_t next = late;
+    next.id = "i-2";
+    next.born_ms = 2000;
+    next.sequence = 1;
+    for (bool is_late_first : {false, true}) {
+        bb_local_target_t *target = BbLocalTarget_New(&options);
+        if (is_late_first) {
+            EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late),
+                      BB_HEARTBEAT_CHANGED);
+        }
+        EXPECT_TRUE(BbLocalTarget_Recall(target, "i-1", 1000));
+        EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
+        late.sequence++;
+        EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_STALE);
+        EXPECT_FALSE(BbLocalTarget_Recall(target, "i-1", 1000));
+        EXPECT_EQ(BbLocalTarget_Heartbeat(target, &next),
+                  BB_HEARTBEAT_CHANGED);
+        EXPECT_FALSE(BbLocalTarget_Recall(target, "i-1", 1000));
+        EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+        BbLocalTarget_Free(target);
+    }
+}
+
 // Guards against a fleet in which no node reads the store, or all do.
 TEST(MeshReaders, WidestLinksReadInEachDataCentre)
 {
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -166,6 +166,29 @@
     EXPECT_TRUE(stand_in.rows["t/own"].is_removed);
 }
 
+// Guards against a process that overwrites what an earlier one has left in the
+// row before it has read it, and against a value set at that moment being
+// lost.
+TEST_F(PlatformStore, HandsOverWhatAnEarlierProcessLeft)
+{
+    struct Found {
+        bb_row_writer_t *writer;
+        std::string value;
+    } found;
+    stand_in.Put("t", "own", "of an earlier life");
+    writer_options.on_found = [](const bb_table_row_t *row, void *arg) {
+        auto *to = static_cast<Found *>(arg);
+        to->value = std::string(row->value, row->size);
+        BbRowWriter_Set(to->writer, "with what was left");
+    };
+    writer_options.arg = &found;
+    writer = found.writer = BbRowWriter_New(&writer_options);
+    BbRowWriter_Set(writer, "one");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    EXPECT_EQ(found.value, "of an earlier life");
+    EXPECT_EQ(stand_in.rows["t/own"].value, "with what was left");
+}
+
 // Guards against a late effect of an old write: each write names the version
 // that it replaces.
 TEST_F(PlatformStore, OldWritesCannotUndoNewOnes)
