Remove the records of VMs that were lost for good

Cause: nobody removed them; the table and every node's memory grew with each VM replaced, and restarted nodes took them for ready (open question 4 of docs/platform.md). Change: a record whose node has answered no probe for 60 s, while another node of its data centre is there, is removed under the version that it had; each node takes a share of the chances that shrinks with the fleet. A node that finds its own row removed, or missing from a whole read, writes it again. Tests: MeshReaper.RemovesRecordsOfLostNodesOnly, PlatformStore.WritesARemovedRowAgain.

--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -156,6 +156,7 @@
     endpoint->doubted_at = now;
     endpoint->probe_at = now;
     endpoint->probe_backoff_s = 0;
+    endpoint->probe_failures = 0;
     g_clear_pointer(&endpoint->full_until, g_hash_table_destroy);
 }
 
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -61,6 +61,7 @@
     double doubted_at;
     double probe_at; /* not before */
     double probe_backoff_s;
+    int probe_failures;     /* since it was doubted */
     GHashTable *full_until; /* class of calls to the time before which the
                                node has no room for it; NULL while empty */
 } bb_endpoint_t;
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -271,6 +271,7 @@
     endpoint->is_doubted = false;
     endpoint->is_wanted = false;
     endpoint->probe_backoff_s = 0;
+    endpoint->probe_failures = 0;
 }
 
 static void
@@ -296,6 +297,7 @@
 BbPlacement_ProbeFailed(bb_endpoint_t *endpoint, double now)
 {
     endpoint->is_wanted = false;
+    endpoint->probe_failures++;
     endpoint->probe_backoff_s =
         endpoint->probe_backoff_s > 0
             ? MIN(endpoint->probe_backoff_s * 2, PROBE_MAX_S)
--- a/lib/mesh/bb_row_writer.c
+++ b/lib/mesh/bb_row_writer.c
@@ -140,8 +140,14 @@
 void
 BbRowWriter_Observe(bb_row_writer_t *writer, int64_t version, bool is_removed)
 {
-    if (version > writer->version) {
-        writer->version = is_removed ? 0 : version;
+    if (version <= writer->version) {
+        return;
+    }
+    writer->version = is_removed ? 0 : version;
+    if (is_removed && writer->wanted != NULL && writer->pending == NULL &&
+        !ev_is_active(&writer->retry_timer)) {
+        writer->is_dirty = true;
+        write_row(writer);
     }
 }
 
--- a/lib/mesh/bb_row_writer.h
+++ b/lib/mesh/bb_row_writer.h
@@ -38,7 +38,8 @@
 void BbRowWriter_Free(bb_row_writer_t *writer);
 void BbRowWriter_Set(bb_row_writer_t *writer, const char *value);
 
-/* version 0 or a removed row: the row does not exist. */
+/* version 0 or a removed row: the row does not exist. A row that another
+ * writer has removed is written again. */
 void BbRowWriter_Observe(bb_row_writer_t *writer, int64_t version,
                          bool is_removed);
 
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -4,6 +4,7 @@
 #include "bb_error.h"
 #include "bb_event.h"
 #include "bb_readers.h"
+#include "bb_reaper.h"
 #include "sidecar_internal.h"
 
 /* Pauses after news from the store, so that changes in quick succession are
@@ -12,7 +13,7 @@
 #define NODES_PAUSE_S 1.0
 
 /* The role of a reader is worked out again this often. */
-#define ROLE_CHECK_S 0.5
+#define ROLE_CHECK_S BB_REAPER_CHECK_S
 
 /* ---- configuration ---- */
 
@@ -113,6 +114,9 @@
     if (text != NULL && !is_readable) {
         return; /* of another writer or a later release */
     }
+    if (text == NULL && strcmp(node, sidecar->settings->name) == 0) {
+        BbRowWriter_Observe(sidecar->record, revision, true);
+    }
     if (BbFleet_Merge(sidecar->fleet, node, is_readable ? &record : NULL,
                       revision, BbClock_Now(sidecar->loop))) {
         log_node(node, is_readable ? &record : NULL, revision);
@@ -148,8 +152,8 @@
 {
     sidecar_t *sidecar = arg;
 
-    if (strcmp(row->key, sidecar->settings->name) == 0) {
-        BbRowWriter_Observe(sidecar->record, row->version, row->is_removed);
+    if (strcmp(row->key, sidecar->settings->name) == 0 && !row->is_removed) {
+        BbRowWriter_Observe(sidecar->record, row->version, false);
         own_row_found(row, sidecar);
     }
     take_node(row->key, row->is_removed ? NULL : row->value, row->size,
@@ -160,6 +164,10 @@
 node_snapshot(GHashTable *keys, int64_t version, void *arg)
 {
     sidecar_t *sidecar = arg;
+
+    if (!g_hash_table_contains(keys, sidecar->settings->name)) {
+        BbRowWriter_Observe(sidecar->record, version, true);
+    }
     BbFleet_KeepOnly(sidecar->fleet, keys, version);
     BbNewsServer_Changed(sidecar->news_server);
 }
@@ -273,6 +281,35 @@
     }
 }
 
+static void
+record_removed(const bb_table_result_t *result, void *arg)
+{
+    (void)arg;
+    if (BbEvent_Allows(BB_EVENT_ROW)) {
+        BbEvent_Write(
+            BB_EVENT_ROW,
+            json_pack("{s:s, s:s}", "outcome",
+                      result->error == 0 ? "removed" : "refused", "error",
+                      result->error != 0 ? BbError_Name(result->error) : ""));
+    }
+}
+
+/* Removes the record of a VM that was lost for good. */
+static void
+reap_record(sidecar_t *sidecar)
+{
+    const bb_endpoint_t *lost = BbReaper_Next(sidecar->fleet, sidecar->random,
+                                              BbClock_Now(sidecar->loop));
+
+    if (lost == NULL) {
+        return;
+    }
+    log_node(lost->node, NULL, lost->revision);
+    sidecar->store->ops->write(sidecar->store, PLATFORM_NODE_TABLE, lost->node,
+                               NULL, 0, lost->revision, record_removed,
+                               sidecar);
+}
+
 static void
 handle_role_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -284,6 +321,9 @@
     check_role(sidecar);
     BbNewsClient_SetStoreLost(sidecar->news_client,
                               is_reading && !is_connected(sidecar));
+    if (sidecar->leaving_since <= 0) {
+        reap_record(sidecar);
+    }
 }
 
 /* ---- start ---- */
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -20,6 +20,7 @@
 #include "bb_mesh_config.h"
 #include "bb_placement.h"
 #include "bb_readers.h"
+#include "bb_reaper.h"
 #include "bb_repeat_budget.h"
 #include "bb_slot_queue.h"
 #include "bb_transfer_gate.h"
@@ -353,6 +354,43 @@
     EXPECT_TRUE(f.is_full);
 }
 
+// Guards against records of lost VMs that stay for ever, and against removing
+// those of a data centre that is cut off.
+TEST(MeshReaper, RemovesRecordsOfLostNodesOnly)
+{
+    Fleet f;
+    bb_endpoint_t *neighbour = f.Add("neighbour", "a", 1);
+    f.is_doubting = true;
+    bb_endpoint_t *lost = f.Add("lost", "a", 2);
+    bb_endpoint_t *quiet = f.Add("quiet", "a", 3); // answers when asked
+    bb_endpoint_t *cut = f.Add("cut", "b", 4);
+    bb_endpoint_t *found = nullptr;
+    double now = 0;
+    for (; found == nullptr && now < 300; now += 0.5) {
+        found = BbReaper_Next(f.fleet, f.random, now);
+        for (auto *endpoint : {lost, quiet, cut}) {
+            if (!BbPlacement_IsProbeDue(endpoint, now)) {
+                continue;
+            }
+            if (endpoint == quiet) {
+                BbPlacement_Trust(endpoint);
+            }
+            else {
+                BbPlacement_ProbeFailed(endpoint, now);
+            }
+        }
+    }
+    EXPECT_EQ(found, lost);
+    EXPECT_GE(now, BB_REAPER_LOST_S);
+    EXPECT_LE(now, BB_REAPER_LOST_S + 60);
+    EXPECT_FALSE(quiet->is_doubted);
+    neighbour->is_doubted = true; // all of the data centre is cut off
+    quiet->is_doubted = true;
+    for (; now < 1000; now += 0.5) {
+        EXPECT_EQ(BbReaper_Next(f.fleet, f.random, now), nullptr);
+    }
+}
+
 // Guards against asking a node again at once that has no room for a class,
 // and against refusing other classes there.
 TEST(MeshPlacement, RefusalsForWantOfRoomHoldForTheirClass)
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -189,6 +189,29 @@
     EXPECT_EQ(stand_in.rows["t/own"].value, "with what was left");
 }
 
+// Guards against a live node that nobody finds any more, because another one
+// took it for lost and removed its record.
+TEST_F(PlatformStore, WritesARemovedRowAgain)
+{
+    writer = BbRowWriter_New(&writer_options);
+    BbRowWriter_Set(writer, "one");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    int64_t version = stand_in.rows["t/own"].version;
+    bool is_removed = false;
+    store->ops->write(
+        store, "t", "own", nullptr, 0, version,
+        [](const bb_table_result_t *result, void *arg) {
+            *static_cast<bool *>(arg) = result->error == 0;
+        },
+        &is_removed);
+    ASSERT_TRUE(loop.RunUntil([&] { return is_removed; }));
+    EXPECT_TRUE(stand_in.rows["t/own"].is_removed);
+    BbRowWriter_Observe(writer, version + 1, true);
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    EXPECT_EQ(stand_in.rows["t/own"].value, "one");
+    EXPECT_FALSE(stand_in.rows["t/own"].is_removed);
+}
+
 // Guards against a late effect of an old write: each write names the version
 // that it replaces.
 TEST_F(PlatformStore, OldWritesCannotUndoNewOnes)
