--- a/lib/common/bb_event.c
+++ b/lib/common/bb_event.c
@@ -47,12 +47,6 @@
     }
 }
 
-const char *
-BbEvent_Name(bb_event_t event)
-{
-    return event_info[event].name;
-}
-
 bool
 BbEvent_Allows(bb_event_t event)
 {
--- a/lib/common/bb_event.h
+++ b/lib/common/bb_event.h
@@ -42,8 +42,6 @@
 /* Steals the reference to fields, which may be NULL. */
 void BbEvent_Write(bb_event_t event, json_t *fields);
 
-const char *BbEvent_Name(bb_event_t event);
-
 /* Writes the table of kinds and fields in Markdown. */
 #include <stdio.h>
 void BbEvent_PrintReference(FILE *out);
--- a/lib/common/bb_histogram.c
+++ b/lib/common/bb_histogram.c
@@ -38,18 +38,6 @@
     held->sum_s += seconds;
 }
 
-int64_t
-BbHistogram_Count(bb_histogram_t histogram)
-{
-    return histograms[histogram].count;
-}
-
-void
-BbHistogram_Reset(void)
-{
-    memset(histograms, 0, sizeof(histograms));
-}
-
 static void
 format_one(const histogram_info_t *info, const histogram_t *held,
            GString *text)
--- a/lib/common/bb_histogram.h
+++ b/lib/common/bb_histogram.h
@@ -31,14 +31,9 @@
 
 void BbHistogram_Add(bb_histogram_t histogram, double seconds);
 
-int64_t BbHistogram_Count(bb_histogram_t histogram);
-
 /* Appends all histograms in the Prometheus text format. */
 void BbHistogram_FormatPrometheus(GString *text);
 
-/* Sets all to 0, for tests. */
-void BbHistogram_Reset(void);
-
 #ifdef __cplusplus
 }
 #endif
--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -47,7 +47,6 @@
     bb_h1_exchange_t *exchange;
     int depth;
     bool is_connected;
-    bool is_reused;
     bool is_foreign; /* the response being read is dropped */
     bool is_answered;
     bool is_last; /* the server closes after this response */
@@ -69,7 +68,6 @@
     double connect_s;
     int max_idle;
     double keep_s;
-    int64_t connect_count;
     GHashTable *peers; /* address to bb_h1_peer_t */
 };
 
@@ -451,7 +449,6 @@
     DL_DELETE(peer->idle, link);
     peer->idle_count--;
     ev_timer_stop(link->client->loop, &link->timer);
-    link->is_reused = true;
     link->is_answered = false;
     return link;
 }
@@ -461,7 +458,6 @@
 {
     bb_h1_link_t *link = g_new0(bb_h1_link_t, 1);
 
-    client->connect_count++;
     link->client = client;
     link->peer = peer;
     link->out = g_byte_array_new();
@@ -562,24 +558,12 @@
     }
 }
 
-size_t
-BbH1_Unsent(const bb_h1_exchange_t *exchange)
-{
-    return exchange->link->out->len - exchange->link->out_offset;
-}
-
 bool
 BbH1_IsSent(const bb_h1_exchange_t *exchange)
 {
     return exchange->is_sent;
 }
 
-bool
-BbH1_IsReused(const bb_h1_exchange_t *exchange)
-{
-    return exchange->link->is_reused;
-}
-
 void
 BbH1_Cancel(bb_h1_exchange_t *exchange)
 {
@@ -646,12 +630,6 @@
     }
 }
 
-int64_t
-BbH1Client_ConnectCount(const bb_h1_client_t *client)
-{
-    return client->connect_count;
-}
-
 void
 BbH1Client_CloseIdle(bb_h1_client_t *client, const char *address)
 {
--- a/lib/http/bb_h1_client.h
+++ b/lib/http/bb_h1_client.h
@@ -72,9 +72,6 @@
 /* Open exchanges are dropped without a callback. */
 void BbH1Client_Free(bb_h1_client_t *client);
 
-/* Connections opened so far. */
-int64_t BbH1Client_ConnectCount(const bb_h1_client_t *client);
-
 /* Closes the idle connections to an address. */
 void BbH1Client_CloseIdle(bb_h1_client_t *client, const char *address);
 
@@ -84,15 +81,9 @@
 void BbH1_Send(bb_h1_exchange_t *exchange, const void *data, size_t size);
 void BbH1_SendEnd(bb_h1_exchange_t *exchange);
 
-/* Bytes given and not yet written. */
-size_t BbH1_Unsent(const bb_h1_exchange_t *exchange);
-
 /* True when at least one byte of the request was written. */
 bool BbH1_IsSent(const bb_h1_exchange_t *exchange);
 
-/* Whether the request goes over a connection that served another before. */
-bool BbH1_IsReused(const bb_h1_exchange_t *exchange);
-
 /* Closes the connection; no callback follows. */
 void BbH1_Cancel(bb_h1_exchange_t *exchange);
 
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -378,19 +378,6 @@
     update_reading(request->connection);
 }
 
-void
-BbH1_ClientAddress(const bb_h1_request_t *request, char *out, size_t size)
-{
-    struct sockaddr_in peer;
-    socklen_t length = sizeof(peer);
-
-    out[0] = '\0';
-    if (getpeername(request->connection->fd, (struct sockaddr *)&peer,
-                    &length) == 0) {
-        inet_ntop(AF_INET, &peer.sin_addr, out, (socklen_t)size);
-    }
-}
-
 /* ---- requests ---- */
 
 static bb_h1_connection_t *
@@ -684,27 +671,3 @@
 {
     server->is_closing = true;
 }
-
-int
-BbH1Server_OpenRequests(const bb_h1_server_t *server)
-{
-    int count = 0;
-    const bb_h1_connection_t *connection;
-
-    DL_FOREACH (server->connections, connection) {
-        count += connection->request_count;
-    }
-    return count;
-}
-
-size_t
-BbH1Server_UnsentBytes(const bb_h1_server_t *server)
-{
-    size_t bytes = 0;
-    const bb_h1_connection_t *connection;
-
-    DL_FOREACH (server->connections, connection) {
-        bytes += connection->out->len - connection->out_offset;
-    }
-    return bytes;
-}
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -88,12 +88,6 @@
 /* Each later response asks the client to close its connection. */
 void BbH1Server_SetClosing(bb_h1_server_t *server);
 
-/* Requests that were read at least in part and not answered in full. */
-int BbH1Server_OpenRequests(const bb_h1_server_t *server);
-
-/* Bytes that wait to be written to clients. */
-size_t BbH1Server_UnsentBytes(const bb_h1_server_t *server);
-
 /* Sends an interim response, 100 or 102, before the answer. */
 void BbH1_RespondInterim(bb_h1_request_t *request, int status);
 
@@ -114,10 +108,6 @@
 /* Stops and restarts reading from the client of this request. */
 void BbH1_PauseBody(bb_h1_request_t *request, bool is_paused);
 
-/* Address of the client, "IP". */
-void BbH1_ClientAddress(const bb_h1_request_t *request, char *out,
-                        size_t size);
-
 #ifdef __cplusplus
 }
 #endif
--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -234,13 +234,6 @@
     g_free(follow);
 }
 
-void
-BbFollow_Refresh(bb_follow_t *follow)
-{
-    stop_pending(follow);
-    begin_read(follow);
-}
-
 void
 BbFollow_Suspend(bb_follow_t *follow)
 {
--- a/lib/mesh/bb_follow.h
+++ b/lib/mesh/bb_follow.h
@@ -4,7 +4,6 @@
  * USE
  *   on_row gets each row of the first read and each change after it;
  *   on_snapshot ends a whole read with the keys that it showed.
- *   BbFollow_Refresh() reads again at once.
  *
  * ERRORS
  *   Failed calls are repeated with growing, random delays; on_health tells
@@ -47,8 +46,6 @@
 
 bb_follow_t *BbFollow_New(const bb_follow_options_t *options);
 void BbFollow_Free(bb_follow_t *follow);
-void BbFollow_Refresh(bb_follow_t *follow);
-
 /* Makes no further calls until BbFollow_Resume(), which reads anew. */
 void BbFollow_Suspend(bb_follow_t *follow);
 void BbFollow_Resume(bb_follow_t *follow);
--- a/lib/mesh/bb_hop_io.c
+++ b/lib/mesh/bb_hop_io.c
@@ -835,12 +835,6 @@
     }
 }
 
-int
-BbHopIo_OpenRequests(const bb_hop_io_t *hop)
-{
-    return BbH1Server_OpenRequests(hop->server);
-}
-
 bb_h1_client_t *
 BbHopIo_Client(bb_hop_io_t *hop)
 {
--- a/lib/mesh/bb_hop_io.h
+++ b/lib/mesh/bb_hop_io.h
@@ -57,8 +57,6 @@
                             const bb_attempt_handler_t *handler, void *arg,
                             bb_hop_news_t *news);
 
-int BbHopIo_OpenRequests(const bb_hop_io_t *hop);
-
 /* Client for other requests to nodes. */
 bb_h1_client_t *BbHopIo_Client(bb_hop_io_t *hop);
 
