--- a/lib/mesh/bb_attempt.c
+++ b/lib/mesh/bb_attempt.c
@@ -1,6 +1,8 @@
 #include "bb_attempt.h"
 
 #include <stdlib.h>
+#include <string.h>
+#include <strings.h>
 
 void
 BbBody_Init(bb_body_t *body)
@@ -48,6 +50,20 @@
     }
 }
 
+void
+BbAttempt_CopyFields(bb_h1_fields_t *to, const bb_h1_fields_t *from)
+{
+    size_t cursor = 0;
+    const char *name, *value;
+
+    while (BbH1Fields_Next(from, &cursor, &name, &value)) {
+        if (!BbH1_IsHopField(name) &&
+            strncasecmp(name, BB_HOP_PREFIX, strlen(BB_HOP_PREFIX)) != 0) {
+            BbH1Fields_Add(to, name, value);
+        }
+    }
+}
+
 int64_t
 BbAttempt_ContentLength(const bb_h1_fields_t *fields)
 {
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -101,6 +101,9 @@
     const bb_attempt_ops_t *ops;
 };
 
+/* Copies the fields that go end to end, without those of bb_hop. */
+void BbAttempt_CopyFields(bb_h1_fields_t *to, const bb_h1_fields_t *from);
+
 /* Length of a response body by its head. */
 int64_t BbAttempt_ContentLength(const bb_h1_fields_t *fields);
 
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -544,8 +544,8 @@
     BbPlacement_Started(endpoint);
     if (!endpoint->is_local) {
         call->attempt =
-            BbHopIo_Start(options->hop, endpoint->record.address, &call->asked,
-                          &call_handler, call, &call->news);
+            BbHopClient_Start(options->hop, endpoint->record.address,
+                              &call->asked, &call_handler, call, &call->news);
         return;
     }
     double retry_after_s = 0;
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -14,7 +14,7 @@
 
 #include "bb_fleet.h"
 #include "bb_h1_server.h"
-#include "bb_hop_io.h"
+#include "bb_hop_client.h"
 #include "bb_mesh_config.h"
 #include "bb_placement.h"
 #include "bb_random.h"
@@ -35,7 +35,7 @@
     const bb_header_names_t *names;
     bb_fleet_t *fleet;
     bb_target_io_t *target;
-    bb_hop_io_t *hop;
+    bb_hop_client_t *hop;
     bb_repeat_budget_t *budget;
     bb_random_t *random;
     double spill_share; /* see bb_placement.h */
--- a/lib/mesh/bb_hop.h
+++ b/lib/mesh/bb_hop.h
@@ -18,6 +18,13 @@
 extern "C" {
 #endif
 
+/* Interim responses of the node beside the target. */
+#define BB_HOP_SEND_BODY 100
+#define BB_HOP_HEAD_READ 102
+
+/* Connections between nodes that are idle for longer are closed. */
+#define BB_HOP_CLIENT_IDLE_S 12.0
+
 typedef struct {
     char *service;        /* that must run the call */
     char *caller_service; /* of the VM where the call began */
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -243,22 +243,27 @@
 start_calls(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
-    const bb_hop_io_options_t hop = {
+    const bb_hop_server_options_t server = {
         .loop = sidecar->loop,
         .address = settings->forward_address,
         .link_mbps = settings->link_mbps,
         .target = sidecar->target_io,
         .names = Platform_HeaderNames(),
         .own_version = Sidecar_OwnVersion,
-        .on_version = Sidecar_VersionHeard,
         .on_query = Sidecar_NodeQuery,
         .on_query_gone = Sidecar_NodeQueryGone,
         .arg = sidecar,
     };
-    int error = BbHopIo_New(&hop, &sidecar->hop);
+    int error = BbHopServer_New(&server, &sidecar->hop_server);
     if (error != 0) {
         return error;
     }
+    const bb_hop_client_options_t client = {
+        .loop = sidecar->loop,
+        .on_version = Sidecar_VersionHeard,
+        .arg = sidecar,
+    };
+    sidecar->hop_client = BbHopClient_New(&client);
     const bb_call_io_options_t calls = {
         .loop = sidecar->loop,
         .address = settings->caller_address,
@@ -267,7 +272,7 @@
         .names = Platform_HeaderNames(),
         .fleet = sidecar->fleet,
         .target = sidecar->target_io,
-        .hop = sidecar->hop,
+        .hop = sidecar->hop_client,
         .budget = sidecar->budget,
         .random = sidecar->random,
         .spill_share = settings->spill_share,
@@ -354,7 +359,8 @@
     BbH1Server_Free(sidecar->metrics);
     BbH1Server_Free(sidecar->announcements);
     BbCallIo_Free(sidecar->call_io);
-    BbHopIo_Free(sidecar->hop);
+    BbHopServer_Free(sidecar->hop_server);
+    BbHopClient_Free(sidecar->hop_client);
     BbTargetIo_Free(sidecar->target_io);
     BbLocalTarget_Free(sidecar->target);
     BbRepeatBudget_Free(sidecar->budget);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -8,7 +8,8 @@
 
 #include "bb_call_io.h"
 #include "bb_follow.h"
-#include "bb_hop_io.h"
+#include "bb_hop_client.h"
+#include "bb_hop_server.h"
 #include "bb_local_target.h"
 #include "bb_news_client.h"
 #include "bb_news_server.h"
@@ -27,7 +28,8 @@
     bb_mesh_config_t *config;
     bb_local_target_t *target;
     bb_target_io_t *target_io;
-    bb_hop_io_t *hop;
+    bb_hop_server_t *hop_server;
+    bb_hop_client_t *hop_client;
     bb_call_io_t *call_io;
     bb_repeat_budget_t *budget;
     bb_table_store_t *store;
@@ -66,7 +68,7 @@
 void Sidecar_StartStore(sidecar_t *sidecar);
 void Sidecar_StartNews(sidecar_t *sidecar);
 
-/* Callbacks of bb_hop_io; arg is the sidecar. */
+/* Callbacks of bb_hop_server and bb_hop_client; arg is the sidecar. */
 int64_t Sidecar_OwnVersion(void *arg);
 void Sidecar_VersionHeard(int64_t version, const char *address, void *arg);
 void Sidecar_NodeQuery(bb_h1_request_t *request, void *arg);
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -342,7 +342,7 @@
     };
     const bb_news_client_options_t client = {
         .loop = sidecar->loop,
-        .client = BbHopIo_Client(sidecar->hop),
+        .client = BbHopClient_Http(sidecar->hop_client),
         .fleet = sidecar->fleet,
         .versions = sidecar->versions,
         .random = sidecar->random,
@@ -360,7 +360,7 @@
     sidecar->news_client = BbNewsClient_New(&client);
     const bb_probe_options_t probe = {
         .loop = sidecar->loop,
-        .client = BbHopIo_Client(sidecar->hop),
+        .client = BbHopClient_Http(sidecar->hop_client),
         .fleet = sidecar->fleet,
     };
     sidecar->probe = BbProbe_New(&probe);
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -19,6 +19,7 @@
 #include "bb_call_io.h"
 #include "bb_error.h"
 #include "bb_h1_message.h"
+#include "bb_hop_server.h"
 
 namespace mesh_rig {
 
@@ -257,15 +258,18 @@
             loop->loop, target->address.c_str(), "orders", &kNames,
             local_target};
         target_io = BbTargetIo_New(&target_options);
-        bb_hop_io_options_t hop_options = {};
-        hop_options.loop = loop->loop;
-        hop_options.address = forward_address.c_str();
-        hop_options.link_mbps = 1000;
-        hop_options.target = target_io;
-        hop_options.names = &kNames;
-        hop_options.own_version = [](void *) -> int64_t { return 3; };
-        hop_options.on_version = [](int64_t, const char *, void *) {};
-        EXPECT_EQ(BbHopIo_New(&hop_options, &hop), 0);
+        bb_hop_server_options_t server_options = {};
+        server_options.loop = loop->loop;
+        server_options.address = forward_address.c_str();
+        server_options.link_mbps = 1000;
+        server_options.target = target_io;
+        server_options.names = &kNames;
+        server_options.own_version = [](void *) -> int64_t { return 3; };
+        EXPECT_EQ(BbHopServer_New(&server_options, &hop_server), 0);
+        bb_hop_client_options_t client_options = {};
+        client_options.loop = loop->loop;
+        client_options.on_version = [](int64_t, const char *, void *) {};
+        hop_client = BbHopClient_New(&client_options);
         fleet = BbFleet_New(name.c_str());
         random = BbRandom_New(1);
         bb_repeat_budget_options_t budget_options = {1.0, 100};
@@ -278,7 +282,7 @@
         options.names = &kNames;
         options.fleet = fleet;
         options.target = target_io;
-        options.hop = hop;
+        options.hop = hop_client;
         options.budget = budget;
         options.random = random;
         options.spill_share = 0.9;
@@ -291,7 +295,8 @@
     ~Node()
     {
         BbCallIo_Free(calls);
-        BbHopIo_Free(hop);
+        BbHopServer_Free(hop_server);
+        BbHopClient_Free(hop_client);
         BbTargetIo_Free(target_io);
         BbLocalTarget_Free(local_target);
         BbRepeatBudget_Free(budget);
@@ -343,7 +348,8 @@
     std::string caller_address, forward_address, name, data_centre;
     bb_local_target_t *local_target;
     bb_target_io_t *target_io;
-    bb_hop_io_t *hop;
+    bb_hop_server_t *hop_server;
+    bb_hop_client_t *hop_client;
     bb_fleet_t *fleet;
     bb_random_t *random;
     bb_repeat_budget_t *budget;
