--- /dev/null
+++ b/lib/mesh/bb_mesh_call_answer.c
@@ -0,0 +1,121 @@
+#include <jansson.h>
+
+#include "bb_clock.h"
+#include "bb_event.h"
+#include "bb_histogram.h"
+#include "bb_mesh_call.h"
+
+/* Retry-After of a refusal that no queue explains. */
+#define DEFAULT_RETRY_AFTER_S 0.3
+#define MAX_RETRY_AFTER_S 2.0
+
+const char *
+BbMeshCall_PeerName(const bb_mesh_call_t *call)
+{
+    return call->tried_count > 0 ? call->tried[call->tried_count - 1]->node
+                                 : "";
+}
+
+static void
+log_own_answer(const bb_mesh_call_t *call, int status, bb_reason_t reason)
+{
+    bool is_refusal = status == 503 || status == 404;
+    bb_event_t event =
+        is_refusal ? BB_EVENT_CALL_REFUSED : BB_EVENT_CALL_FAILED;
+
+    if (!BbEvent_Allows(event)) {
+        return;
+    }
+    json_t *fields = json_pack(
+        "{s:s, s:s, s:i, s:s, s:s, s:i, s:f, s:I}", "call", call->call_id,
+        "route", call->route != NULL ? call->route->name : "", "status",
+        status, "reason", BbReason_Name(reason), "peer",
+        BbMeshCall_PeerName(call), "attempts", call->attempts, "took_s",
+        BbMeshCall_Now(call) - call->arrived_at, "version",
+        (json_int_t)(call->config != NULL ? BbMeshConfig_Version(call->config)
+                                          : 0));
+    if (status == 503) {
+        json_object_set_new(fields, "retry_after_s",
+                            json_real(call->retry_after_s));
+    }
+    BbEvent_Write(event, fields);
+}
+
+static void
+count_own_answer(const bb_mesh_call_t *call, int status, bb_reason_t reason)
+{
+    BbReason_Count(reason);
+    BbHistogram_Add(status == 503 ? BB_HISTOGRAM_CALL_REFUSED
+                                  : BB_HISTOGRAM_CALL_FAILED,
+                    BbMeshCall_Now(call) - call->arrived_at);
+}
+
+void
+BbMeshCall_AnswerOwn(bb_mesh_call_t *call, int status, bb_reason_t reason)
+{
+    bb_h1_fields_t fields;
+    char seconds[24];
+    bb_h1_request_t *request = call->request;
+
+    log_own_answer(call, status, reason);
+    count_own_answer(call, status, reason);
+    BbH1Fields_Init(&fields);
+    if (call->call_id[0] != '\0') {
+        BbH1Fields_Add(&fields, call->io->options.names->call_id,
+                       call->call_id);
+    }
+    if (status == 503) {
+        double wait_s = call->retry_after_s > 0 ? call->retry_after_s
+                                                : DEFAULT_RETRY_AFTER_S;
+        g_ascii_formatd(seconds, sizeof(seconds), "%.3f",
+                        MIN(wait_s, MAX_RETRY_AFTER_S));
+        BbH1Fields_Add(&fields, "Retry-After", seconds);
+    }
+    if (call->is_streaming) {
+        BbH1_Abort(request);
+    }
+    else {
+        BbH1_Respond(request, status, &fields, NULL, 0);
+    }
+    BbH1Fields_Free(&fields);
+    BbMeshCall_Free(call);
+}
+
+/* Ends a call that no attempt has answered and none will. */
+void
+BbMeshCall_GiveUp(bb_mesh_call_t *call, bb_reason_t reason)
+{
+    if (!call->may_have_run) {
+        BbMeshCall_AnswerOwn(call, 503, reason);
+    }
+    else {
+        BbMeshCall_AnswerOwn(
+            call, reason == BB_REASON_CALL_TIMEOUT ? 504 : 502, reason);
+    }
+}
+
+void
+BbMeshCall_AnswerWhole(bb_mesh_call_t *call)
+{
+    bb_h1_request_t *request = call->request;
+
+    BbHistogram_Add(BB_HISTOGRAM_CALL_SERVED,
+                    BbMeshCall_Now(call) - call->arrived_at);
+    if (BbEvent_Allows(BB_EVENT_CALL_SERVED)) {
+        BbEvent_Write(BB_EVENT_CALL_SERVED,
+                      json_pack("{s:s, s:s, s:i, s:s, s:i, s:f}", "call",
+                                call->call_id, "route", call->route->name,
+                                "status", call->status, "peer",
+                                BbMeshCall_PeerName(call), "attempts",
+                                call->attempts, "took_s",
+                                BbMeshCall_Now(call) - call->arrived_at));
+    }
+    if (call->is_streaming) {
+        BbH1_RespondEnd(request);
+    }
+    else {
+        BbH1_Respond(request, call->status, &call->answer_fields,
+                     call->answer->data, call->answer->len);
+    }
+    BbMeshCall_Free(call);
+}
