--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES = libzmq libmicrohttpd libcurl glib-2.0 jansson libsodium \
            libxxhash msgpack
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lhttp_parser -lzstd -lm
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lhttp_parser -lsimdjson -lzstd -lm
 
 INCLUDES = -Ilib/common -Ilib/operator -Ilib/platform -Ilib/peer \
            -Ilib/target -Ilib/caller -Ilib/http -Ilib/mesh -Iplatform -Itests/unit
@@ -23,7 +23,7 @@
                $(PKG_CFLAGS) -MMD -MP
 
 LIB_C := $(wildcard lib/*/*.c platform/*.c)
-LIB_CC := $(wildcard lib/*/*.cc)
+LIB_CC := $(wildcard lib/*/*.cc platform/*.cc)
 LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CC:%.cc=$(BUILD)/%.o)
 LIB := $(BUILD)/libburdockbarrow.a
 
@@ -39,9 +39,10 @@
 SIDECAR_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/bbsidecar/*.c \
                   platform/*.c lib/mesh/*.c lib/http/*.c)) \
                $(SIDECAR_COMMON:%=$(BUILD)/lib/common/%.o) \
+               $(patsubst %.cc,$(BUILD)/%.o,$(wildcard platform/*.cc)) \
                $(BUILD)/lib/common/bb_toml.o
 SIDECAR_LIBS = $(shell pkg-config --libs glib-2.0 jansson 2>/dev/null) \
-               -lev -lhttp_parser -lzstd -lm
+               -lev -lhttp_parser -lsimdjson -lzstd -lm
 
 # Unit tests: every tests/unit/*_test.cc goes into one GoogleTest binary.
 UNIT_CC := $(wildcard tests/unit/*.cc)
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -10,7 +10,7 @@
     libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-openssl-dev
     libglib2.0-dev libjansson-dev libmsgpack-dev libsodium-dev
     libhttp-parser-dev libzstd-dev
-    libxxhash-dev uthash-dev libtomlplusplus-dev libgtest-dev
+    libxxhash-dev uthash-dev libsimdjson-dev libtomlplusplus-dev libgtest-dev
 )
 
 is_installed() {
