Ask for one more silent node at a time before records are removed

Found by reading: after 60 s every node would have probed every node that it had not called by then, the square of the fleet (11.5 million probes at 3,400 nodes). Now a node asks for one more at each check, and goes on with those that have not answered. Test: MeshReaper.AsksForOneMoreNodeAtATime (300 wanted at the first check before).

--- a/lib/mesh/bb_reaper.c
+++ b/lib/mesh/bb_reaper.c
@@ -11,6 +11,8 @@
     double chance;
     bb_random_t *random;
     bb_endpoint_t *found;
+    bb_endpoint_t *unasked; /* one of those that no probe was sent to */
+    int unasked_count;
 } search_t;
 
 typedef struct {
@@ -37,6 +39,16 @@
     return neighbour.is_found;
 }
 
+/* Keeps one of all that are offered, each with the same chance. */
+static void
+offer_unasked(search_t *search, bb_endpoint_t *endpoint)
+{
+    search->unasked_count++;
+    if (BbRandom_Below(search->random, search->unasked_count) == 0) {
+        search->unasked = endpoint;
+    }
+}
+
 static void
 consider(bb_endpoint_t *endpoint, void *arg)
 {
@@ -47,6 +59,10 @@
         search->now - endpoint->doubted_at < BB_REAPER_LOST_S) {
         return;
     }
+    if (endpoint->probe_failures == 0) {
+        offer_unasked(search, endpoint);
+        return;
+    }
     endpoint->is_wanted = true;
     if (endpoint->probe_failures >= MIN_FAILURES &&
         BbRandom_Unit(search->random) < search->chance &&
@@ -67,6 +83,9 @@
     };
 
     BbFleet_ForEach(fleet, consider, &search);
+    if (search.unasked != NULL) {
+        search.unasked->is_wanted = true;
+    }
     if (search.found != NULL) {
         search.found->doubted_at = now; /* the removal may be refused */
     }
--- a/lib/mesh/bb_reaper.h
+++ b/lib/mesh/bb_reaper.h
@@ -28,8 +28,9 @@
 #define BB_REAPER_CHECK_S 0.5
 #define BB_REAPER_LOST_S 60.0
 
-/* A node whose record is to be removed now, or NULL. Asks for probes of nodes
- * that were not heard of for long. */
+/* A node whose record is to be removed now, or NULL. Asks for a probe of one
+ * more node that was not heard of for long: all nodes together ask each of
+ * them about twice a second, whatever the size of the fleet. */
 bb_endpoint_t *BbReaper_Next(const bb_fleet_t *fleet, bb_random_t *random,
                              double now);
 
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <memory>
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -391,6 +392,26 @@
     }
 }
 
+// Guards against probes of every node by every other one in a large fleet.
+TEST(MeshReaper, AsksForOneMoreNodeAtATime)
+{
+    Fleet f;
+    f.is_doubting = true;
+    std::vector<bb_endpoint_t *> nodes;
+    for (int i = 0; i < 300; i++) {
+        nodes.push_back(f.Add(("n" + std::to_string(i)).c_str(), "a", i + 1));
+    }
+    for (int check = 1; check <= 20; check++) {
+        EXPECT_EQ(BbReaper_Next(f.fleet, f.random, BB_REAPER_LOST_S + check),
+                  nullptr);
+        auto wanted = std::count_if(
+            nodes.begin(), nodes.end(),
+            [](const bb_endpoint_t *node) { return node->is_wanted; });
+        EXPECT_GE(wanted, 1);
+        EXPECT_LE(wanted, check);
+    }
+}
+
 // Guards against asking a node again at once that has no room for a class,
 // and against refusing other classes there.
 TEST(MeshPlacement, RefusalsForWantOfRoomHoldForTheirClass)
