--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -15,8 +15,8 @@
 /* Weight of the newest call in the mean times. */
 #define SERVICE_WEIGHT 0.05
 
-/* A mean time that nothing has confirmed for the first time fades with the
- * second: calls that are refused because of it would never correct it. */
+/* A mean that was not measured for MEAN_FRESH_S fades with MEAN_FADE_S: calls
+ * that are refused because of it would never correct it. */
 #define MEAN_FRESH_S 1.0
 #define MEAN_FADE_S 2.0
 
