--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -5,8 +5,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <memory>
 #include <algorithm>
+#include <memory>
 #include <string>
 #include <vector>
 
