Decide in one place which header fields go end to end

The filter stood in the caller side and, since the split of bb_hop_io, in BbAttempt_CopyFields(). No change of behaviour; Mesh*, Platform* and Proxy* (90 tests) and lint pass.

--- a/lib/mesh/bb_attempt.c
+++ b/lib/mesh/bb_attempt.c
@@ -50,6 +50,13 @@
     }
 }
 
+bool
+BbAttempt_IsEndToEnd(const char *name)
+{
+    return !BbH1_IsHopField(name) &&
+           strncasecmp(name, BB_HOP_PREFIX, strlen(BB_HOP_PREFIX)) != 0;
+}
+
 void
 BbAttempt_CopyFields(bb_h1_fields_t *to, const bb_h1_fields_t *from)
 {
@@ -57,8 +64,7 @@
     const char *name, *value;
 
     while (BbH1Fields_Next(from, &cursor, &name, &value)) {
-        if (!BbH1_IsHopField(name) &&
-            strncasecmp(name, BB_HOP_PREFIX, strlen(BB_HOP_PREFIX)) != 0) {
+        if (BbAttempt_IsEndToEnd(name)) {
             BbH1Fields_Add(to, name, value);
         }
     }
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -101,7 +101,10 @@
     const bb_attempt_ops_t *ops;
 };
 
-/* Copies the fields that go end to end, without those of bb_hop. */
+/* Whether a field goes end to end: not of one connection, not of bb_hop. */
+bool BbAttempt_IsEndToEnd(const char *name);
+
+/* Copies the fields that go end to end. */
 void BbAttempt_CopyFields(bb_h1_fields_t *to, const bb_h1_fields_t *from);
 
 /* Length of a response body by its head. */
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -62,8 +62,7 @@
         bool is_set_here = strcasecmp(name, names->deadline) == 0 ||
                            strcasecmp(name, names->expected_target) == 0 ||
                            strcasecmp(name, names->caller_service) == 0;
-        if (!is_set_here && !BbH1_IsHopField(name) &&
-            strncasecmp(name, BB_HOP_PREFIX, strlen(BB_HOP_PREFIX)) != 0) {
+        if (!is_set_here && BbAttempt_IsEndToEnd(name)) {
             BbH1Fields_Add(&call->fields, name, value);
         }
     }
