Read the shared tables once at a start, write a record once

Each node at a start writes its record twice, reads two tables and opens two feeds, though it neither knows its target yet nor reads for others. Change: the record is written when the target is known, and not at all when the row holds it already (started_ms, which made each restart a change, is gone); a node that is no reader closes the table after the first read and asks one reader for the version; feeds go on where they were left. Roles of readers are worked out when records change instead of 20 times a second. Ruled out: reading without roles on a first start, since records are incomplete then: the settings tell a first start, and the read waits for 2.2 s.

--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -13,6 +13,7 @@
     TYPE_TEXT,
     TYPE_ADDRESS, /* "IP:PORT" */
     TYPE_NUMBER,
+    TYPE_FLAG, /* false by default */
 } setting_type_t;
 
 typedef struct {
@@ -39,6 +40,8 @@
      0, 0, "address of the target on this VM"},
     {"node", "link_mbps", TYPE_NUMBER, FIELD(link_mbps), true, 1000, 0, 1e6,
      "width of this VM's link in Mbit/s; wide ones read the store for others"},
+    {"node", "first_start", TYPE_FLAG, FIELD(is_first_start), true, 0, 0, 0,
+     "the whole fleet starts for the first time, so no record exists yet"},
     {"listen", "callers", TYPE_ADDRESS, FIELD(caller_address), false, 0, 0, 0,
      "address for the callers on this VM and for its target's own calls"},
     {"listen", "forwarded", TYPE_ADDRESS, FIELD(forward_address), false, 0, 0,
@@ -83,6 +86,12 @@
                                 text, 0, 0);
 }
 
+static bool
+is_text(const setting_t *setting)
+{
+    return setting->type == TYPE_TEXT || setting->type == TYPE_ADDRESS;
+}
+
 static void
 add_finding(bb_findings_t *findings, const char *path, const bb_toml_t *toml,
             const setting_t *setting, const char *message)
@@ -128,7 +137,15 @@
         }
         return;
     }
-    if (setting->type != TYPE_NUMBER) {
+    if (setting->type == TYPE_FLAG) {
+        *(bool *)(void *)field = json_is_true(value);
+        if (!json_is_boolean(value)) {
+            add_finding(findings, path, toml, setting,
+                        "must be true or false");
+        }
+        return;
+    }
+    if (is_text(setting)) {
         take_text(setting, value, path, toml, findings,
                   (char **)(void *)field);
         return;
@@ -192,7 +209,7 @@
 BbSidecarSettings_Free(bb_sidecar_settings_t *settings)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(settings_table); i++) {
-        if (settings_table[i].type != TYPE_NUMBER) {
+        if (is_text(&settings_table[i])) {
             char *field = (char *)settings + settings_table[i].offset;
             g_clear_pointer((char **)(void *)field, g_free);
         }
@@ -202,7 +219,7 @@
 void
 BbSidecarSettings_PrintReference(FILE *out)
 {
-    static const char *const types[] = {"text", "address", "number"};
+    static const char *const types[] = {"text", "address", "number", "flag"};
 
     fputs("# Settings of bbsidecar\n\nPrinted by `bbsidecar "
           "--print-settings`.\n\n| key | type | default | range | meaning |\n"
@@ -216,6 +233,9 @@
             fprintf(out, "%g | %g to %g", setting->default_number,
                     setting->min, setting->max);
         }
+        else if (setting->type == TYPE_FLAG) {
+            fputs("false | ", out);
+        }
         else {
             fprintf(out, "%s | ", setting->is_optional ? "none" : "required");
         }
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -13,6 +13,7 @@
 #ifndef BB_SIDECAR_SETTINGS_H
 #define BB_SIDECAR_SETTINGS_H
 
+#include <stdbool.h>
 #include <stdio.h>
 
 #include "bb_findings.h"
@@ -28,6 +29,7 @@
     char *service;
     char *target_address;
     double link_mbps;
+    bool is_first_start; /* the whole fleet starts for the first time */
     /* [listen] */
     char *caller_address;
     char *forward_address;
--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -9,6 +9,8 @@
     char *own_node;
     GHashTable *nodes;    /* name to bb_endpoint_t */
     GHashTable *services; /* name to GPtrArray of bb_endpoint_t */
+    uint64_t generation;
+    size_t count; /* nodes that are not removed */
 };
 
 /* ---- records ---- */
@@ -17,11 +19,10 @@
 BbNodeRecord_Format(const bb_node_record_t *record)
 {
     json_t *object = json_pack(
-        "{s:s, s:s, s:s, s:s, s:i, s:b, s:i, s:I}", "address", record->address,
+        "{s:s, s:s, s:s, s:s, s:i, s:b, s:i}", "address", record->address,
         "data_centre", record->data_centre, "service", record->service,
         "target", record->target_id, "slots", record->slots, "ready",
-        record->is_ready, "link_mbps", record->link_mbps, "started_ms",
-        (json_int_t)record->started_ms);
+        record->is_ready, "link_mbps", record->link_mbps);
     if (record->is_target_left) {
         json_object_set_new(object, "left_born_ms",
                             json_integer(record->target_born_ms));
@@ -40,14 +41,13 @@
     json_t *object = json_loadb(text, size, 0, NULL);
     const char *address, *data_centre, *service, *target;
     int slots, is_ready, link_mbps = 0;
-    json_int_t started_ms;
 
     memset(out, 0, sizeof(*out));
-    int error = json_unpack(object, "{s:s, s:s, s:s, s:s, s:i, s:b, s?i, s:I}",
+    int error = json_unpack(object, "{s:s, s:s, s:s, s:s, s:i, s:b, s?i}",
                             "address", &address, "data_centre", &data_centre,
                             "service", &service, "target", &target, "slots",
                             &slots, "ready", &is_ready, "link_mbps",
-                            &link_mbps, "started_ms", &started_ms);
+                            &link_mbps);
     if (object != NULL && error == 0) {
         out->address = g_strdup(address);
         out->data_centre = g_strdup(data_centre);
@@ -56,7 +56,6 @@
         out->slots = slots;
         out->is_ready = is_ready;
         out->link_mbps = link_mbps;
-        out->started_ms = started_ms;
         const json_t *left = json_object_get(object, "left_born_ms");
         out->is_target_left = json_is_integer(left);
         out->target_born_ms = json_integer_value(left);
@@ -121,6 +120,8 @@
 static void
 leave_service(bb_fleet_t *fleet, bb_endpoint_t *endpoint)
 {
+    fleet->generation++;
+    fleet->count--;
     if (endpoint->record.service == NULL) {
         return;
     }
@@ -137,6 +138,8 @@
     const char *service = endpoint->record.service;
     GPtrArray *list = g_hash_table_lookup(fleet->services, service);
 
+    fleet->generation++;
+    fleet->count++;
     if (list == NULL) {
         list = g_ptr_array_new();
         g_hash_table_insert(fleet->services, g_strdup(service), list);
@@ -165,8 +168,7 @@
            const bb_node_record_t *record, double now)
 {
     bool is_new = endpoint->is_removed || endpoint->record.target_id == NULL ||
-                  strcmp(endpoint->record.target_id, record->target_id) != 0 ||
-                  endpoint->record.started_ms != record->started_ms;
+                  strcmp(endpoint->record.target_id, record->target_id) != 0;
 
     if (is_new) {
         forget_load(endpoint, now);
@@ -201,6 +203,7 @@
     bb_fleet_t *fleet = g_new0(bb_fleet_t, 1);
 
     fleet->own_node = g_strdup(own_node);
+    fleet->generation = 1;
     fleet->nodes =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_endpoint);
     fleet->services =
@@ -307,14 +310,11 @@
 size_t
 BbFleet_NodeCount(const bb_fleet_t *fleet)
 {
-    size_t count = 0;
-    GHashTableIter iter;
-    gpointer value;
+    return fleet->count;
+}
 
-    g_hash_table_iter_init(&iter, fleet->nodes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const bb_endpoint_t *endpoint = value;
-        count += !endpoint->is_removed;
-    }
-    return count;
+uint64_t
+BbFleet_Generation(const bb_fleet_t *fleet)
+{
+    return fleet->generation;
 }
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -36,7 +36,6 @@
     int slots;
     bool is_ready;      /* takes new calls */
     int link_mbps;      /* width of the VM's link */
-    int64_t started_ms; /* wall clock, tells incarnations of a node apart */
 } bb_node_record_t;
 
 /* A node as the choosing node sees it; times are seconds. */
@@ -105,6 +104,9 @@
 
 size_t BbFleet_NodeCount(const bb_fleet_t *fleet);
 
+/* Grows with each change of a record; 1 for an empty fleet. */
+uint64_t BbFleet_Generation(const bb_fleet_t *fleet);
+
 bb_endpoint_t *BbEndpoint_Ref(bb_endpoint_t *endpoint);
 void BbEndpoint_Unref(bb_endpoint_t *endpoint);
 
--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -128,7 +128,9 @@
     }
     g_clear_pointer(&follow->keys, g_hash_table_destroy);
     set_connected(follow, true, 0);
-    feed(follow);
+    if (!follow->is_suspended) {
+        feed(follow);
+    }
 }
 
 static void
@@ -205,7 +207,11 @@
     follow->table = g_strdup(options->table);
     ev_init(&follow->retry_timer, handle_retry);
     follow->retry_timer.data = follow;
-    begin_read(follow);
+    follow->is_suspended = options->is_suspended;
+    if (!follow->is_suspended) {
+        ev_timer_set(&follow->retry_timer, options->start_delay_s, 0.0);
+        ev_timer_start(options->loop, &follow->retry_timer);
+    }
     return follow;
 }
 
@@ -244,8 +250,14 @@
 void
 BbFollow_Resume(bb_follow_t *follow)
 {
-    if (follow->is_suspended) {
-        follow->is_suspended = false;
+    if (!follow->is_suspended) {
+        return;
+    }
+    follow->is_suspended = false;
+    if (follow->has_snapshot) {
+        feed(follow); /* reads anew if the history does not reach back */
+    }
+    else {
         begin_read(follow);
     }
 }
--- a/lib/mesh/bb_follow.h
+++ b/lib/mesh/bb_follow.h
@@ -3,7 +3,8 @@
  *
  * USE
  *   on_row gets each row of the first read and each change after it;
- *   on_snapshot ends a whole read with the keys that it showed.
+ *   on_snapshot ends a whole read with the keys that it showed. It may suspend
+ *   the table, so that its feed is not followed.
  *
  * ERRORS
  *   Failed calls are repeated with growing, random delays; on_health tells
@@ -39,6 +40,8 @@
      * come in quick succession are then read together: the newest value of
      * each row, in one call. */
     double pause_s;
+    double start_delay_s; /* until the first call */
+    bool is_suspended;    /* no call before BbFollow_Resume() */
     const bb_follow_handler_t *handler;
     void *arg;
     bb_random_t *random;
@@ -46,7 +49,8 @@
 
 bb_follow_t *BbFollow_New(const bb_follow_options_t *options);
 void BbFollow_Free(bb_follow_t *follow);
-/* Makes no further calls until BbFollow_Resume(), which reads anew. */
+/* Makes no further calls until BbFollow_Resume(), which goes on where the
+ * table was left. */
 void BbFollow_Suspend(bb_follow_t *follow);
 void BbFollow_Resume(bb_follow_t *follow);
 bool BbFollow_IsSuspended(const bb_follow_t *follow);
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -7,7 +7,6 @@
 
 #include "bb_h1_fetch.h"
 #include "bb_news_server.h"
-#include "bb_readers.h"
 
 /* A question waits this long at the reader. */
 #define WAIT_S 1.0
@@ -18,8 +17,13 @@
 /* Without an answer for this long the readers are taken to be lost. */
 #define FED_S 1.5
 
-/* A reader that failed is not asked for this long. */
+/* The same for the first answer after the role of this node has changed. */
+#define FIRST_FED_S 0.8
+
+/* A reader that failed is not asked for this long, nor by a node that holds no
+ * version: after a loss of power its readers start at the same time. */
 #define PASS_OVER_S 2.0
+#define PASS_OVER_START_S 0.2
 
 #define CHECK_S 0.1
 
@@ -60,6 +64,12 @@
     return BbClock_Now(client->options.loop);
 }
 
+static bool
+holds_none(const bb_news_client_t *client)
+{
+    return BbVersions_Newest(client->options.versions) == 0;
+}
+
 /* ---- answers ---- */
 
 static void
@@ -119,8 +129,10 @@
 pass_over(bb_news_client_t *client, const char *address)
 {
     double *until = g_new(double, 1);
+    double pass_over_s =
+        holds_none(client) ? PASS_OVER_START_S : PASS_OVER_S;
 
-    *until = now_of(client) + PASS_OVER_S;
+    *until = now_of(client) + pass_over_s;
     g_hash_table_replace(client->passed_over, g_strdup(address), until);
 }
 
@@ -222,11 +234,28 @@
     return true;
 }
 
-static const char *
-next_reader(const bb_news_client_t *client, GPtrArray *readers)
+static int
+readers_near(const bb_news_client_t *client, const GPtrArray *readers)
 {
+    int count = 0;
+
     for (guint i = 0; i < readers->len; i++) {
         const bb_endpoint_t *endpoint = g_ptr_array_index(readers, i);
+        count += strcmp(endpoint->record.data_centre, client->data_centre) == 0;
+    }
+    return count;
+}
+
+/* The nodes of a data centre begin at different ones of its readers. */
+static const char *
+next_reader(const bb_news_client_t *client, const GPtrArray *readers)
+{
+    guint near = (guint)readers_near(client, readers);
+    guint first = near > 0 ? g_str_hash(client->address) % near : 0;
+
+    for (guint i = 0; i < readers->len; i++) {
+        guint index = i < near ? (first + i) % near : i;
+        const bb_endpoint_t *endpoint = g_ptr_array_index(readers, index);
         if (is_usable(client, endpoint)) {
             return endpoint->record.address;
         }
@@ -243,7 +272,7 @@
     case BB_NEWS_REMOTE:
         return 1;
     case BB_NEWS_READERS:
-        return BB_NEWS_SUBSCRIPTIONS;
+        return holds_none(client) ? 1 : BB_NEWS_SUBSCRIPTIONS;
     }
     return 0;
 }
@@ -253,11 +282,9 @@
 {
     int count = subscription_count(client);
 
-    if (count == 0) {
-        return;
-    }
-    GPtrArray *readers =
-        BbReaders_Rank(client->options.fleet, client->data_centre);
+    const GPtrArray *readers =
+        BbReaders_Rank(client->options.readers, client->data_centre);
+
     for (int i = 0; i < count; i++) {
         question_t *question = &client->questions[i];
         if (question->fetch != NULL) {
@@ -268,7 +295,6 @@
             ask(question, address, WAIT_S);
         }
     }
-    g_ptr_array_unref(readers);
 }
 
 static void
@@ -339,9 +365,8 @@
         version <= BbVersions_Newest(client->options.versions)) {
         return;
     }
-    bool holds_none = BbVersions_Newest(client->options.versions) == 0;
     client->hint_version = version;
-    client->hint_at = holds_none ? 0 : now_of(client);
+    client->hint_at = holds_none(client) ? 0 : now_of(client);
     g_free(client->hint_address);
     client->hint_address = g_strdup(address);
 }
@@ -368,7 +393,8 @@
         return;
     }
     client->scope = scope;
-    client->is_fed = false;
+    client->is_fed = scope == BB_NEWS_READERS;
+    client->fed_at = now_of(client) - FED_S + FIRST_FED_S;
     for (int i = 0; i < BB_NEWS_SUBSCRIPTIONS; i++) {
         cancel_question(&client->questions[i]);
     }
--- a/lib/mesh/bb_news_client.h
+++ b/lib/mesh/bb_news_client.h
@@ -5,7 +5,8 @@
  * so that one that is killed, frozen or cut off delays nothing. A reader that
  * fails, or has lost the store itself, is passed over for some seconds. When
  * no reader has answered for FED_S, on_fed(false) tells the owner to read the
- * store itself.
+ * store itself. A node without a version asks one reader only: the answer is
+ * the whole version, and all nodes may have just started.
  *
  * A reader keeps one question open at a reader of another data centre: when
  * the store falls silent for it without a reset, it learns so only at the end
@@ -27,6 +28,7 @@
 #include "bb_fleet.h"
 #include "bb_h1_client.h"
 #include "bb_random.h"
+#include "bb_readers.h"
 #include "bb_versions.h"
 
 #ifdef __cplusplus
@@ -48,6 +50,7 @@
     struct ev_loop *loop;
     bb_h1_client_t *client;  /* borrowed */
     bb_fleet_t *fleet;       /* borrowed */
+    bb_readers_t *readers;   /* borrowed */
     bb_versions_t *versions; /* borrowed */
     bb_random_t *random;     /* borrowed */
     const char *data_centre;
@@ -69,6 +72,8 @@
 bb_news_client_t *BbNewsClient_New(const bb_news_client_options_t *options);
 void BbNewsClient_Free(bb_news_client_t *client);
 
+/* In scope BB_NEWS_READERS the readers are taken to be there at first; if none
+ * answers, on_fed(false) follows. */
 void BbNewsClient_SetScope(bb_news_client_t *client, bb_news_scope_t scope);
 
 /* Whether this node reads the store and does not reach it. */
--- a/lib/mesh/bb_readers.c
+++ b/lib/mesh/bb_readers.c
@@ -2,11 +2,28 @@
 
 #include <string.h>
 
+/* A node with what it is ranked by. */
+typedef struct {
+    bb_endpoint_t *endpoint;
+    guint hash;
+} candidate_t;
+
+struct bb_readers {
+    const bb_fleet_t *fleet;
+    uint64_t generation;  /* of the records that the roles were made from */
+    GHashTable *nodes;    /* names of the readers */
+    GPtrArray *by_rank;   /* readers of all data centres */
+    GPtrArray *rank;      /* the last answer of BbReaders_Rank() */
+    char *rank_for;       /* its data centre; NULL while there is none */
+    GHashTable *per_site; /* data centre to the number of its readers */
+};
+
 static void
 collect(bb_endpoint_t *endpoint, void *arg)
 {
     if (!endpoint->is_removed) {
-        g_ptr_array_add(arg, endpoint);
+        const candidate_t candidate = {endpoint, g_str_hash(endpoint->node)};
+        g_array_append_val((GArray *)arg, candidate);
     }
 }
 
@@ -14,85 +31,121 @@
 static gint
 compare_rank(gconstpointer a, gconstpointer b)
 {
-    const bb_endpoint_t *x = *(bb_endpoint_t *const *)a;
-    const bb_endpoint_t *y = *(bb_endpoint_t *const *)b;
+    const candidate_t *x = a, *y = b;
+    int x_mbps = x->endpoint->record.link_mbps;
+    int y_mbps = y->endpoint->record.link_mbps;
 
-    if (x->record.link_mbps != y->record.link_mbps) {
-        return x->record.link_mbps > y->record.link_mbps ? -1 : 1;
+    if (x_mbps != y_mbps) {
+        return x_mbps > y_mbps ? -1 : 1;
     }
-    guint hash_x = g_str_hash(x->node), hash_y = g_str_hash(y->node);
-    if (hash_x != hash_y) {
-        return hash_x < hash_y ? -1 : 1;
+    if (x->hash != y->hash) {
+        return x->hash < y->hash ? -1 : 1;
     }
-    return strcmp(x->node, y->node);
+    return strcmp(x->endpoint->node, y->endpoint->node);
 }
 
-static GPtrArray *
-all_by_rank(const bb_fleet_t *fleet)
+/* Takes the next best node into the role, if its data centre has room. */
+static void
+offer_role(bb_readers_t *readers, bb_endpoint_t *endpoint, bool is_small)
 {
-    GPtrArray *all = g_ptr_array_new();
+    const char *data_centre = endpoint->record.data_centre;
+    int count = GPOINTER_TO_INT(
+        g_hash_table_lookup(readers->per_site, data_centre));
 
-    BbFleet_ForEach(fleet, collect, all);
-    g_ptr_array_sort(all, compare_rank);
-    return all;
+    if (!is_small && count >= BB_READERS_PER_DATA_CENTRE) {
+        return;
+    }
+    g_hash_table_replace(readers->per_site, g_strdup(data_centre),
+                         GINT_TO_POINTER(count + 1));
+    g_hash_table_add(readers->nodes, g_strdup(endpoint->node));
+    g_ptr_array_add(readers->by_rank, endpoint);
 }
 
-static int
-count_before(const GPtrArray *all, guint index)
+static void
+refresh(bb_readers_t *readers)
 {
-    const bb_endpoint_t *endpoint = g_ptr_array_index(all, index);
-    int before = 0;
+    uint64_t generation = BbFleet_Generation(readers->fleet);
 
-    for (guint i = 0; i < index; i++) {
-        const bb_endpoint_t *other = g_ptr_array_index(all, i);
-        before += strcmp(other->record.data_centre,
-                         endpoint->record.data_centre) == 0;
+    if (readers->generation == generation) {
+        return;
+    }
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+    BbFleet_ForEach(readers->fleet, collect, all);
+    g_array_sort(all, compare_rank);
+    g_hash_table_remove_all(readers->nodes);
+    g_hash_table_remove_all(readers->per_site);
+    g_ptr_array_set_size(readers->by_rank, 0);
+    g_clear_pointer(&readers->rank_for, g_free);
+    for (guint i = 0; i < all->len; i++) {
+        offer_role(readers, g_array_index(all, candidate_t, i).endpoint,
+                   all->len <= BB_READERS_ALL);
     }
-    return before;
+    g_array_unref(all);
+    readers->generation = generation;
 }
 
-static bool
-is_reader(const GPtrArray *all, guint index)
+bool
+BbReaders_IsOwn(bb_readers_t *readers, const char *own_node)
 {
-    return all->len <= BB_READERS_ALL ||
-           count_before(all, index) < BB_READERS_PER_DATA_CENTRE;
+    const bb_endpoint_t *own = BbFleet_Find(readers->fleet, own_node);
+
+    refresh(readers);
+    return own == NULL || own->is_removed ||
+           g_hash_table_contains(readers->nodes, own_node);
 }
 
-bool
-BbReaders_IsOwn(const bb_fleet_t *fleet, const char *own_node)
+static void
+add_others(const bb_readers_t *readers, const char *data_centre, bool is_near,
+           GPtrArray *out)
 {
-    GPtrArray *all = all_by_rank(fleet);
-    bool is_own = true;
-
-    for (guint i = 0; i < all->len; i++) {
-        const bb_endpoint_t *endpoint = g_ptr_array_index(all, i);
-        if (strcmp(endpoint->node, own_node) == 0) {
-            is_own = is_reader(all, i);
+    for (guint i = 0; i < readers->by_rank->len; i++) {
+        bb_endpoint_t *endpoint = g_ptr_array_index(readers->by_rank, i);
+        bool is_same = strcmp(endpoint->record.data_centre, data_centre) == 0;
+        if (!endpoint->is_local && is_same == is_near) {
+            g_ptr_array_add(out, endpoint);
         }
     }
-    g_ptr_array_unref(all);
-    return is_own;
 }
 
-GPtrArray *
-BbReaders_Rank(const bb_fleet_t *fleet, const char *data_centre)
+const GPtrArray *
+BbReaders_Rank(bb_readers_t *readers, const char *data_centre)
 {
-    GPtrArray *all = all_by_rank(fleet);
-    GPtrArray *near = g_ptr_array_new();
-    GPtrArray *far = g_ptr_array_new();
-
-    for (guint i = 0; i < all->len; i++) {
-        bb_endpoint_t *endpoint = g_ptr_array_index(all, i);
-        if (endpoint->is_local || !is_reader(all, i)) {
-            continue;
-        }
-        bool is_near = strcmp(endpoint->record.data_centre, data_centre) == 0;
-        g_ptr_array_add(is_near ? near : far, endpoint);
+    refresh(readers);
+    if (g_strcmp0(readers->rank_for, data_centre) != 0) {
+        g_ptr_array_set_size(readers->rank, 0);
+        add_others(readers, data_centre, true, readers->rank);
+        add_others(readers, data_centre, false, readers->rank);
+        g_free(readers->rank_for);
+        readers->rank_for = g_strdup(data_centre);
     }
-    for (guint i = 0; i < far->len; i++) {
-        g_ptr_array_add(near, g_ptr_array_index(far, i));
+    return readers->rank;
+}
+
+bb_readers_t *
+BbReaders_New(const bb_fleet_t *fleet)
+{
+    bb_readers_t *readers = g_new0(bb_readers_t, 1);
+
+    readers->fleet = fleet;
+    readers->nodes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    readers->per_site =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    readers->by_rank = g_ptr_array_new();
+    readers->rank = g_ptr_array_new();
+    return readers;
+}
+
+void
+BbReaders_Free(bb_readers_t *readers)
+{
+    if (readers == NULL) {
+        return;
     }
-    g_ptr_array_unref(far);
-    g_ptr_array_unref(all);
-    return near;
+    g_hash_table_destroy(readers->nodes);
+    g_hash_table_destroy(readers->per_site);
+    g_ptr_array_unref(readers->by_rank);
+    g_ptr_array_unref(readers->rank);
+    g_free(readers->rank_for);
+    g_free(readers);
 }
--- a/lib/mesh/bb_row_writer.c
+++ b/lib/mesh/bb_row_writer.c
@@ -14,6 +14,7 @@
     char *table;
     char *key;
     char *wanted;    /* NULL: no row */
+    char *stored;    /* value of the row at version; NULL while not known */
     bool is_dirty;   /* the wanted value is not acknowledged */
     bool is_changed; /* while a write was under way */
     int64_t version;
@@ -102,6 +103,7 @@
     bb_table_store_t *store = writer->options.store;
 
     writer->is_changed = false;
+    g_clear_pointer(&writer->stored, g_free); /* unknown until answered */
     if (writer->wanted == NULL && writer->version == 0) {
         writer->is_dirty = false;
         return;
@@ -133,19 +135,28 @@
         writer->is_changed = true;
         return;
     }
+    if (value != NULL && g_strcmp0(value, writer->stored) == 0) {
+        writer->is_dirty = false;
+        return;
+    }
     ev_timer_stop(writer->options.loop, &writer->retry_timer);
     write_row(writer);
 }
 
 void
-BbRowWriter_Observe(bb_row_writer_t *writer, int64_t version, bool is_removed)
+BbRowWriter_Observe(bb_row_writer_t *writer, int64_t version,
+                    const char *value, size_t size)
 {
     if (version <= writer->version) {
         return;
     }
-    writer->version = is_removed ? 0 : version;
-    if (is_removed && writer->wanted != NULL && writer->pending == NULL &&
-        !ev_is_active(&writer->retry_timer)) {
+    writer->version = value != NULL ? version : 0;
+    g_free(writer->stored);
+    writer->stored = value != NULL ? g_strndup(value, size) : NULL;
+    bool is_idle =
+        writer->pending == NULL && !ev_is_active(&writer->retry_timer);
+    if (is_idle && writer->wanted != NULL &&
+        g_strcmp0(writer->stored, writer->wanted) != 0) {
         writer->is_dirty = true;
         write_row(writer);
     }
@@ -182,6 +193,7 @@
         store->ops->cancel(store, writer->pending);
     }
     g_free(writer->wanted);
+    g_free(writer->stored);
     g_free(writer->table);
     g_free(writer->key);
     g_free(writer);
--- a/lib/mesh/bb_row_writer.h
+++ b/lib/mesh/bb_row_writer.h
@@ -6,7 +6,8 @@
  *
  * USE
  *   BbRowWriter_Set(writer, text) when the value changes, NULL to remove the
- *   row. BbRowWriter_Observe() with each version of the row that was read.
+ *   row. BbRowWriter_Observe() with each version of the row that was read. A
+ *   value that the row holds already is not written again.
  */
 #ifndef BB_ROW_WRITER_H
 #define BB_ROW_WRITER_H
@@ -38,10 +39,11 @@
 void BbRowWriter_Free(bb_row_writer_t *writer);
 void BbRowWriter_Set(bb_row_writer_t *writer, const char *value);
 
-/* version 0 or a removed row: the row does not exist. A row that another
- * writer has removed is written again. */
+/* value NULL: the row does not exist at this version. A row that another
+ * writer, or a late write of an earlier process, has changed is written
+ * again. */
 void BbRowWriter_Observe(bb_row_writer_t *writer, int64_t version,
-                         bool is_removed);
+                         const char *value, size_t size);
 
 /* True when the store has acknowledged the wanted value. */
 bool BbRowWriter_IsDone(const bb_row_writer_t *writer);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -29,6 +29,9 @@
 #define LEAVE_MARGIN_S 0.3
 #define LAST_ANSWERS_S 0.1
 
+/* The own record is written after this time at the latest. */
+#define RECORD_WAIT_S 2.5
+
 /* ---- own record ---- */
 
 static bool
@@ -38,6 +41,20 @@
            sidecar->leaving_since <= 0;
 }
 
+/* A record that is written before the target was heard of, or before an older
+ * record of this node was read, would soon be written again. */
+static bool
+is_record_due(const sidecar_t *sidecar)
+{
+    bool is_target_known =
+        BbLocalTarget_State(sidecar->target) != BB_LOCAL_UNKNOWN;
+    bool is_table_known =
+        sidecar->has_records || sidecar->settings->is_first_start;
+
+    return (is_target_known && is_table_known) ||
+           BbClock_Now(sidecar->loop) - sidecar->started_at >= RECORD_WAIT_S;
+}
+
 void
 Sidecar_PublishRecord(sidecar_t *sidecar)
 {
@@ -53,7 +70,6 @@
         .slots = BbLocalTarget_Slots(sidecar->target),
         .is_ready = takes_calls(sidecar),
         .link_mbps = (int)sidecar->settings->link_mbps,
-        .started_ms = sidecar->started_ms,
     };
 
     BbFleet_SetOwn(sidecar->fleet, &record, BbClock_Now(sidecar->loop));
@@ -61,6 +77,9 @@
         BbRowWriter_Set(sidecar->record, NULL);
         return;
     }
+    if (!is_record_due(sidecar)) {
+        return;
+    }
     char *text = BbNodeRecord_Format(&record);
     BbRowWriter_Set(sidecar->record, text);
     g_free(text);
@@ -231,6 +250,7 @@
 
     sidecar->random = BbRandom_New(0);
     sidecar->fleet = BbFleet_New(settings->name);
+    sidecar->readers = BbReaders_New(sidecar->fleet);
     sidecar->versions = BbVersions_New();
     sidecar->budget = BbRepeatBudget_New(&budget);
     sidecar->target = BbLocalTarget_New(&target);
@@ -310,7 +330,7 @@
     sidecar->loop = loop;
     sidecar->settings = settings;
     sidecar->path = path;
-    sidecar->started_ms = g_get_real_time() / 1000;
+    sidecar->started_at = BbClock_Now(loop);
     has_settings_changed(sidecar);
     start_decisions(sidecar);
     int error = start_calls(sidecar);
@@ -366,6 +386,7 @@
     BbRepeatBudget_Free(sidecar->budget);
     BbMeshConfig_Unref(sidecar->config);
     BbVersions_Free(sidecar->versions);
+    BbReaders_Free(sidecar->readers);
     BbFleet_Free(sidecar->fleet);
     BbRandom_Free(sidecar->random);
     g_free(sidecar);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -25,6 +25,7 @@
     struct timespec settings_changed_at;
     bb_random_t *random;
     bb_fleet_t *fleet;
+    bb_readers_t *readers;
     bb_mesh_config_t *config;
     bb_local_target_t *target;
     bb_target_io_t *target_io;
@@ -42,6 +43,7 @@
     bb_probe_t *probe;
     int64_t told_revision; /* of node records, by other nodes */
     bool is_reader;
+    bool has_records; /* the shared table was read */
     bb_h1_server_t *admin;
     bb_h1_server_t *metrics;
     bb_h1_server_t *announcements;
@@ -51,13 +53,14 @@
     ev_timer settings_timer;
     ev_timer role_timer;
     ev_timer leave_timer;
-    int64_t started_ms;
+    double started_at;
     double leaving_since; /* 0 before SIGTERM */
 };
 
 /* ---- sidecar.c ---- */
 
-/* Writes the record of this node, here and into the shared table. */
+/* Writes the record of this node, here and, when enough is known of this VM,
+ * into the shared table. */
 void Sidecar_PublishRecord(sidecar_t *sidecar);
 
 /* The state of the local target has changed. */
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -12,6 +12,10 @@
 #define CONFIG_PAUSE_S 0.3
 #define NODES_PAUSE_S 1.0
 
+/* When the whole fleet starts for the first time, the records are read after
+ * every node has had the time to write its own. */
+#define FIRST_START_DELAY_S 2.2
+
 /* The role of a reader is worked out again this often. */
 #define ROLE_CHECK_S BB_REAPER_CHECK_S
 
@@ -102,6 +106,29 @@
     }
 }
 
+/* What an earlier process of this node has left in its row. */
+static void
+recall_leave(sidecar_t *sidecar, const bb_node_record_t *record)
+{
+    if (record->is_target_left &&
+        BbLocalTarget_Recall(sidecar->target, record->target_id,
+                             record->target_born_ms)) {
+        Sidecar_TargetChanged(sidecar, "recalled");
+    }
+}
+
+static void
+own_row_found(const bb_table_row_t *row, void *arg)
+{
+    bb_node_record_t record;
+
+    if (row->value != NULL &&
+        BbNodeRecord_Parse(row->value, row->size, &record) == 0) {
+        recall_leave(arg, &record);
+        BbNodeRecord_Clear(&record);
+    }
+}
+
 static void
 take_node(const char *node, const char *text, size_t size, int64_t revision,
           void *arg)
@@ -114,8 +141,11 @@
     if (text != NULL && !is_readable) {
         return; /* of another writer or a later release */
     }
-    if (text == NULL && strcmp(node, sidecar->settings->name) == 0) {
-        BbRowWriter_Observe(sidecar->record, revision, true);
+    if (strcmp(node, sidecar->settings->name) == 0) {
+        BbRowWriter_Observe(sidecar->record, revision, text, size);
+        if (is_readable) {
+            recall_leave(sidecar, &record);
+        }
     }
     if (BbFleet_Merge(sidecar->fleet, node, is_readable ? &record : NULL,
                       revision, BbClock_Now(sidecar->loop))) {
@@ -128,48 +158,28 @@
     }
 }
 
-/* What an earlier process of this node has left in its row. */
-static void
-own_row_found(const bb_table_row_t *row, void *arg)
-{
-    sidecar_t *sidecar = arg;
-    bb_node_record_t record;
-
-    if (row->value == NULL ||
-        BbNodeRecord_Parse(row->value, row->size, &record) != 0) {
-        return;
-    }
-    if (record.is_target_left &&
-        BbLocalTarget_Recall(sidecar->target, record.target_id,
-                             record.target_born_ms)) {
-        Sidecar_TargetChanged(sidecar, "recalled");
-    }
-    BbNodeRecord_Clear(&record);
-}
-
 static void
 node_row(const bb_table_row_t *row, void *arg)
 {
-    sidecar_t *sidecar = arg;
-
-    if (strcmp(row->key, sidecar->settings->name) == 0 && !row->is_removed) {
-        BbRowWriter_Observe(sidecar->record, row->version, false);
-        own_row_found(row, sidecar);
-    }
     take_node(row->key, row->is_removed ? NULL : row->value, row->size,
-              row->version, sidecar);
+              row->version, arg);
 }
 
+static void check_role(sidecar_t *sidecar);
+
 static void
 node_snapshot(GHashTable *keys, int64_t version, void *arg)
 {
     sidecar_t *sidecar = arg;
 
+    sidecar->has_records = true;
     if (!g_hash_table_contains(keys, sidecar->settings->name)) {
-        BbRowWriter_Observe(sidecar->record, version, true);
+        BbRowWriter_Observe(sidecar->record, version, NULL, 0);
     }
     BbFleet_KeepOnly(sidecar->fleet, keys, version);
     BbNewsServer_Changed(sidecar->news_server);
+    Sidecar_PublishRecord(sidecar);
+    check_role(sidecar);
 }
 
 static const bb_follow_handler_t node_handler = {
@@ -236,6 +246,7 @@
     const sidecar_t *sidecar = arg;
 
     return !BbFollow_IsSuspended(sidecar->config_follow) &&
+           !BbFollow_IsSuspended(sidecar->node_follow) &&
            BbFollow_IsConnected(sidecar->config_follow) &&
            BbFollow_IsConnected(sidecar->node_follow);
 }
@@ -243,9 +254,6 @@
 static void
 set_reading(sidecar_t *sidecar, bool is_reading)
 {
-    if (is_reading == !BbFollow_IsSuspended(sidecar->config_follow)) {
-        return;
-    }
     if (is_reading) {
         BbFollow_Resume(sidecar->config_follow);
         BbFollow_Resume(sidecar->node_follow);
@@ -263,22 +271,33 @@
     set_reading(sidecar, sidecar->is_reader || !is_fed);
 }
 
+static bb_news_scope_t
+news_scope(const sidecar_t *sidecar)
+{
+    if (!sidecar->is_reader) {
+        return BB_NEWS_READERS;
+    }
+    return BbFleet_NodeCount(sidecar->fleet) > BB_READERS_ALL ? BB_NEWS_REMOTE
+                                                              : BB_NEWS_NONE;
+}
+
+/* Roles follow from the records, so there is none before they were read. */
 static void
 check_role(sidecar_t *sidecar)
 {
-    bool is_reader = BbReaders_IsOwn(sidecar->fleet, sidecar->settings->name);
-    bb_news_scope_t scope = BB_NEWS_READERS;
-
-    if (is_reader) {
-        scope = BbFleet_NodeCount(sidecar->fleet) > BB_READERS_ALL
-                    ? BB_NEWS_REMOTE
-                    : BB_NEWS_NONE;
+    if (!sidecar->has_records && sidecar->told_revision == 0) {
+        return;
     }
-    sidecar->is_reader = is_reader;
-    BbNewsClient_SetScope(sidecar->news_client, scope);
-    if (is_reader) {
+    bool was_reader = sidecar->is_reader;
+    sidecar->is_reader =
+        BbReaders_IsOwn(sidecar->readers, sidecar->settings->name);
+    BbNewsClient_SetScope(sidecar->news_client, news_scope(sidecar));
+    if (sidecar->is_reader) {
         set_reading(sidecar, true);
     }
+    else if (was_reader) {
+        set_reading(sidecar, false);
+    }
 }
 
 static void
@@ -316,8 +335,9 @@
     (void)loop;
     (void)events;
     sidecar_t *sidecar = timer->data;
-    bool is_reading = !BbFollow_IsSuspended(sidecar->config_follow);
+    bool is_reading = !BbFollow_IsSuspended(sidecar->node_follow);
 
+    Sidecar_PublishRecord(sidecar);
     check_role(sidecar);
     BbNewsClient_SetStoreLost(sidecar->news_client,
                               is_reading && !is_connected(sidecar));
@@ -344,6 +364,7 @@
         .loop = sidecar->loop,
         .client = BbHopClient_Http(sidecar->hop_client),
         .fleet = sidecar->fleet,
+        .readers = sidecar->readers,
         .versions = sidecar->versions,
         .random = sidecar->random,
         .data_centre = sidecar->settings->data_centre,
@@ -395,10 +416,14 @@
         .handler = &config_handler,
         .arg = sidecar,
         .random = sidecar->random,
+        .is_suspended = true,
     };
     sidecar->config_follow = BbFollow_New(&follow);
     follow.table = PLATFORM_NODE_TABLE;
     follow.pause_s = NODES_PAUSE_S;
+    follow.is_suspended = false;
+    follow.start_delay_s =
+        sidecar->settings->is_first_start ? FIRST_START_DELAY_S : 0.0;
     follow.handler = &node_handler;
     sidecar->node_follow = BbFollow_New(&follow);
 }
