Spill after refusals, probe other data centres when calls spill, spare store reads

During an outage every node called the store, 1 a second for each table. Change: a node known by its record only is used while such nodes are the majority; far ones are probed when a call spills; each refusal halves the share; a node that reads only because no reader reaches the store pauses up to 4 s and turns to the records when the version could be read.

--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -43,11 +43,10 @@
     int slots, is_ready, link_mbps = 0;
 
     memset(out, 0, sizeof(*out));
-    int error = json_unpack(object, "{s:s, s:s, s:s, s:s, s:i, s:b, s?i}",
-                            "address", &address, "data_centre", &data_centre,
-                            "service", &service, "target", &target, "slots",
-                            &slots, "ready", &is_ready, "link_mbps",
-                            &link_mbps);
+    int error = json_unpack(
+        object, "{s:s, s:s, s:s, s:s, s:i, s:b, s?i}", "address", &address,
+        "data_centre", &data_centre, "service", &service, "target", &target,
+        "slots", &slots, "ready", &is_ready, "link_mbps", &link_mbps);
     if (object != NULL && error == 0) {
         out->address = g_strdup(address);
         out->data_centre = g_strdup(data_centre);
@@ -156,6 +155,7 @@
     endpoint->fail_rate = 0;
     endpoint->avoid_until = 0;
     endpoint->is_doubted = !endpoint->is_local;
+    endpoint->is_lost = false;
     endpoint->doubted_at = now;
     endpoint->probe_at = now;
     endpoint->probe_backoff_s = 0;
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -34,8 +34,8 @@
     bool is_target_left;    /* it has announced that it leaves */
     int64_t target_born_ms; /* wall clock at its start, told when it left */
     int slots;
-    bool is_ready;      /* takes new calls */
-    int link_mbps;      /* width of the VM's link */
+    bool is_ready; /* takes new calls */
+    int link_mbps; /* width of the VM's link */
 } bb_node_record_t;
 
 /* A node as the choosing node sees it; times are seconds. */
@@ -54,7 +54,8 @@
     double fail_rate; /* moving share of own attempts that failed */
     double fail_at;
     double avoid_until; /* not chosen before, but as a last resort */
-    bool is_doubted;    /* lost, or not heard of yet: a last resort too */
+    bool is_doubted;    /* lost, or not heard of yet */
+    bool is_lost;       /* it has not answered: a last resort too */
     bool is_wanted;     /* a call would have gone there but for the doubt */
     bool is_probed;     /* a probe is under way */
     double doubted_at;
--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -7,8 +7,8 @@
 /* Longest wait of one feed call. */
 #define FEED_WAIT_S 10.0
 
-#define BACKOFF_MIN_S 0.1
 #define BACKOFF_MAX_S 1.0
+#define BACKOFF_FIRST_SHARE 0.1 /* of the longest pause */
 
 struct bb_follow {
     bb_follow_options_t options;
@@ -65,9 +65,10 @@
 retry_later(bb_follow_t *follow, int error)
 {
     set_connected(follow, false, error);
+    double max_s = follow->options.backoff_max_s;
     follow->backoff_s = follow->backoff_s > 0
-                            ? MIN(follow->backoff_s * 2, BACKOFF_MAX_S)
-                            : BACKOFF_MIN_S;
+                            ? MIN(follow->backoff_s * 2, max_s)
+                            : max_s * BACKOFF_FIRST_SHARE;
     double delay_s =
         follow->backoff_s * (0.5 + BbRandom_Unit(follow->options.random));
     ev_timer_set(&follow->retry_timer, delay_s, 0.0);
@@ -204,6 +205,7 @@
     bb_follow_t *follow = g_new0(bb_follow_t, 1);
 
     follow->options = *options;
+    BbFollow_SetBackoff(follow, options->backoff_max_s);
     follow->table = g_strdup(options->table);
     ev_init(&follow->retry_timer, handle_retry);
     follow->retry_timer.data = follow;
@@ -215,6 +217,12 @@
     return follow;
 }
 
+void
+BbFollow_SetBackoff(bb_follow_t *follow, double max_s)
+{
+    follow->options.backoff_max_s = max_s > 0 ? max_s : BACKOFF_MAX_S;
+}
+
 static void
 stop_pending(bb_follow_t *follow)
 {
@@ -254,6 +262,7 @@
         return;
     }
     follow->is_suspended = false;
+    follow->is_connected = false; /* until a call shows it */
     if (follow->has_snapshot) {
         feed(follow); /* reads anew if the history does not reach back */
     }
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -293,6 +293,7 @@
             call->request->content_length >= BB_TRANSFER_SMALL_BYTES,
         .target_latency_s = call->route->target_latency_s,
         .spill_share = options->spill_share,
+        .refusals = call->full,
         .tried_count = call->tried_count,
     };
 
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -129,8 +129,7 @@
 pass_over(bb_news_client_t *client, const char *address)
 {
     double *until = g_new(double, 1);
-    double pass_over_s =
-        holds_none(client) ? PASS_OVER_START_S : PASS_OVER_S;
+    double pass_over_s = holds_none(client) ? PASS_OVER_START_S : PASS_OVER_S;
 
     *until = now_of(client) + pass_over_s;
     g_hash_table_replace(client->passed_over, g_strdup(address), until);
@@ -241,7 +240,8 @@
 
     for (guint i = 0; i < readers->len; i++) {
         const bb_endpoint_t *endpoint = g_ptr_array_index(readers, i);
-        count += strcmp(endpoint->record.data_centre, client->data_centre) == 0;
+        count +=
+            strcmp(endpoint->record.data_centre, client->data_centre) == 0;
     }
     return count;
 }
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -23,7 +23,10 @@
 #define PROBE_MAX_S 4.0
 
 /* Added for a node in another data centre when both are past the share. */
-#define REMOTE_COST_SHARE 0.3
+#define REMOTE_COST_SHARE 0.15
+
+/* Factor of the share for each refusal of the call. */
+#define REFUSED_SPILL_FACTOR 0.5
 
 /* Share of the target latency up to which a large body stays in its data
  * centre: it takes the bytes of many calls. */
@@ -252,8 +255,10 @@
 enum {
     TRUSTED_NEAR,
     TRUSTED_FAR,
-    DOUBTED_NEAR,
-    DOUBTED_FAR,
+    UNKNOWN_NEAR, /* by their records only */
+    UNKNOWN_FAR,
+    LAST_NEAR, /* lost, or to be avoided now */
+    LAST_FAR,
     GROUP_COUNT,
 };
 
@@ -363,6 +368,41 @@
     return until != NULL && now < *until;
 }
 
+static int
+group_of(const bb_endpoint_t *endpoint, bool is_here, double now)
+{
+    if (endpoint->is_lost || endpoint->avoid_until > now) {
+        return is_here ? LAST_NEAR : LAST_FAR;
+    }
+    if (endpoint->is_doubted) {
+        return is_here ? UNKNOWN_NEAR : UNKNOWN_FAR;
+    }
+    return is_here ? TRUSTED_NEAR : TRUSTED_FAR;
+}
+
+static void
+merge(candidates_t *into, const candidates_t *from)
+{
+    for (guint i = 0; i < count_of(from); i++) {
+        add_candidate(into, candidate_at(from, i));
+    }
+}
+
+/* Takes the unknown nodes for trusted ones while they are the majority. */
+static void
+merge_unknown(candidates_t groups[GROUP_COUNT])
+{
+    guint trusted =
+        count_of(&groups[TRUSTED_NEAR]) + count_of(&groups[TRUSTED_FAR]);
+    guint unknown =
+        count_of(&groups[UNKNOWN_NEAR]) + count_of(&groups[UNKNOWN_FAR]);
+
+    if (unknown > trusted) {
+        merge(&groups[TRUSTED_NEAR], &groups[UNKNOWN_NEAR]);
+        merge(&groups[TRUSTED_FAR], &groups[UNKNOWN_FAR]);
+    }
+}
+
 /* Sorts the nodes that may have the call into groups. Returns whether one was
  * passed over for want of room. */
 static bool
@@ -396,26 +436,31 @@
             .capacity = slots_of(endpoint) / service_time(endpoint, view),
         };
         bool is_here = is_near(endpoint, request->data_centre);
-        bool is_last =
-            endpoint->is_doubted || endpoint->avoid_until > view->now;
-        int group = is_last ? (is_here ? DOUBTED_NEAR : DOUBTED_FAR)
-                            : (is_here ? TRUSTED_NEAR : TRUSTED_FAR);
-        add_candidate(&groups[group], &candidate);
+        add_candidate(&groups[group_of(endpoint, is_here, view->now)],
+                      &candidate);
     }
     return has_full;
 }
 
+/* Predicted time up to which a call stays in the data centre. */
+static double
+near_limit(const bb_placement_request_t *request)
+{
+    double share = request->has_large_body
+                       ? MAX(request->spill_share, LARGE_SPILL_SHARE)
+                       : request->spill_share;
+
+    return request->target_latency_s * share *
+           pow(REFUSED_SPILL_FACTOR, request->refusals);
+}
+
 static const candidate_t *
 choose_trusted(const candidates_t groups[GROUP_COUNT],
                const bb_placement_request_t *request, bb_random_t *random)
 {
-    double spill_share = request->has_large_body
-                             ? MAX(request->spill_share, LARGE_SPILL_SHARE)
-                             : request->spill_share;
-    double near_limit_s = request->target_latency_s * spill_share;
     const candidate_t *near = best_of_drawn(&groups[TRUSTED_NEAR], random);
 
-    if (near != NULL && near->cost <= near_limit_s) {
+    if (near != NULL && near->cost <= near_limit(request)) {
         return near;
     }
     const candidate_t *far = best_of_drawn(&groups[TRUSTED_FAR], random);
@@ -426,27 +471,43 @@
     return is_far_better ? far : near;
 }
 
+static void
+want_some(const candidates_t *group, int count, bb_random_t *random)
+{
+    for (int i = 0; i < count && count_of(group) > 0; i++) {
+        draw(group, random)->endpoint->is_wanted = true;
+    }
+}
+
 /* Doubted nodes that a call could have used are probed, some for each call:
- * after a restart of the whole fleet every node doubts all others. */
+ * after a restart of the whole fleet every node doubts all others. Those of
+ * other data centres are probed when the call could not stay. */
 static void
-want_probes(const candidates_t groups[GROUP_COUNT], const candidate_t *chosen,
+want_probes(const candidates_t groups[GROUP_COUNT], bool is_spilling,
             bb_random_t *random)
 {
-    bool has_near = count_of(&groups[DOUBTED_NEAR]) > 0;
-    const candidates_t *group =
-        &groups[has_near || chosen != NULL ? DOUBTED_NEAR : DOUBTED_FAR];
-
-    for (int i = 0; i < DRAWS && count_of(group) > 0; i++) {
-        draw(group, random)->endpoint->is_wanted = true;
+    want_some(&groups[UNKNOWN_NEAR], DRAWS, random);
+    want_some(&groups[LAST_NEAR], 1, random);
+    if (is_spilling) {
+        want_some(&groups[UNKNOWN_FAR], 1, random);
+        want_some(&groups[LAST_FAR], 1, random);
     }
 }
 
+/* What is left when no other node can have the call. */
 static const candidate_t *
-choose_doubted(const candidates_t groups[GROUP_COUNT], bb_random_t *random)
+choose_last(const candidates_t groups[GROUP_COUNT], bb_random_t *random)
 {
-    const candidate_t *near = best_of_drawn(&groups[DOUBTED_NEAR], random);
+    static const int order[] = {UNKNOWN_NEAR, UNKNOWN_FAR, LAST_NEAR,
+                                LAST_FAR};
 
-    return near != NULL ? near : best_of_drawn(&groups[DOUBTED_FAR], random);
+    for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
+        const candidate_t *found = best_of_drawn(&groups[order[i]], random);
+        if (found != NULL) {
+            return found;
+        }
+    }
+    return NULL;
 }
 
 bb_endpoint_t *
@@ -458,11 +519,15 @@
     const service_view_t view = view_service(list, request->data_centre, now);
     candidates_t groups[GROUP_COUNT] = {0};
     bool has_full = collect_candidates(list, request, &view, random, groups);
+    if (!has_full) {
+        merge_unknown(groups);
+    }
     const candidate_t *chosen = choose_trusted(groups, request, random);
-
-    want_probes(groups, chosen, random);
+    bool is_spilling = chosen == NULL || chosen->cost > near_limit(request) ||
+                       !is_near(chosen->endpoint, request->data_centre);
+    want_probes(groups, is_spilling, random);
     if (chosen == NULL && !has_full) {
-        chosen = choose_doubted(groups, random);
+        chosen = choose_last(groups, random);
     }
     bb_endpoint_t *endpoint = chosen != NULL ? chosen->endpoint : NULL;
     for (int i = 0; i < GROUP_COUNT; i++) {
@@ -486,6 +551,7 @@
 BbPlacement_Trust(bb_endpoint_t *endpoint)
 {
     endpoint->is_doubted = false;
+    endpoint->is_lost = false;
     endpoint->is_wanted = false;
     endpoint->probe_backoff_s = 0;
     endpoint->probe_failures = 0;
@@ -494,6 +560,7 @@
 static void
 doubt(bb_endpoint_t *endpoint, double now)
 {
+    endpoint->is_lost = true;
     if (!endpoint->is_doubted) {
         endpoint->is_doubted = true;
         endpoint->is_wanted = true;
@@ -513,6 +580,7 @@
 void
 BbPlacement_ProbeFailed(bb_endpoint_t *endpoint, double now)
 {
+    endpoint->is_lost = true;
     endpoint->is_wanted = false;
     endpoint->probe_failures++;
     endpoint->probe_backoff_s =
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -9,17 +9,20 @@
  * data centre is taken while its predicted time stays within a share of the
  * route's target latency, since bytes between data centres are dear. Past that
  * share a node anywhere is taken, so that a data centre with few targets
- * spills what it cannot serve in time.
+ * spills what it cannot serve in time. Each refusal for want of room halves
+ * the share.
  *
  * A node that has just refused a class of calls for want of room is passed
  * over for that class for FULL_S: its answer holds for calls that follow at
  * once, and asking all nodes again for each call costs bytes and serves none.
  *
  * Targets that fail are found by their answers: a high share of failures
- * adds to the predicted time. A node that was lost, or is known by its record
- * only, is doubted: it gets calls as a last resort until a probe (bb_probe) or
- * an answer shows that it is there. A call that a live node has just refused
- * for want of room is refused, not tried at a node that is likely dead.
+ * adds to the predicted time. A node that was lost gets calls as a last resort
+ * until a probe (bb_probe) or an answer shows that it is there. One that is
+ * known by its record only gets calls while more such nodes are known than
+ * others, as after a start of this one; it is probed too. A call that a live
+ * node has just refused for want of room is refused, not tried at a node that
+ * is likely dead.
  *
  * Answers the load: data centres with unequal targets for nearly equal
  * traffic; targets that differ in speed; hundreds of targets of a service, of
@@ -44,6 +47,7 @@
     bool has_large_body;
     double target_latency_s; /* 0 when the route has none */
     double spill_share;      /* of it, see above */
+    int refusals;            /* of this call, for want of room */
     const bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
 } bb_placement_request_t;
--- a/lib/mesh/bb_readers.c
+++ b/lib/mesh/bb_readers.c
@@ -49,8 +49,8 @@
 offer_role(bb_readers_t *readers, bb_endpoint_t *endpoint, bool is_small)
 {
     const char *data_centre = endpoint->record.data_centre;
-    int count = GPOINTER_TO_INT(
-        g_hash_table_lookup(readers->per_site, data_centre));
+    int count =
+        GPOINTER_TO_INT(g_hash_table_lookup(readers->per_site, data_centre));
 
     if (!is_small && count >= BB_READERS_PER_DATA_CENTRE) {
         return;
--- a/lib/mesh/bb_row_writer.c
+++ b/lib/mesh/bb_row_writer.c
@@ -7,7 +7,7 @@
 #include "bb_event.h"
 
 #define BACKOFF_MIN_S 0.1
-#define BACKOFF_MAX_S 1.0
+#define BACKOFF_MAX_S 1.5
 
 struct bb_row_writer {
     bb_row_writer_options_t options;
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -12,6 +12,10 @@
 #define CONFIG_PAUSE_S 0.3
 #define NODES_PAUSE_S 1.0
 
+/* Longest mean pause of a node that reads the store only because no reader
+ * reaches it: when the store is down for all, the readers notice its return. */
+#define SPARE_BACKOFF_S 4.0
+
 /* When the whole fleet starts for the first time, the records are read after
  * every node has had the time to write its own. */
 #define FIRST_START_DELAY_S 2.2
@@ -83,9 +87,21 @@
     (void)arg;
 }
 
+/* A spare reader turns to the records when it has found the store to work. */
+static void
+config_health(bool is_connected, int error, void *arg)
+{
+    sidecar_t *sidecar = arg;
+    (void)error;
+
+    if (is_connected && !BbFollow_IsSuspended(sidecar->config_follow)) {
+        BbFollow_Resume(sidecar->node_follow);
+    }
+}
+
 static const bb_follow_handler_t config_handler = {
     .on_row = config_row,
-    .on_health = ignore_health,
+    .on_health = config_health,
 };
 
 /* ---- other nodes ---- */
@@ -255,8 +271,13 @@
 set_reading(sidecar_t *sidecar, bool is_reading)
 {
     if (is_reading) {
+        double backoff_s = sidecar->is_reader ? 0 : SPARE_BACKOFF_S;
+        BbFollow_SetBackoff(sidecar->config_follow, backoff_s);
+        BbFollow_SetBackoff(sidecar->node_follow, backoff_s);
         BbFollow_Resume(sidecar->config_follow);
-        BbFollow_Resume(sidecar->node_follow);
+        if (sidecar->is_reader || !sidecar->has_records) {
+            BbFollow_Resume(sidecar->node_follow);
+        }
     }
     else {
         BbFollow_Suspend(sidecar->config_follow);
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -924,3 +924,4 @@
     ASSERT_GT(size, 100);
     EXPECT_EQ(text[0], '{');
 }
+
