Recall a ready target after a restart; acknowledge a leave once it is recorded

Change: the record holds the incarnation; a restarted node takes a ready one for ready, for 2.5 s or until its heartbeat. So that a leave cannot be forgotten, it is acknowledged when the record is written, refused (503) while the store does not answer, and acknowledged without a record after 3 s. Spare readers wait up to 2 s when readers say that the store is away. Ruled out: recall without a recorded leave: a power loss right after the acknowledgement would bring the target back for calls.

--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -23,10 +23,13 @@
         "data_centre", record->data_centre, "service", record->service,
         "target", record->target_id, "slots", record->slots, "ready",
         record->is_ready, "link_mbps", record->link_mbps);
-    if (record->is_target_left) {
-        json_object_set_new(object, "left_born_ms",
+    if (record->target_born_ms != 0) {
+        json_object_set_new(object, "born_ms",
                             json_integer(record->target_born_ms));
     }
+    if (record->is_target_left) {
+        json_object_set_new(object, "left", json_true());
+    }
     char *text = json_dumps(object, JSON_COMPACT);
     char *copy = g_strdup(text);
 
@@ -55,9 +58,9 @@
         out->slots = slots;
         out->is_ready = is_ready;
         out->link_mbps = link_mbps;
-        const json_t *left = json_object_get(object, "left_born_ms");
-        out->is_target_left = json_is_integer(left);
-        out->target_born_ms = json_integer_value(left);
+        out->is_target_left = json_is_true(json_object_get(object, "left"));
+        out->target_born_ms =
+            json_integer_value(json_object_get(object, "born_ms"));
     }
     json_decref(object);
     return error == 0 ? 0 : BB_ERR_PARSE;
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -32,7 +32,7 @@
     char *service;
     char *target_id;        /* incarnation of the target; empty without one */
     bool is_target_left;    /* it has announced that it leaves */
-    int64_t target_born_ms; /* wall clock at its start, told when it left */
+    int64_t target_born_ms; /* wall clock at its start; 0 when not known */
     int slots;
     bool is_ready; /* takes new calls */
     int link_mbps; /* width of the VM's link */
--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -190,7 +190,7 @@
     bb_follow_t *follow = timer->data;
 
     if (!follow->has_snapshot || follow->keys != NULL) {
-        begin_read(follow);
+        begin_read(follow); /* also if a suspended read was cut off */
     }
     else {
         feed(follow);
@@ -256,19 +256,15 @@
 }
 
 void
-BbFollow_Resume(bb_follow_t *follow)
+BbFollow_Resume(bb_follow_t *follow, double delay_s)
 {
     if (!follow->is_suspended) {
         return;
     }
     follow->is_suspended = false;
     follow->is_connected = false; /* until a call shows it */
-    if (follow->has_snapshot) {
-        feed(follow); /* reads anew if the history does not reach back */
-    }
-    else {
-        begin_read(follow);
-    }
+    ev_timer_set(&follow->retry_timer, delay_s, 0.0);
+    ev_timer_start(follow->options.loop, &follow->retry_timer);
 }
 
 bool
--- a/lib/mesh/bb_follow.h
+++ b/lib/mesh/bb_follow.h
@@ -57,7 +57,7 @@
 /* Makes no further calls until BbFollow_Resume(), which goes on where the
  * table was left. */
 void BbFollow_Suspend(bb_follow_t *follow);
-void BbFollow_Resume(bb_follow_t *follow);
+void BbFollow_Resume(bb_follow_t *follow, double delay_s);
 bool BbFollow_IsSuspended(const bb_follow_t *follow);
 
 /* Version up to which all changes have been seen, 0 before the first read. */
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -14,6 +14,7 @@
     int64_t sequence;
     int slots;
     bb_local_state_t state;
+    bool is_recalled; /* ready by the record of an earlier process */
     GHashTable *departed; /* id to the birth of what left, as gint64 */
 };
 
@@ -88,6 +89,7 @@
     g_strlcpy(target->id, heartbeat->id, sizeof(target->id));
     target->born_ms = heartbeat->born_ms;
     target->sequence = heartbeat->sequence;
+    target->is_recalled = false;
     target->slots = heartbeat->slots;
     target->state = state;
     return is_changed ? BB_HEARTBEAT_CHANGED : BB_HEARTBEAT_UNCHANGED;
@@ -125,6 +127,37 @@
     return true;
 }
 
+bool
+BbLocalTarget_RecallReady(bb_local_target_t *target, const char *id,
+                          int64_t born_ms, int slots)
+{
+    const bb_heartbeat_t recalled = {.id = id, .born_ms = born_ms};
+
+    if (target->id[0] != '\0' || id[0] == '\0' ||
+        has_left(target, &recalled)) {
+        return false;
+    }
+    g_strlcpy(target->id, id, sizeof(target->id));
+    target->born_ms = born_ms;
+    target->sequence = -1; /* any heartbeat is newer */
+    target->slots = slots;
+    target->state = BB_LOCAL_READY;
+    target->is_recalled = true;
+    return true;
+}
+
+bool
+BbLocalTarget_ExpireRecall(bb_local_target_t *target)
+{
+    if (!target->is_recalled) {
+        return false;
+    }
+    target->is_recalled = false;
+    target->state = BB_LOCAL_UNKNOWN;
+    target->id[0] = '\0';
+    return true;
+}
+
 bool
 BbLocalTarget_Leave(bb_local_target_t *target, const char *id)
 {
@@ -144,6 +177,7 @@
 {
     if (target->state == BB_LOCAL_READY) {
         target->state = BB_LOCAL_UNKNOWN;
+        target->is_recalled = false;
     }
 }
 
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -69,6 +69,15 @@
 bool BbLocalTarget_Recall(bb_local_target_t *target, const char *id,
                           int64_t born_ms);
 
+/* An earlier process of this node has known the incarnation as ready, and no
+ * heartbeat has come to this one so far. True when the state changed. */
+bool BbLocalTarget_RecallReady(bb_local_target_t *target, const char *id,
+                               int64_t born_ms, int slots);
+
+/* Ends a recalled state that no heartbeat has confirmed. True when the state
+ * changed. */
+bool BbLocalTarget_ExpireRecall(bb_local_target_t *target);
+
 /* Another incarnation answered at the address: nothing is known until the
  * next heartbeat. */
 void BbLocalTarget_Mismatch(bb_local_target_t *target);
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -47,6 +47,7 @@
     bb_news_scope_t scope;
     bool is_fed;
     double fed_at;
+    double answered_at; /* by a reader, connected or not; 0 before the first */
     question_t questions[BB_NEWS_SUBSCRIPTIONS + 1]; /* the last for hints */
     GHashTable *passed_over; /* address to double, the time it ends */
     ev_timer check_timer;
@@ -160,6 +161,9 @@
         take_config(client, root);
     }
     json_decref(root);
+    if (!question->is_hint) {
+        client->answered_at = now_of(client);
+    }
     if (!question->is_hint && is_connected) {
         client->fed_at = now_of(client);
         set_fed(client, client->scope == BB_NEWS_READERS);
@@ -377,6 +381,13 @@
     client->is_store_lost = is_lost;
 }
 
+bool
+BbNewsClient_HasAnswers(const bb_news_client_t *client)
+{
+    return client->answered_at > 0 &&
+           now_of(client) - client->answered_at <= FED_S;
+}
+
 static void
 cancel_question(question_t *question)
 {
--- a/lib/mesh/bb_news_client.h
+++ b/lib/mesh/bb_news_client.h
@@ -79,6 +79,9 @@
 /* Whether this node reads the store and does not reach it. */
 void BbNewsClient_SetStoreLost(bb_news_client_t *client, bool is_lost);
 
+/* Whether readers answer, be it that they do not reach the store. */
+bool BbNewsClient_HasAnswers(const bb_news_client_t *client);
+
 /* A node has told a version; it is asked if the version does not come by
  * itself within a moment. */
 void BbNewsClient_Hint(bb_news_client_t *client, int64_t version,
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -23,9 +23,9 @@
 #define PROBE_MAX_S 4.0
 
 /* Added for a node in another data centre when both are past the share. */
-#define REMOTE_COST_SHARE 0.15
+#define REMOTE_COST_SHARE 0.3
 
-/* Factor of the share for each refusal of the call. */
+/* Factor of both shares for each refusal of the call. */
 #define REFUSED_SPILL_FACTOR 0.5
 
 /* Share of the target latency up to which a large body stays in its data
@@ -442,6 +442,13 @@
     return has_full;
 }
 
+/* How much still holds a call in its data centre, 0 to 1. */
+static double
+locality(const bb_placement_request_t *request)
+{
+    return pow(REFUSED_SPILL_FACTOR, request->refusals);
+}
+
 /* Predicted time up to which a call stays in the data centre. */
 static double
 near_limit(const bb_placement_request_t *request)
@@ -450,8 +457,7 @@
                        ? MAX(request->spill_share, LARGE_SPILL_SHARE)
                        : request->spill_share;
 
-    return request->target_latency_s * share *
-           pow(REFUSED_SPILL_FACTOR, request->refusals);
+    return request->target_latency_s * share * locality(request);
 }
 
 static const candidate_t *
@@ -464,7 +470,8 @@
         return near;
     }
     const candidate_t *far = best_of_drawn(&groups[TRUSTED_FAR], random);
-    double remote_cost_s = request->target_latency_s * REMOTE_COST_SHARE;
+    double remote_cost_s =
+        request->target_latency_s * REMOTE_COST_SHARE * locality(request);
     bool is_far_better =
         far != NULL &&
         (near == NULL || far->cost + remote_cost_s < near->cost);
--- a/lib/mesh/bb_row_writer.c
+++ b/lib/mesh/bb_row_writer.c
@@ -95,6 +95,9 @@
     if (writer->is_changed) {
         write_row(writer);
     }
+    else if (writer->options.on_done != NULL) {
+        writer->options.on_done(writer->options.arg);
+    }
 }
 
 static void
--- a/lib/mesh/bb_row_writer.h
+++ b/lib/mesh/bb_row_writer.h
@@ -32,6 +32,8 @@
     /* Gets the value that another writer, or an earlier process, has left in
      * the row, before it is replaced. May be NULL. */
     void (*on_found)(const bb_table_row_t *row, void *arg);
+    /* The store has acknowledged the wanted value. May be NULL. */
+    void (*on_done)(void *arg);
     void *arg;
 } bb_row_writer_options_t;
 
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -41,6 +41,14 @@
            sidecar->leaving_since <= 0;
 }
 
+static bool
+has_target_left(const sidecar_t *sidecar)
+{
+    bb_local_state_t state = BbLocalTarget_State(sidecar->target);
+
+    return state == BB_LOCAL_DRAINING || state == BB_LOCAL_GONE;
+}
+
 /* A record that is written before the target was heard of, or before an older
  * record of this node was read, would soon be written again. */
 static bool
@@ -51,7 +59,7 @@
     bool is_table_known =
         sidecar->has_records || sidecar->settings->is_first_start;
 
-    return (is_target_known && is_table_known) ||
+    return has_target_left(sidecar) || (is_target_known && is_table_known) ||
            BbClock_Now(sidecar->loop) - sidecar->started_at >= RECORD_WAIT_S;
 }
 
@@ -59,13 +67,12 @@
 Sidecar_PublishRecord(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
-    bb_local_state_t state = BbLocalTarget_State(sidecar->target);
     const bb_node_record_t record = {
         .address = settings->forward_address,
         .data_centre = settings->data_centre,
         .service = settings->service,
         .target_id = (char *)BbLocalTarget_Id(sidecar->target),
-        .is_target_left = state == BB_LOCAL_DRAINING || state == BB_LOCAL_GONE,
+        .is_target_left = has_target_left(sidecar),
         .target_born_ms = BbLocalTarget_BornMs(sidecar->target),
         .slots = BbLocalTarget_Slots(sidecar->target),
         .is_ready = takes_calls(sidecar),
@@ -88,6 +95,12 @@
 void
 Sidecar_TargetChanged(sidecar_t *sidecar, const char *reason)
 {
+    if (!has_target_left(sidecar)) {
+        sidecar->target_left_at = 0;
+    }
+    else if (sidecar->target_left_at == 0) {
+        sidecar->target_left_at = BbClock_Now(sidecar->loop);
+    }
     if (BbEvent_Allows(BB_EVENT_TARGET)) {
         BbEvent_Write(
             BB_EVENT_TARGET,
@@ -368,6 +381,8 @@
     ev_timer_stop(loop, &sidecar->settings_timer);
     ev_timer_stop(loop, &sidecar->role_timer);
     ev_timer_stop(loop, &sidecar->leave_timer);
+    ev_timer_stop(loop, &sidecar->recall_timer);
+    ev_timer_stop(loop, &sidecar->ack_timer);
     BbNewsClient_Free(sidecar->news_client);
     BbProbe_Free(sidecar->probe);
     BbNewsServer_Free(sidecar->news_server);
@@ -378,6 +393,7 @@
     BbH1Server_Free(sidecar->admin);
     BbH1Server_Free(sidecar->metrics);
     BbH1Server_Free(sidecar->announcements);
+    g_clear_pointer(&sidecar->held_leaves, g_ptr_array_unref);
     BbCallIo_Free(sidecar->call_io);
     BbHopServer_Free(sidecar->hop_server);
     BbHopClient_Free(sidecar->hop_client);
--- a/programs/bbsidecar/sidecar_endpoints.c
+++ b/programs/bbsidecar/sidecar_endpoints.c
@@ -1,10 +1,19 @@
 #include <string.h>
 
+#include "bb_clock.h"
 #include "bb_counters.h"
 #include "bb_event.h"
 #include "bb_histogram.h"
 #include "sidecar_internal.h"
 
+/* A leave is refused when its record is not written within this time, which is
+ * shorter than the target waits. */
+#define ACK_WAIT_S 0.8
+
+/* A leave that is this old is acknowledged without a record: the store is
+ * away. */
+#define UNRECORDED_LEAVE_S 3.0
+
 /* ---- announcements of the target ---- */
 
 static void
@@ -59,13 +68,70 @@
     g_byte_array_append(request->user, (const guint8 *)data, (guint)size);
 }
 
+static void
+answer_announcement(bb_h1_request_t *request, int status)
+{
+    bb_h1_fields_t fields;
+
+    BbH1Fields_Init(&fields);
+    BbH1Fields_Add(&fields, "Content-Type", "application/json");
+    BbH1_Respond(request, status, &fields, "{}", 2);
+    BbH1Fields_Free(&fields);
+}
+
+static void
+answer_leaves(sidecar_t *sidecar, int status)
+{
+    ev_timer_stop(sidecar->loop, &sidecar->ack_timer);
+    while (sidecar->held_leaves->len > 0) {
+        bb_h1_request_t *request =
+            g_ptr_array_steal_index(sidecar->held_leaves, 0);
+        answer_announcement(request, status);
+    }
+}
+
+void
+Sidecar_AnswerLeaves(sidecar_t *sidecar)
+{
+    answer_leaves(sidecar, 200);
+}
+
+/* The target announces its leave again after a refusal. */
+static void
+handle_ack_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)events;
+    sidecar_t *sidecar = timer->data;
+    double since_s = BbClock_Now(loop) - sidecar->target_left_at;
+
+    answer_leaves(sidecar, since_s >= UNRECORDED_LEAVE_S ? 200 : 503);
+}
+
+/* A leave binds once it is acknowledged, also when this process ends at that
+ * moment: the next one must find it in the record. */
+static void
+answer_after_record(sidecar_t *sidecar, bb_h1_request_t *request)
+{
+    g_ptr_array_add(sidecar->held_leaves, request);
+    if (!ev_is_active(&sidecar->ack_timer)) {
+        ev_timer_set(&sidecar->ack_timer, ACK_WAIT_S, 0.0);
+        ev_timer_start(sidecar->loop, &sidecar->ack_timer);
+    }
+}
+
+static bool
+must_wait_for_record(const sidecar_t *sidecar)
+{
+    return sidecar->target_left_at > 0 && sidecar->leaving_since <= 0 &&
+           !BbRowWriter_IsDone(sidecar->record);
+}
+
 static void
 announcement_end(bb_h1_request_t *request, void *arg)
 {
     sidecar_t *sidecar = arg;
     GByteArray *body = request->user;
     char id[BB_TARGET_ID_TEXT + 1];
-    bb_h1_fields_t fields;
     int status = 404;
 
     switch (Platform_SortCall(request->method, request->target->str, id,
@@ -83,17 +149,24 @@
         break;
     }
     g_byte_array_unref(body);
-    BbH1Fields_Init(&fields);
-    BbH1Fields_Add(&fields, "Content-Type", "application/json");
-    BbH1_Respond(request, status, &fields, "{}", 2);
-    BbH1Fields_Free(&fields);
+    request->user = NULL;
+    if (status == 200 && must_wait_for_record(sidecar)) {
+        answer_after_record(sidecar, request);
+    }
+    else {
+        answer_announcement(request, status);
+    }
 }
 
 static void
 announcement_gone(bb_h1_request_t *request, void *arg)
 {
-    (void)arg;
-    g_byte_array_unref(request->user);
+    sidecar_t *sidecar = arg;
+
+    g_ptr_array_remove(sidecar->held_leaves, request);
+    if (request->user != NULL) {
+        g_byte_array_unref(request->user);
+    }
 }
 
 static const bb_h1_handler_t announcement_handler = {
@@ -167,6 +240,10 @@
 Sidecar_StartEndpoints(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
+
+    sidecar->held_leaves = g_ptr_array_new();
+    ev_init(&sidecar->ack_timer, handle_ack_timer);
+    sidecar->ack_timer.data = sidecar;
     int error = start_server(sidecar, settings->admin_address, &admin_handler,
                              &sidecar->admin);
 
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -53,8 +53,12 @@
     ev_timer settings_timer;
     ev_timer role_timer;
     ev_timer leave_timer;
+    ev_timer recall_timer;
+    ev_timer ack_timer;
+    GPtrArray *held_leaves; /* requests that wait for the record */
     double started_at;
-    double leaving_since; /* 0 before SIGTERM */
+    double leaving_since;  /* 0 before SIGTERM */
+    double target_left_at; /* 0 while the target does not leave */
 };
 
 /* ---- sidecar.c ---- */
@@ -82,4 +86,7 @@
 /* Returns 0 or an error of BbH1Server_New(). */
 int Sidecar_StartEndpoints(sidecar_t *sidecar);
 
+/* Acknowledges the leaves that have waited for the record to be written. */
+void Sidecar_AnswerLeaves(sidecar_t *sidecar);
+
 #endif
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -13,9 +13,17 @@
 #define NODES_PAUSE_S 1.0
 
 /* Longest mean pause of a node that reads the store only because no reader
- * reaches it: when the store is down for all, the readers notice its return. */
+ * reaches it: when the store is down for all, the readers notice its return.
+ */
 #define SPARE_BACKOFF_S 4.0
 
+/* Longest time before such a node makes its first call. */
+#define SPARE_DELAY_S 2.0
+
+/* A target that the record of an earlier process says is ready counts as ready
+ * for this long after the start; its next heartbeat comes within that. */
+#define RECALL_S 2.5
+
 /* When the whole fleet starts for the first time, the records are read after
  * every node has had the time to write its own. */
 #define FIRST_START_DELAY_S 2.2
@@ -95,7 +103,7 @@
     (void)error;
 
     if (is_connected && !BbFollow_IsSuspended(sidecar->config_follow)) {
-        BbFollow_Resume(sidecar->node_follow);
+        BbFollow_Resume(sidecar->node_follow, 0.0);
     }
 }
 
@@ -122,17 +130,50 @@
     }
 }
 
-/* What an earlier process of this node has left in its row. */
 static void
-recall_leave(sidecar_t *sidecar, const bb_node_record_t *record)
+expire_recall(struct ev_loop *loop, ev_timer *timer, int events)
 {
-    if (record->is_target_left &&
-        BbLocalTarget_Recall(sidecar->target, record->target_id,
-                             record->target_born_ms)) {
+    (void)loop;
+    (void)events;
+    sidecar_t *sidecar = timer->data;
+
+    if (BbLocalTarget_ExpireRecall(sidecar->target)) {
+        Sidecar_TargetChanged(sidecar, "not_confirmed");
+    }
+}
+
+/* The target runs on while its node is restarted. A leave is acknowledged only
+ * after the record tells of it, so a record that says ready is right but for a
+ * moment; another incarnation at the address refuses the call. */
+static void
+recall_ready(sidecar_t *sidecar, const bb_node_record_t *record)
+{
+    double age_s = BbClock_Now(sidecar->loop) - sidecar->started_at;
+
+    if (age_s < RECALL_S && sidecar->leaving_since <= 0 &&
+        BbLocalTarget_RecallReady(sidecar->target, record->target_id,
+                                  record->target_born_ms, record->slots)) {
+        ev_timer_set(&sidecar->recall_timer, RECALL_S - age_s, 0.0);
+        ev_timer_start(sidecar->loop, &sidecar->recall_timer);
         Sidecar_TargetChanged(sidecar, "recalled");
     }
 }
 
+/* What an earlier process of this node has left in its row. */
+static void
+recall_target(sidecar_t *sidecar, const bb_node_record_t *record)
+{
+    if (record->is_target_left) {
+        if (BbLocalTarget_Recall(sidecar->target, record->target_id,
+                                 record->target_born_ms)) {
+            Sidecar_TargetChanged(sidecar, "recalled");
+        }
+    }
+    else if (record->is_ready) {
+        recall_ready(sidecar, record);
+    }
+}
+
 static void
 own_row_found(const bb_table_row_t *row, void *arg)
 {
@@ -140,7 +181,7 @@
 
     if (row->value != NULL &&
         BbNodeRecord_Parse(row->value, row->size, &record) == 0) {
-        recall_leave(arg, &record);
+        recall_target(arg, &record);
         BbNodeRecord_Clear(&record);
     }
 }
@@ -160,7 +201,7 @@
     if (strcmp(node, sidecar->settings->name) == 0) {
         BbRowWriter_Observe(sidecar->record, revision, text, size);
         if (is_readable) {
-            recall_leave(sidecar, &record);
+            recall_target(sidecar, &record);
         }
     }
     if (BbFleet_Merge(sidecar->fleet, node, is_readable ? &record : NULL,
@@ -267,16 +308,28 @@
            BbFollow_IsConnected(sidecar->node_follow);
 }
 
+/* Readers that answer and do not reach the store tell of trouble that the
+ * spare readers most likely share. */
+static double
+spare_delay(const sidecar_t *sidecar)
+{
+    bool is_told =
+        !sidecar->is_reader && BbNewsClient_HasAnswers(sidecar->news_client);
+
+    return is_told ? SPARE_DELAY_S * BbRandom_Unit(sidecar->random) : 0.0;
+}
+
 static void
 set_reading(sidecar_t *sidecar, bool is_reading)
 {
     if (is_reading) {
         double backoff_s = sidecar->is_reader ? 0 : SPARE_BACKOFF_S;
+        double delay_s = spare_delay(sidecar);
         BbFollow_SetBackoff(sidecar->config_follow, backoff_s);
         BbFollow_SetBackoff(sidecar->node_follow, backoff_s);
-        BbFollow_Resume(sidecar->config_follow);
+        BbFollow_Resume(sidecar->config_follow, delay_s);
         if (sidecar->is_reader || !sidecar->has_records) {
-            BbFollow_Resume(sidecar->node_follow);
+            BbFollow_Resume(sidecar->node_follow, delay_s);
         }
     }
     else {
@@ -413,6 +466,12 @@
     ev_timer_start(sidecar->loop, &sidecar->role_timer);
 }
 
+static void
+record_written(void *arg)
+{
+    Sidecar_AnswerLeaves(arg);
+}
+
 void
 Sidecar_StartStore(sidecar_t *sidecar)
 {
@@ -426,9 +485,12 @@
         .key = sidecar->settings->name,
         .random = sidecar->random,
         .on_found = own_row_found,
+        .on_done = record_written,
         .arg = sidecar,
     };
     sidecar->record = BbRowWriter_New(&record);
+    ev_init(&sidecar->recall_timer, expire_recall);
+    sidecar->recall_timer.data = sidecar;
     bb_follow_options_t follow = {
         .loop = sidecar->loop,
         .store = sidecar->store,
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -688,6 +688,51 @@
     }
 }
 
+// Guards against a restarted node whose target gets no calls until its next
+// heartbeat, and against a recalled state that outlives what it was taken for.
+TEST(MeshLocalTarget, RecallsAReadyTargetUntilAHeartbeat)
+{
+    const bb_local_target_options_t options = {"10.0.0.1:80", "orders"};
+    bb_heartbeat_t beat = {};
+    beat.id = "i-1";
+    beat.address = "10.0.0.1:80";
+    beat.service = "orders";
+    beat.slots = 9;
+    beat.born_ms = 1000;
+    bb_local_target_t *target = BbLocalTarget_New(&options);
+    EXPECT_FALSE(BbLocalTarget_RecallReady(target, "", 0, 9));
+    EXPECT_TRUE(BbLocalTarget_RecallReady(target, "i-1", 1000, 9));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+    EXPECT_EQ(BbLocalTarget_Slots(target), 9);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &beat),
+              BB_HEARTBEAT_UNCHANGED);
+    EXPECT_FALSE(BbLocalTarget_ExpireRecall(target)); // confirmed
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&options);
+    EXPECT_TRUE(BbLocalTarget_RecallReady(target, "i-1", 1000, 9));
+    EXPECT_TRUE(BbLocalTarget_ExpireRecall(target));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_UNKNOWN);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &beat), BB_HEARTBEAT_CHANGED);
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&options); // what left is not recalled
+    EXPECT_TRUE(BbLocalTarget_Leave(target, "i-1") ||
+                !BbLocalTarget_RecallReady(target, "i-1", 1000, 9));
+    EXPECT_NE(BbLocalTarget_State(target), BB_LOCAL_READY);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&options); // nor is what has drained meanwhile
+    EXPECT_TRUE(BbLocalTarget_RecallReady(target, "i-1", 1000, 9));
+    beat.is_draining = true;
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &beat), BB_HEARTBEAT_CHANGED);
+    EXPECT_FALSE(BbLocalTarget_ExpireRecall(target));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_DRAINING);
+    BbLocalTarget_Free(target);
+}
+
 // Guards against a fleet in which no node reads the store, or all do.
 TEST(MeshReaders, WidestLinksReadInEachDataCentre)
 {
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -262,7 +262,7 @@
     EXPECT_EQ(stand_in.calls, 1);
     stand_in.Put("t", "b", "3");
     seen.erase("a");
-    BbFollow_Resume(follow);
+    BbFollow_Resume(follow, 0.0);
     ASSERT_TRUE(loop.RunUntil([&] { return seen["b"] == "3"; }));
     EXPECT_EQ(seen.count("a"), 0u); // not read again
     EXPECT_EQ(stand_in.calls, 2);
