Judge failing targets against the mean of their service

Change: shares of failures fade towards the mean of the service; a refusal does not send a large body elsewhere.

--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -52,9 +52,10 @@
 /* What is known of a service when a call is placed. */
 typedef struct {
     double now;
-    double best_s;    /* best time of a call that a target has told lately */
-    double near_load; /* calls per slot, over the recent reports of targets */
-    double far_load;  /* in the own data centre and in others */
+    double best_s;     /* best time of a call that a target has told lately */
+    double near_load;  /* calls per slot, over the recent reports of targets */
+    double far_load;   /* in the own data centre and in others */
+    double fail_share; /* of recent calls of the service */
     const char *data_centre; /* own; NULL while it does not matter */
 } service_view_t;
 
@@ -108,19 +109,21 @@
     return best_s > 0 ? best_s : UNKNOWN_SERVICE_S;
 }
 
-/* Sum of reports, the recent ones with more weight. */
+/* Sums over reports, the recent ones with more weight. */
 typedef struct {
-    double sum;
+    double load;
+    double failed;
     double weight;
-} load_mean_t;
+} report_mean_t;
 
 static void
-add_report(load_mean_t *mean, const bb_endpoint_t *endpoint, double now)
+add_report(report_mean_t *mean, const bb_endpoint_t *endpoint, double now)
 {
     int calls = endpoint->load.running + endpoint->load.waiting;
     double share = exp(-(now - endpoint->load_at) / MEAN_FADE_S);
 
-    mean->sum += share * calls / slots_of(endpoint);
+    mean->load += share * calls / slots_of(endpoint);
+    mean->failed += share * endpoint->load.fail_permille / 1000.0;
     mean->weight += share;
 }
 
@@ -134,8 +137,8 @@
 static service_view_t
 view_service(const GPtrArray *list, const char *data_centre, double now)
 {
-    load_mean_t near = {.weight = IDLE_WEIGHT};
-    load_mean_t far = {.weight = IDLE_WEIGHT};
+    report_mean_t near = {.weight = IDLE_WEIGHT};
+    report_mean_t far = {.weight = IDLE_WEIGHT};
 
     for (guint i = 0; list != NULL && i < list->len; i++) {
         const bb_endpoint_t *endpoint = g_ptr_array_index(list, i);
@@ -147,8 +150,9 @@
     return (service_view_t){
         .now = now,
         .best_s = best_service_time(list, now),
-        .near_load = near.sum / near.weight,
-        .far_load = far.sum / far.weight,
+        .near_load = near.load / near.weight,
+        .far_load = far.load / far.weight,
+        .fail_share = (near.failed + far.failed) / (near.weight + far.weight),
         .data_centre = data_centre,
     };
 }
@@ -177,16 +181,19 @@
     return own + MAX(others, 0.0);
 }
 
+/* Reports fade towards the mean of the service: where all targets fail alike,
+ * one that was not asked for long is no better. */
 static double
-fail_share(const bb_endpoint_t *endpoint, double now)
+fail_share(const bb_endpoint_t *endpoint, const service_view_t *view)
 {
     double own = endpoint->fail_rate *
-                 exp(-MAX(now - endpoint->fail_at, 0.0) / FAIL_FADE_S);
-    double told = 0;
+                 exp(-MAX(view->now - endpoint->fail_at, 0.0) / FAIL_FADE_S);
+    double told = view->fail_share;
 
     if (endpoint->load_at > 0) {
-        told = endpoint->load.fail_permille / 1000.0 *
-               exp(-MAX(now - endpoint->load_at, 0.0) / FAIL_FADE_S);
+        double age = MAX(view->now - endpoint->load_at, 0.0);
+        told += (endpoint->load.fail_permille / 1000.0 - view->fail_share) *
+                exp(-age / FAIL_FADE_S);
     }
     return MAX(own, told);
 }
@@ -202,7 +209,7 @@
     if (load >= slots) {
         wait = (load - slots + 1) * service / slots;
     }
-    double failing = fail_share(endpoint, view->now);
+    double failing = fail_share(endpoint, view);
     double cost = failing > FAIL_TOLERATED ? failing * FAIL_COST_S : 0;
     return service + wait + cost;
 }
@@ -442,11 +449,14 @@
     return has_full;
 }
 
-/* How much still holds a call in its data centre, 0 to 1. */
+/* How much still holds a call in its data centre, 0 to 1. A refusal does not
+ * send a large body elsewhere. */
 static double
 locality(const bb_placement_request_t *request)
 {
-    return pow(REFUSED_SPILL_FACTOR, request->refusals);
+    return request->has_large_body
+               ? 1.0
+               : pow(REFUSED_SPILL_FACTOR, request->refusals);
 }
 
 /* Predicted time up to which a call stays in the data centre. */
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -300,6 +300,30 @@
     }
 }
 
+// Guards against calls that go to another data centre in vain: where all
+// targets of a service fail alike, those not heard of look no better.
+TEST(MeshPlacement, EquallyFailingTargetsKeepTheirCalls)
+{
+    Fleet f;
+    bb_load_t load = {};
+    load.slots = 10;
+    load.service_ms = 100;
+    load.fail_permille = 500;
+    for (int i = 0; i < 8; i++) {
+        std::string near = "near" + std::to_string(i);
+        bb_endpoint_t *endpoint = f.Add(near.c_str(), "a", 1 + i);
+        BbPlacement_Started(endpoint);
+        BbPlacement_Ended(endpoint, BB_ATTEMPT_SERVED, &load, 1.0);
+        f.Add(("far" + std::to_string(i)).c_str(), "b", 20 + i);
+    }
+    int remote = 0;
+    for (int i = 0; i < 100; i++) {
+        bb_endpoint_t *chosen = f.Choose(1.5, 0.3);
+        remote += strcmp(chosen->record.data_centre, "a") != 0;
+    }
+    EXPECT_EQ(remote, 0);
+}
+
 // Guards against calls that are held up by trying a node which is still lost,
 // and against a doubt that never ends.
 TEST(MeshPlacement, LostNodesAreProbedAndGetNoCallsMeanwhile)
@@ -704,8 +728,7 @@
     EXPECT_TRUE(BbLocalTarget_RecallReady(target, "i-1", 1000, 9));
     EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
     EXPECT_EQ(BbLocalTarget_Slots(target), 9);
-    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &beat),
-              BB_HEARTBEAT_UNCHANGED);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &beat), BB_HEARTBEAT_UNCHANGED);
     EXPECT_FALSE(BbLocalTarget_ExpireRecall(target)); // confirmed
     EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
     BbLocalTarget_Free(target);
@@ -969,4 +992,3 @@
     ASSERT_GT(size, 100);
     EXPECT_EQ(text[0], '{');
 }
-
