Read a response on only while its receiver takes it

Cause: a target that sends a body without end grew the node by 310 MB within 1.2 s (a small VM has 160 MB): what the caller has not taken was kept whole. Interim heads and late responses without end were read until the deadline. Change: reading pauses while more than 1 MiB waits, on the caller's side and between nodes; 4 MiB before the head of the response end the connection. Ruled out: an upper limit of bodies, which would cut large downloads.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -13,6 +13,11 @@
 #include "bb_error.h"
 
 #define READ_BYTES 65536
+
+/* Bytes before the head of the response: interim heads, late responses to
+ * earlier requests. */
+#define MAX_DROPPED_BYTES (4 * 1024 * 1024)
+
 #define DEFAULT_CONNECT_S 1.0
 #define DEFAULT_KEEP_S 10.0
 #define DEFAULT_MAX_IDLE 64
@@ -47,7 +52,9 @@
     bb_h1_exchange_t *exchange;
     int depth;
     bool is_connected;
-    bool is_foreign; /* the response being read is dropped */
+    bool is_foreign;   /* the response being read is dropped */
+    size_t dropped;    /* bytes read in vain for the exchange */
+    bool has_own_head; /* of the response that is being read */
     bool is_answered;
     bool is_last; /* the server closes after this response */
     bool is_dead;
@@ -228,6 +235,7 @@
         link->is_foreign = true;
         return 0;
     }
+    link->has_own_head = true;
     link->keep_s = keep_time(link, fields);
     exchange->handler->on_head((int)parser->status_code, fields,
                                exchange->arg);
@@ -274,9 +282,23 @@
     .on_message_complete = on_message_complete,
 };
 
+/* Interim heads and responses of others may come without end. */
+static bool
+is_flooded(bb_h1_link_t *link, size_t size)
+{
+    bool has_head = link->is_answered || link->has_own_head;
+
+    link->dropped += has_head ? 0 : size;
+    return link->dropped > MAX_DROPPED_BYTES;
+}
+
 static void
 parse_bytes(bb_h1_link_t *link, const char *data, size_t size)
 {
+    if (is_flooded(link, size)) {
+        fail_exchange(link, BB_ERR_PARSE);
+        return;
+    }
     http_parser *parser = &link->reader.parser;
     size_t used = http_parser_execute(parser, &response_settings, data, size);
     bool is_spoiled = used != size || parser->upgrade;
@@ -450,6 +472,8 @@
     peer->idle_count--;
     ev_timer_stop(link->client->loop, &link->timer);
     link->is_answered = false;
+    link->has_own_head = false;
+    link->dropped = 0;
     return link;
 }
 
@@ -564,6 +588,19 @@
     return exchange->is_sent;
 }
 
+void
+BbH1_PauseResponse(bb_h1_exchange_t *exchange, bool is_paused)
+{
+    bb_h1_link_t *link = exchange->link;
+
+    if (is_paused) {
+        ev_io_stop(link->client->loop, &link->read_watcher);
+    }
+    else if (!link->is_dead && link->is_connected) {
+        ev_io_start(link->client->loop, &link->read_watcher);
+    }
+}
+
 void
 BbH1_Cancel(bb_h1_exchange_t *exchange)
 {
--- a/lib/http/bb_h1_client.h
+++ b/lib/http/bb_h1_client.h
@@ -84,6 +84,9 @@
 /* True when at least one byte of the request was written. */
 bool BbH1_IsSent(const bb_h1_exchange_t *exchange);
 
+/* Stops and restarts reading the response. */
+void BbH1_PauseResponse(bb_h1_exchange_t *exchange, bool is_paused);
+
 /* Closes the connection; no callback follows. */
 void BbH1_Cancel(bb_h1_exchange_t *exchange);
 
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -239,6 +239,19 @@
     ev_timer_again(connection->server->loop, &connection->idle_timer);
 }
 
+static void
+report_drained(bb_h1_connection_t *connection)
+{
+    bb_h1_server_t *server = connection->server;
+    bb_h1_request_t *request = connection->requests;
+
+    if (!connection->is_dead && request != NULL &&
+        request->is_awaiting_drain && !request->is_answered) {
+        request->is_awaiting_drain = false;
+        server->handler->on_drained(request, server->arg);
+    }
+}
+
 static void
 flush_connection(bb_h1_connection_t *connection)
 {
@@ -256,6 +269,9 @@
     else if (connection->request_count == 0) {
         restart_idle_timer(connection);
     }
+    if (is_written) {
+        report_drained(connection);
+    }
     update_reading(connection);
     leave_connection(connection);
 }
@@ -363,6 +379,20 @@
     BbH1_RespondEnd(request);
 }
 
+size_t
+BbH1_Unsent(const bb_h1_request_t *request)
+{
+    const bb_h1_connection_t *connection = request->connection;
+
+    return request->out->len + connection->out->len - connection->out_offset;
+}
+
+void
+BbH1_AwaitDrain(bb_h1_request_t *request)
+{
+    request->is_awaiting_drain = true;
+}
+
 void
 BbH1_Abort(bb_h1_request_t *request)
 {
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -51,7 +51,7 @@
     bb_h1_connection_t *connection;
     GByteArray *out;
     bool is_head, is_started, is_chunked, is_answered, is_aborted;
-    bool is_reported;
+    bool is_reported, is_awaiting_drain;
     struct bb_h1_request *prev, *next;
 } bb_h1_request_t;
 
@@ -62,6 +62,8 @@
     void (*on_end)(bb_h1_request_t *request, void *arg); /* may be NULL */
     /* The client left before the answer was complete. */
     void (*on_gone)(bb_h1_request_t *request, void *arg); /* may be NULL */
+    /* See BbH1_AwaitDrain(). */
+    void (*on_drained)(bb_h1_request_t *request, void *arg);
 } bb_h1_handler_t;
 
 typedef struct {
@@ -101,6 +103,13 @@
 void BbH1_RespondData(bb_h1_request_t *request, const void *data, size_t size);
 void BbH1_RespondEnd(bb_h1_request_t *request);
 
+/* Bytes of the answer, and of earlier ones, that the client has not taken. */
+size_t BbH1_Unsent(const bb_h1_request_t *request);
+
+/* on_drained is called once, when all bytes given so far have been taken and
+ * the answer is not complete. */
+void BbH1_AwaitDrain(bb_h1_request_t *request);
+
 /* Closes the connection once the earlier answers have been sent, so that an
  * answer that was begun cannot look complete. */
 void BbH1_Abort(bb_h1_request_t *request);
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -94,8 +94,14 @@
 typedef struct {
     void (*body_grew)(bb_attempt_t *attempt);
     void (*cancel)(bb_attempt_t *attempt);
+    /* Stops and restarts reading the response. */
+    void (*pause)(bb_attempt_t *attempt, bool is_paused);
 } bb_attempt_ops_t;
 
+/* A response is read on while no more than this waits for its receiver: a
+ * target may send without end, and faster than the receiver reads. */
+#define BB_UNSENT_RESPONSE_BYTES (1024 * 1024)
+
 /* First member of both kinds of attempt. */
 struct bb_attempt {
     const bb_attempt_ops_t *ops;
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -246,11 +246,23 @@
     BbMeshCall_Free(call);
 }
 
+static void
+handle_drained(bb_h1_request_t *request, void *arg)
+{
+    bb_mesh_call_t *call = request->user;
+    (void)arg;
+
+    if (call->attempt != NULL) {
+        call->attempt->ops->pause(call->attempt, false);
+    }
+}
+
 static const bb_h1_handler_t server_handler = {
     .on_head = handle_head,
     .on_body = handle_body,
     .on_end = handle_end,
     .on_gone = handle_gone,
+    .on_drained = handle_drained,
 };
 
 /* ---- life ---- */
--- a/lib/mesh/bb_hop_client.c
+++ b/lib/mesh/bb_hop_client.c
@@ -295,9 +295,16 @@
     free_attempt(attempt);
 }
 
+static void
+client_pause(bb_attempt_t *base, bool is_paused)
+{
+    BbH1_PauseResponse(((hop_attempt_t *)base)->exchange, is_paused);
+}
+
 static const bb_attempt_ops_t client_ops = {
     .body_grew = client_body_grew,
     .cancel = client_cancel,
+    .pause = client_pause,
 };
 
 static void
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -130,7 +130,13 @@
 hop_data(const char *data, size_t size, void *arg)
 {
     hop_call_t *call = arg;
+
     BbH1_RespondData(call->request, data, size);
+    if (call->attempt != NULL &&
+        BbH1_Unsent(call->request) > BB_UNSENT_RESPONSE_BYTES) {
+        BbH1_AwaitDrain(call->request);
+        call->attempt->ops->pause(call->attempt, true);
+    }
 }
 
 static void
@@ -401,11 +407,23 @@
     free_hop_call(call);
 }
 
+static void
+server_drained(bb_h1_request_t *request, void *arg)
+{
+    (void)arg;
+    hop_call_t *call = request->user;
+
+    if (call != NULL && call->attempt != NULL) {
+        call->attempt->ops->pause(call->attempt, false);
+    }
+}
+
 static const bb_h1_handler_t server_handler = {
     .on_head = server_head,
     .on_body = server_body,
     .on_end = server_end,
     .on_gone = server_gone,
+    .on_drained = server_drained,
 };
 
 /* ---- life ---- */
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -14,7 +14,7 @@
     int64_t sequence;
     int slots;
     bb_local_state_t state;
-    bool is_recalled; /* ready by the record of an earlier process */
+    bool is_recalled;     /* ready by the record of an earlier process */
     GHashTable *departed; /* id to the birth of what left, as gint64 */
 };
 
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -396,9 +396,20 @@
     run_queue(io);
 }
 
+static void
+pause_response(bb_attempt_t *attempt, bool is_paused)
+{
+    target_call_t *call = (target_call_t *)attempt;
+
+    if (call->exchange != NULL) {
+        BbH1_PauseResponse(call->exchange, is_paused);
+    }
+}
+
 static const bb_attempt_ops_t attempt_ops = {
     .body_grew = body_grew,
     .cancel = cancel,
+    .pause = pause_response,
 };
 
 static bb_reason_t
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -533,7 +533,8 @@
     bb_news_client_t *client;
 };
 
-const bb_h1_handler_t NewsNode::kHandler = {OnHead, nullptr, nullptr, OnGone};
+const bb_h1_handler_t NewsNode::kHandler = {OnHead, nullptr, nullptr, OnGone,
+                                            nullptr};
 
 } // namespace
 
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -113,6 +113,16 @@
         fd = -1;
         is_closed = true;
     }
+    void StopReading()
+    {
+        ev_io_stop(loop_->loop, &io_);
+    }
+    void ResumeReading()
+    {
+        if (fd >= 0) {
+            ev_io_start(loop_->loop, &io_);
+        }
+    }
     std::function<void(Wire *)> on_bytes;
     std::string received;
     bool is_closed = false;
--- a/tests/unit/store_stand_in.h
+++ b/tests/unit/store_stand_in.h
@@ -253,7 +253,7 @@
 };
 
 inline const bb_h1_handler_t StoreStandIn::kHandler = {OnHead, OnBody, OnEnd,
-                                                       OnGone};
+                                                       OnGone, nullptr};
 
 } // namespace mesh_rig
 
