--- a/lib/mesh/bb_versions.c
+++ b/lib/mesh/bb_versions.c
@@ -17,6 +17,7 @@
 struct bb_versions {
     held_t held[BB_VERSIONS_KEPT]; /* newest last */
     size_t count;
+    size_t kept;
     GByteArray *delta; /* the last one that was encoded */
     int64_t delta_base;
     int64_t delta_version;
@@ -27,6 +28,7 @@
 {
     bb_versions_t *versions = g_new0(bb_versions_t, 1);
 
+    versions->kept = BB_VERSIONS_KEPT;
     versions->delta = g_byte_array_new();
     return versions;
 }
@@ -57,6 +59,24 @@
     return versions->count > 0 ? versions->held[versions->count - 1].size : 0;
 }
 
+static void
+drop_oldest(bb_versions_t *versions)
+{
+    g_free(versions->held[0].text);
+    versions->count--;
+    memmove(versions->held, versions->held + 1,
+            sizeof(held_t) * versions->count);
+}
+
+void
+BbVersions_SetKept(bb_versions_t *versions, size_t kept)
+{
+    versions->kept = CLAMP(kept, 1, BB_VERSIONS_KEPT);
+    while (versions->count > versions->kept) {
+        drop_oldest(versions);
+    }
+}
+
 void
 BbVersions_Add(bb_versions_t *versions, int64_t version, const char *text,
                size_t size)
@@ -64,11 +84,8 @@
     if (version <= BbVersions_Newest(versions) || size > MAX_TEXT_BYTES) {
         return;
     }
-    if (versions->count == BB_VERSIONS_KEPT) {
-        g_free(versions->held[0].text);
-        memmove(versions->held, versions->held + 1,
-                sizeof(held_t) * (BB_VERSIONS_KEPT - 1));
-        versions->count--;
+    if (versions->count == versions->kept) {
+        drop_oldest(versions);
     }
     versions->held[versions->count++] = (held_t){
         .version = version,
--- a/lib/mesh/bb_versions.h
+++ b/lib/mesh/bb_versions.h
@@ -28,11 +28,17 @@
 
 #define BB_VERSIONS_KEPT 8
 
+/* Enough for a node that tells no others. */
+#define BB_VERSIONS_KEPT_ALONE 2
+
 typedef struct bb_versions bb_versions_t;
 
 bb_versions_t *BbVersions_New(void);
 void BbVersions_Free(bb_versions_t *versions);
 
+/* Keeps fewer versions than BB_VERSIONS_KEPT from now on; at least 1. */
+void BbVersions_SetKept(bb_versions_t *versions, size_t kept);
+
 /* Versions must be added in ascending order; others are ignored. */
 void BbVersions_Add(bb_versions_t *versions, int64_t version, const char *text,
                     size_t size);
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -366,6 +366,9 @@
     sidecar->is_reader =
         BbReaders_IsOwn(sidecar->readers, sidecar->settings->name);
     BbNewsClient_SetScope(sidecar->news_client, news_scope(sidecar));
+    BbVersions_SetKept(sidecar->versions, sidecar->is_reader
+                                              ? BB_VERSIONS_KEPT
+                                              : BB_VERSIONS_KEPT_ALONE);
     if (sidecar->is_reader) {
         set_reading(sidecar, true);
     }
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -810,6 +810,37 @@
     BbReaders_Free(roles);
 }
 
+// Guards against memory for versions that nobody will ask for, and against a
+// node that can no longer take a delta against the version it has in force.
+TEST(MeshVersions, KeepsFewerWhereNobodyAsks)
+{
+    bb_versions_t *reader = BbVersions_New(), *node = BbVersions_New();
+    for (int64_t version = 1; version <= 6; version++) {
+        std::string text(1000, static_cast<char>('a' + version));
+        BbVersions_Add(reader, version, text.data(), text.size());
+        if (version < 6) {
+            BbVersions_Add(node, version, text.data(), text.size());
+        }
+    }
+    BbVersions_SetKept(node, BB_VERSIONS_KEPT_ALONE);
+    EXPECT_EQ(BbVersions_Newest(node), 5);
+    int64_t base = 0;
+    const GByteArray *delta = BbVersions_Encode(reader, 5, &base);
+    ASSERT_NE(delta, nullptr);
+    EXPECT_EQ(base, 5);
+    char *text = BbVersions_Decode(node, base, delta->data, delta->len, 1000);
+    ASSERT_NE(text, nullptr);
+    BbVersions_Add(node, 6, text, 1000);
+    g_free(text);
+    EXPECT_EQ(BbVersions_Newest(node), 6);
+    BbVersions_Encode(node, 4, &base); // version 4 is no longer held
+    EXPECT_EQ(base, 0);
+    BbVersions_Encode(node, 5, &base);
+    EXPECT_EQ(base, 5);
+    BbVersions_Free(reader);
+    BbVersions_Free(node);
+}
+
 // Guards against deltas that are as large as the text, or wrong.
 TEST(MeshVersions, DeltasAreSmallAndExact)
 {
