--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -7,8 +7,8 @@
 /* Longest wait of one feed call. */
 #define FEED_WAIT_S 10.0
 
+#define BACKOFF_FIRST_S 0.1
 #define BACKOFF_MAX_S 1.0
-#define BACKOFF_FIRST_SHARE 0.1 /* of the longest pause */
 
 struct bb_follow {
     bb_follow_options_t options;
@@ -16,6 +16,8 @@
     void *pending; /* call under way */
     ev_timer retry_timer;
     double backoff_s;
+    double backoff_first_s;
+    double backoff_max_s;
     int64_t version;
     bool has_snapshot;
     bool is_connected;
@@ -65,10 +67,9 @@
 retry_later(bb_follow_t *follow, int error)
 {
     set_connected(follow, false, error);
-    double max_s = follow->options.backoff_max_s;
     follow->backoff_s = follow->backoff_s > 0
-                            ? MIN(follow->backoff_s * 2, max_s)
-                            : max_s * BACKOFF_FIRST_SHARE;
+                            ? MIN(follow->backoff_s * 2, follow->backoff_max_s)
+                            : follow->backoff_first_s;
     double delay_s =
         follow->backoff_s * (0.5 + BbRandom_Unit(follow->options.random));
     ev_timer_set(&follow->retry_timer, delay_s, 0.0);
@@ -205,7 +206,7 @@
     bb_follow_t *follow = g_new0(bb_follow_t, 1);
 
     follow->options = *options;
-    BbFollow_SetBackoff(follow, options->backoff_max_s);
+    BbFollow_SetBackoff(follow, BACKOFF_FIRST_S, BACKOFF_MAX_S);
     follow->table = g_strdup(options->table);
     ev_init(&follow->retry_timer, handle_retry);
     follow->retry_timer.data = follow;
@@ -218,9 +219,10 @@
 }
 
 void
-BbFollow_SetBackoff(bb_follow_t *follow, double max_s)
+BbFollow_SetBackoff(bb_follow_t *follow, double first_s, double max_s)
 {
-    follow->options.backoff_max_s = max_s > 0 ? max_s : BACKOFF_MAX_S;
+    follow->backoff_first_s = first_s;
+    follow->backoff_max_s = max_s;
 }
 
 static void
--- a/lib/mesh/bb_follow.h
+++ b/lib/mesh/bb_follow.h
@@ -40,7 +40,6 @@
      * come in quick succession are then read together: the newest value of
      * each row, in one call. */
     double pause_s;
-    double backoff_max_s; /* longest mean pause after failures; 0: 1 s */
     double start_delay_s; /* until the first call */
     bool is_suspended;    /* no call before BbFollow_Resume() */
     const bb_follow_handler_t *handler;
@@ -51,8 +50,8 @@
 bb_follow_t *BbFollow_New(const bb_follow_options_t *options);
 void BbFollow_Free(bb_follow_t *follow);
 
-/* Longest mean pause between calls to a store that fails; 0: 1 s. */
-void BbFollow_SetBackoff(bb_follow_t *follow, double max_s);
+/* Mean pauses between calls to a store that fails, 0.1 and 1 s by default. */
+void BbFollow_SetBackoff(bb_follow_t *follow, double first_s, double max_s);
 
 /* Makes no further calls until BbFollow_Resume(), which goes on where the
  * table was left. */
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -12,9 +12,14 @@
 #define CONFIG_PAUSE_S 0.3
 #define NODES_PAUSE_S 1.0
 
-/* Longest mean pause of a node that reads the store only because no reader
+/* Mean pauses between calls to a store that fails. */
+#define BACKOFF_FIRST_S 0.1
+#define BACKOFF_S 1.0
+
+/* The same of a node that reads the store only because no reader
  * reaches it: when the store is down for all, the readers notice its return.
  */
+#define SPARE_BACKOFF_FIRST_S 2.0
 #define SPARE_BACKOFF_S 4.0
 
 /* Longest time before such a node makes its first call. */
@@ -319,14 +324,26 @@
     return is_told ? SPARE_DELAY_S * BbRandom_Unit(sidecar->random) : 0.0;
 }
 
+static void
+set_backoff(const sidecar_t *sidecar, bb_follow_t *follow)
+{
+    bool is_patient = !sidecar->is_reader && sidecar->config != NULL;
+
+    if (is_patient) {
+        BbFollow_SetBackoff(follow, SPARE_BACKOFF_FIRST_S, SPARE_BACKOFF_S);
+    }
+    else {
+        BbFollow_SetBackoff(follow, BACKOFF_FIRST_S, BACKOFF_S);
+    }
+}
+
 static void
 set_reading(sidecar_t *sidecar, bool is_reading)
 {
     if (is_reading) {
-        double backoff_s = sidecar->is_reader ? 0 : SPARE_BACKOFF_S;
         double delay_s = spare_delay(sidecar);
-        BbFollow_SetBackoff(sidecar->config_follow, backoff_s);
-        BbFollow_SetBackoff(sidecar->node_follow, backoff_s);
+        set_backoff(sidecar, sidecar->config_follow);
+        set_backoff(sidecar, sidecar->node_follow);
         BbFollow_Resume(sidecar->config_follow, delay_s);
         if (sidecar->is_reader || !sidecar->has_records) {
             BbFollow_Resume(sidecar->node_follow, delay_s);
