Read kept connections again after a paused response

Cause: found while reading the diff: a response that ends while reading is paused left its kept connection unread, so the next call on it waited for its deadline. Change: a connection that is kept is read. Test: H1Client.KeptConnectionsAreReadAfterAPause, red before, green after.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -152,6 +152,7 @@
     link->idle_since = BbClock_Now(client->loop);
     link->timer.repeat = link->keep_s;
     ev_timer_again(client->loop, &link->timer);
+    ev_io_start(client->loop, &link->read_watcher); /* after a pause */
     if (peer->idle_count > client->max_idle) {
         bb_h1_link_t *oldest = peer->idle->prev;
         oldest->depth++;
--- a/tests/unit/endless_test.cc
+++ b/tests/unit/endless_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "bb_h1_client.h"
 #include "mesh_rig.h"
 
 using mesh_rig::Caller;
@@ -211,6 +212,58 @@
     }
 }
 
+// Guards against a kept connection that is never read again, because the last
+// response on it ended while reading was paused.
+TEST(H1Client, KeptConnectionsAreReadAfterAPause)
+{
+    struct Exchange {
+        bb_h1_exchange_t *exchange;
+        bool is_ended = false, is_failed = false;
+    };
+    static const bb_h1_exchange_handler_t handler = [] {
+        bb_h1_exchange_handler_t made = {};
+        made.on_head = [](int, const bb_h1_fields_t *, void *) {};
+        made.on_data = [](const char *, size_t, void *arg) {
+            BbH1_PauseResponse(static_cast<Exchange *>(arg)->exchange, true);
+        };
+        made.on_end = [](void *arg) {
+            static_cast<Exchange *>(arg)->is_ended = true;
+        };
+        made.on_fail = [](int, bool, void *arg) {
+            static_cast<Exchange *>(arg)->is_failed = true;
+        };
+        return made;
+    }();
+    Loop loop;
+    Target target(&loop);
+    bb_h1_client_options_t client_options = {loop.loop, 0, 0, 0};
+    bb_h1_client_t *client = BbH1Client_New(&client_options);
+    bb_h1_fields_t fields;
+    BbH1Fields_Init(&fields);
+    for (int i = 0; i < 2; i++) {
+        Exchange exchange;
+        bb_h1_exchange_options_t options = {};
+        options.address = target.address.c_str();
+        options.method = "GET";
+        options.target = "/";
+        options.fields = &fields;
+        options.content_length = BB_H1_NO_BODY;
+        options.max_idle_s = 5;
+        options.handler = &handler;
+        options.arg = &exchange;
+        exchange.exchange = BbH1_Start(client, &options);
+        EXPECT_TRUE(loop.RunUntil(
+            [&] { return exchange.is_ended || exchange.is_failed; }, 1.0));
+        EXPECT_TRUE(exchange.is_ended) << i;
+        if (!exchange.is_ended && !exchange.is_failed) {
+            BbH1_Cancel(exchange.exchange);
+        }
+    }
+    EXPECT_EQ(target.wires.size(), 1u);
+    BbH1Fields_Free(&fields);
+    BbH1Client_Free(client);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Paths, EndlessAnswer,
     testing::Values(EndlessCase{false, false}, EndlessCase{true, false},
