--- a/lib/mesh/bb_attempt.c
+++ b/lib/mesh/bb_attempt.c
@@ -50,6 +50,17 @@
     }
 }
 
+void
+BbAttempt_PassData(bb_attempt_t *attempt, bb_h1_request_t *request,
+                   const void *data, size_t size)
+{
+    BbH1_RespondData(request, data, size);
+    if (attempt != NULL && BbH1_Unsent(request) > BB_UNSENT_RESPONSE_BYTES) {
+        BbH1_AwaitDrain(request);
+        attempt->ops->pause(attempt, true);
+    }
+}
+
 bool
 BbAttempt_IsEndToEnd(const char *name)
 {
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -13,6 +13,7 @@
 #define BB_ATTEMPT_H
 
 #include "bb_h1_client.h"
+#include "bb_h1_server.h"
 #include "bb_load.h"
 #include "bb_reason.h"
 
@@ -107,6 +108,12 @@
     const bb_attempt_ops_t *ops;
 };
 
+/* Passes a piece of the response on, and pauses the attempt while its receiver
+ * has more than BB_UNSENT_RESPONSE_BYTES to take; attempt may be NULL. The
+ * owner resumes it when the request is drained. */
+void BbAttempt_PassData(bb_attempt_t *attempt, bb_h1_request_t *request,
+                        const void *data, size_t size);
+
 /* Whether a field goes end to end: not of one connection, not of bb_hop. */
 bool BbAttempt_IsEndToEnd(const char *name);
 
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -131,12 +131,7 @@
 {
     hop_call_t *call = arg;
 
-    BbH1_RespondData(call->request, data, size);
-    if (call->attempt != NULL &&
-        BbH1_Unsent(call->request) > BB_UNSENT_RESPONSE_BYTES) {
-        BbH1_AwaitDrain(call->request);
-        call->attempt->ops->pause(call->attempt, true);
-    }
+    BbAttempt_PassData(call->attempt, call->request, data, size);
 }
 
 static void
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -223,24 +223,13 @@
     BbH1Fields_CopyEndToEnd(&call->answer_fields, fields);
 }
 
-static void
-stream_data(bb_mesh_call_t *call, const char *data, size_t size)
-{
-    BbH1_RespondData(call->request, data, size);
-    if (call->attempt != NULL &&
-        BbH1_Unsent(call->request) > BB_UNSENT_RESPONSE_BYTES) {
-        BbH1_AwaitDrain(call->request);
-        call->attempt->ops->pause(call->attempt, true);
-    }
-}
-
 static void
 call_data(const char *data, size_t size, void *arg)
 {
     bb_mesh_call_t *call = arg;
 
     if (call->is_streaming) {
-        stream_data(call, data, size);
+        BbAttempt_PassData(call->attempt, call->request, data, size);
         return;
     }
     g_byte_array_append(call->answer, (const guint8 *)data, (guint)size);
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "bb_candidates.h"
+
 /* Mean time of a call at a target that has not reported one. */
 #define UNKNOWN_SERVICE_S 0.1
 
@@ -36,9 +38,6 @@
 #define FULL_S 0.08
 #define MAX_FULL_CLASSES 64
 
-/* Predicted times closer than this are taken as equal. */
-#define TIE_S 0.004
-
 /* Targets that are drawn at random for each call, by their capacity. Taking
  * the best of all would send the calls of every node to the same few. */
 #define DRAWS 3
@@ -247,18 +246,6 @@
 
 /* ---- candidates of one call ---- */
 
-typedef struct {
-    bb_endpoint_t *endpoint;
-    double cost;     /* predicted seconds */
-    double fullness; /* calls per slot */
-    double capacity; /* calls a second */
-} candidate_t;
-
-typedef struct {
-    GArray *items; /* of candidate_t */
-    double capacity;
-} candidates_t;
-
 enum {
     TRUSTED_NEAR,
     TRUSTED_FAR,
@@ -269,83 +256,6 @@
     GROUP_COUNT,
 };
 
-static void
-add_candidate(candidates_t *group, const candidate_t *candidate)
-{
-    if (group->items == NULL) {
-        group->items = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-    }
-    g_array_append_val(group->items, *candidate);
-    group->capacity += candidate->capacity;
-}
-
-static guint
-count_of(const candidates_t *group)
-{
-    return group->items != NULL ? group->items->len : 0;
-}
-
-static const candidate_t *
-candidate_at(const candidates_t *group, guint index)
-{
-    return &g_array_index(group->items, candidate_t, index);
-}
-
-/* One at random, by capacity; the group is not empty. */
-static const candidate_t *
-draw(const candidates_t *group, bb_random_t *random)
-{
-    double point = BbRandom_Unit(random) * group->capacity;
-    guint last = count_of(group) - 1;
-
-    for (guint i = 0; i < last; i++) {
-        point -= candidate_at(group, i)->capacity;
-        if (point < 0) {
-            return candidate_at(group, i);
-        }
-    }
-    return candidate_at(group, last);
-}
-
-static bool
-is_better(const candidate_t *candidate, const candidate_t *than)
-{
-    return than == NULL || candidate->cost < than->cost - TIE_S ||
-           (candidate->cost < than->cost + TIE_S &&
-            candidate->fullness < than->fullness);
-}
-
-static const candidate_t *
-best_of_all(const candidates_t *group)
-{
-    const candidate_t *best = NULL;
-
-    for (guint i = 0; i < count_of(group); i++) {
-        if (is_better(candidate_at(group, i), best)) {
-            best = candidate_at(group, i);
-        }
-    }
-    return best;
-}
-
-/* The best of some; NULL when the group is empty. */
-static const candidate_t *
-best_of_drawn(const candidates_t *group, bb_random_t *random)
-{
-    const candidate_t *best = NULL;
-
-    if (count_of(group) <= DRAWS) {
-        return best_of_all(group);
-    }
-    for (int i = 0; i < DRAWS; i++) {
-        const candidate_t *drawn = draw(group, random);
-        if (is_better(drawn, best)) {
-            best = drawn;
-        }
-    }
-    return best;
-}
-
 void
 BbPlacement_SetFull(bb_endpoint_t *endpoint, const char *class_name,
                     double now)
@@ -387,26 +297,18 @@
     return is_here ? TRUSTED_NEAR : TRUSTED_FAR;
 }
 
-static void
-merge(candidates_t *into, const candidates_t *from)
-{
-    for (guint i = 0; i < count_of(from); i++) {
-        add_candidate(into, candidate_at(from, i));
-    }
-}
-
 /* Takes the unknown nodes for trusted ones while they are the majority. */
 static void
-merge_unknown(candidates_t groups[GROUP_COUNT])
+merge_unknown(bb_candidates_t groups[GROUP_COUNT])
 {
-    guint trusted =
-        count_of(&groups[TRUSTED_NEAR]) + count_of(&groups[TRUSTED_FAR]);
-    guint unknown =
-        count_of(&groups[UNKNOWN_NEAR]) + count_of(&groups[UNKNOWN_FAR]);
+    guint trusted = BbCandidates_Count(&groups[TRUSTED_NEAR]) +
+                    BbCandidates_Count(&groups[TRUSTED_FAR]);
+    guint unknown = BbCandidates_Count(&groups[UNKNOWN_NEAR]) +
+                    BbCandidates_Count(&groups[UNKNOWN_FAR]);
 
     if (unknown > trusted) {
-        merge(&groups[TRUSTED_NEAR], &groups[UNKNOWN_NEAR]);
-        merge(&groups[TRUSTED_FAR], &groups[UNKNOWN_FAR]);
+        BbCandidates_Merge(&groups[TRUSTED_NEAR], &groups[UNKNOWN_NEAR]);
+        BbCandidates_Merge(&groups[TRUSTED_FAR], &groups[UNKNOWN_FAR]);
     }
 }
 
@@ -416,7 +318,7 @@
 collect_candidates(const GPtrArray *list,
                    const bb_placement_request_t *request,
                    const service_view_t *view, bb_random_t *random,
-                   candidates_t groups[GROUP_COUNT])
+                   bb_candidates_t groups[GROUP_COUNT])
 {
     bool has_full = false;
 
@@ -432,7 +334,7 @@
         if (is_tried(request, endpoint)) {
             continue;
         }
-        const candidate_t candidate = {
+        const bb_candidate_t candidate = {
             .endpoint = endpoint,
             .cost =
                 predict(endpoint, view) +
@@ -443,8 +345,8 @@
             .capacity = slots_of(endpoint) / service_time(endpoint, view),
         };
         bool is_here = is_near(endpoint, request->data_centre);
-        add_candidate(&groups[group_of(endpoint, is_here, view->now)],
-                      &candidate);
+        BbCandidates_Add(&groups[group_of(endpoint, is_here, view->now)],
+                         &candidate);
     }
     return has_full;
 }
@@ -470,16 +372,18 @@
     return request->target_latency_s * share * locality(request);
 }
 
-static const candidate_t *
-choose_trusted(const candidates_t groups[GROUP_COUNT],
+static const bb_candidate_t *
+choose_trusted(const bb_candidates_t groups[GROUP_COUNT],
                const bb_placement_request_t *request, bb_random_t *random)
 {
-    const candidate_t *near = best_of_drawn(&groups[TRUSTED_NEAR], random);
+    const bb_candidate_t *near =
+        BbCandidates_BestOfDrawn(&groups[TRUSTED_NEAR], DRAWS, random);
 
     if (near != NULL && near->cost <= near_limit(request)) {
         return near;
     }
-    const candidate_t *far = best_of_drawn(&groups[TRUSTED_FAR], random);
+    const bb_candidate_t *far =
+        BbCandidates_BestOfDrawn(&groups[TRUSTED_FAR], DRAWS, random);
     double remote_cost_s =
         request->target_latency_s * REMOTE_COST_SHARE * locality(request);
     bool is_far_better =
@@ -489,10 +393,10 @@
 }
 
 static void
-want_some(const candidates_t *group, int count, bb_random_t *random)
+want_some(const bb_candidates_t *group, int count, bb_random_t *random)
 {
-    for (int i = 0; i < count && count_of(group) > 0; i++) {
-        draw(group, random)->endpoint->is_wanted = true;
+    for (int i = 0; i < count && BbCandidates_Count(group) > 0; i++) {
+        BbCandidates_Draw(group, random)->endpoint->is_wanted = true;
     }
 }
 
@@ -500,7 +404,7 @@
  * after a restart of the whole fleet every node doubts all others. Those of
  * other data centres are probed when the call could not stay. */
 static void
-want_probes(const candidates_t groups[GROUP_COUNT], bool is_spilling,
+want_probes(const bb_candidates_t groups[GROUP_COUNT], bool is_spilling,
             bb_random_t *random)
 {
     want_some(&groups[UNKNOWN_NEAR], DRAWS, random);
@@ -512,14 +416,15 @@
 }
 
 /* What is left when no other node can have the call. */
-static const candidate_t *
-choose_last(const candidates_t groups[GROUP_COUNT], bb_random_t *random)
+static const bb_candidate_t *
+choose_last(const bb_candidates_t groups[GROUP_COUNT], bb_random_t *random)
 {
     static const int order[] = {UNKNOWN_NEAR, UNKNOWN_FAR, LAST_NEAR,
                                 LAST_FAR};
 
     for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
-        const candidate_t *found = best_of_drawn(&groups[order[i]], random);
+        const bb_candidate_t *found =
+            BbCandidates_BestOfDrawn(&groups[order[i]], DRAWS, random);
         if (found != NULL) {
             return found;
         }
@@ -534,12 +439,12 @@
 {
     const GPtrArray *list = BbFleet_Service(fleet, request->service);
     const service_view_t view = view_service(list, request->data_centre, now);
-    candidates_t groups[GROUP_COUNT] = {0};
+    bb_candidates_t groups[GROUP_COUNT] = {0};
     bool has_full = collect_candidates(list, request, &view, random, groups);
     if (!has_full) {
         merge_unknown(groups);
     }
-    const candidate_t *chosen = choose_trusted(groups, request, random);
+    const bb_candidate_t *chosen = choose_trusted(groups, request, random);
     bool is_spilling = chosen == NULL || chosen->cost > near_limit(request) ||
                        !is_near(chosen->endpoint, request->data_centre);
     want_probes(groups, is_spilling, random);
@@ -548,9 +453,7 @@
     }
     bb_endpoint_t *endpoint = chosen != NULL ? chosen->endpoint : NULL;
     for (int i = 0; i < GROUP_COUNT; i++) {
-        if (groups[i].items != NULL) {
-            g_array_unref(groups[i].items);
-        }
+        BbCandidates_Clear(&groups[i]);
     }
     if (is_full != NULL) {
         *is_full = has_full;
--- a/lib/mesh/bb_readers.c
+++ b/lib/mesh/bb_readers.c
@@ -10,12 +10,12 @@
 
 struct bb_readers {
     const bb_fleet_t *fleet;
-    uint64_t generation;  /* of the records that the roles were made from */
-    GHashTable *nodes;    /* names of the readers */
-    GPtrArray *by_rank;   /* readers of all data centres */
-    GPtrArray *rank;      /* the last answer of BbReaders_Rank() */
-    char *rank_for;       /* its data centre; NULL while there is none */
-    GHashTable *per_site; /* data centre to the number of its readers */
+    uint64_t generation; /* of the records that the roles were made from */
+    GHashTable *nodes;   /* names of the readers */
+    GPtrArray *by_rank;  /* readers of all data centres */
+    GPtrArray *rank;     /* the last answer of BbReaders_Rank() */
+    char *rank_for;      /* its data centre; NULL while there is none */
+    GHashTable *per_data_centre; /* data centre to the number of its readers */
 };
 
 static void
@@ -49,13 +49,13 @@
 offer_role(bb_readers_t *readers, bb_endpoint_t *endpoint, bool is_small)
 {
     const char *data_centre = endpoint->record.data_centre;
-    int count =
-        GPOINTER_TO_INT(g_hash_table_lookup(readers->per_site, data_centre));
+    int count = GPOINTER_TO_INT(
+        g_hash_table_lookup(readers->per_data_centre, data_centre));
 
     if (!is_small && count >= BB_READERS_PER_DATA_CENTRE) {
         return;
     }
-    g_hash_table_replace(readers->per_site, g_strdup(data_centre),
+    g_hash_table_replace(readers->per_data_centre, g_strdup(data_centre),
                          GINT_TO_POINTER(count + 1));
     g_hash_table_add(readers->nodes, g_strdup(endpoint->node));
     g_ptr_array_add(readers->by_rank, endpoint);
@@ -73,7 +73,7 @@
     BbFleet_ForEach(readers->fleet, collect, all);
     g_array_sort(all, compare_rank);
     g_hash_table_remove_all(readers->nodes);
-    g_hash_table_remove_all(readers->per_site);
+    g_hash_table_remove_all(readers->per_data_centre);
     g_ptr_array_set_size(readers->by_rank, 0);
     g_clear_pointer(&readers->rank_for, g_free);
     for (guint i = 0; i < all->len; i++) {
@@ -129,7 +129,7 @@
     readers->fleet = fleet;
     readers->nodes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    readers->per_site =
+    readers->per_data_centre =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     readers->by_rank = g_ptr_array_new();
     readers->rank = g_ptr_array_new();
@@ -143,7 +143,7 @@
         return;
     }
     g_hash_table_destroy(readers->nodes);
-    g_hash_table_destroy(readers->per_site);
+    g_hash_table_destroy(readers->per_data_centre);
     g_ptr_array_unref(readers->by_rank);
     g_ptr_array_unref(readers->rank);
     g_free(readers->rank_for);
