--- a/lib/mesh/bb_follow.c
+++ b/lib/mesh/bb_follow.c
@@ -7,9 +7,6 @@
 /* Longest wait of one feed call. */
 #define FEED_WAIT_S 10.0
 
-#define BACKOFF_FIRST_S 0.1
-#define BACKOFF_MAX_S 1.0
-
 struct bb_follow {
     bb_follow_options_t options;
     char *table;
@@ -206,7 +203,8 @@
     bb_follow_t *follow = g_new0(bb_follow_t, 1);
 
     follow->options = *options;
-    BbFollow_SetBackoff(follow, BACKOFF_FIRST_S, BACKOFF_MAX_S);
+    BbFollow_SetBackoff(follow, BB_FOLLOW_BACKOFF_FIRST_S,
+                        BB_FOLLOW_BACKOFF_MAX_S);
     follow->table = g_strdup(options->table);
     ev_init(&follow->retry_timer, handle_retry);
     follow->retry_timer.data = follow;
--- a/lib/mesh/bb_follow.h
+++ b/lib/mesh/bb_follow.h
@@ -23,6 +23,10 @@
 extern "C" {
 #endif
 
+/* Mean pauses between calls to a store that fails. */
+#define BB_FOLLOW_BACKOFF_FIRST_S 0.1
+#define BB_FOLLOW_BACKOFF_MAX_S 1.0
+
 typedef struct bb_follow bb_follow_t;
 
 typedef struct {
@@ -50,7 +54,7 @@
 bb_follow_t *BbFollow_New(const bb_follow_options_t *options);
 void BbFollow_Free(bb_follow_t *follow);
 
-/* Mean pauses between calls to a store that fails, 0.1 and 1 s by default. */
+/* Other pauses than the defaults above. */
 void BbFollow_SetBackoff(bb_follow_t *follow, double first_s, double max_s);
 
 /* Makes no further calls until BbFollow_Resume(), which goes on where the
--- a/lib/mesh/bb_news_client.c
+++ b/lib/mesh/bb_news_client.c
@@ -286,9 +286,11 @@
 {
     int count = subscription_count(client);
 
+    if (count == 0) {
+        return;
+    }
     const GPtrArray *readers =
         BbReaders_Rank(client->options.readers, client->data_centre);
-
     for (int i = 0; i < count; i++) {
         question_t *question = &client->questions[i];
         if (question->fetch != NULL) {
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -51,10 +51,11 @@
 /* What is known of a service when a call is placed. */
 typedef struct {
     double now;
-    double best_s;     /* best time of a call that a target has told lately */
-    double near_load;  /* calls per slot, over the recent reports of targets */
-    double far_load;   /* in the own data centre and in others */
-    double fail_share; /* of recent calls of the service */
+    double best_s; /* best time of a call that a target has told lately */
+    /* Calls per slot by recent reports, in the own data centre and others. */
+    double near_load;
+    double far_load;
+    double fail_share;       /* of recent calls of the service */
     const char *data_centre; /* own; NULL while it does not matter */
 } service_view_t;
 
@@ -197,7 +198,13 @@
     return MAX(own, told);
 }
 
-static double
+typedef struct {
+    double total_s;   /* until the end of a call that is placed now */
+    double service_s; /* of it, at the target */
+    double load;      /* calls there */
+} prediction_t;
+
+static prediction_t
 predict(const bb_endpoint_t *endpoint, const service_view_t *view)
 {
     double slots = slots_of(endpoint);
@@ -210,7 +217,11 @@
     }
     double failing = fail_share(endpoint, view);
     double cost = failing > FAIL_TOLERATED ? failing * FAIL_COST_S : 0;
-    return service + wait + cost;
+    return (prediction_t){
+        .total_s = service + wait + cost,
+        .service_s = service,
+        .load = load,
+    };
 }
 
 double
@@ -218,7 +229,7 @@
 {
     const service_view_t view = {.now = now, .best_s = UNKNOWN_SERVICE_S};
 
-    return predict(endpoint, &view);
+    return predict(endpoint, &view).total_s;
 }
 
 /* Time until a large body could come in; old news fade. */
@@ -334,15 +345,15 @@
         if (is_tried(request, endpoint)) {
             continue;
         }
+        const prediction_t predicted = predict(endpoint, view);
+        double transfer_s =
+            request->has_large_body ? transfer_time(endpoint, view->now) : 0;
         const bb_candidate_t candidate = {
             .endpoint = endpoint,
-            .cost =
-                predict(endpoint, view) +
-                (request->has_large_body ? transfer_time(endpoint, view->now)
-                                         : 0),
-            .fullness = estimate_load(endpoint, view) / slots_of(endpoint) +
+            .cost = predicted.total_s + transfer_s,
+            .fullness = predicted.load / slots_of(endpoint) +
                         BbRandom_Unit(random) * 0.05,
-            .capacity = slots_of(endpoint) / service_time(endpoint, view),
+            .capacity = slots_of(endpoint) / predicted.service_s,
         };
         bool is_here = is_near(endpoint, request->data_centre);
         BbCandidates_Add(&groups[group_of(endpoint, is_here, view->now)],
--- a/programs/bbsidecar/sidecar_news.c
+++ b/programs/bbsidecar/sidecar_news.c
@@ -12,13 +12,8 @@
 #define CONFIG_PAUSE_S 0.3
 #define NODES_PAUSE_S 1.0
 
-/* Mean pauses between calls to a store that fails. */
-#define BACKOFF_FIRST_S 0.1
-#define BACKOFF_S 1.0
-
-/* The same of a node that reads the store only because no reader
- * reaches it: when the store is down for all, the readers notice its return.
- */
+/* Mean pauses between calls to a store that fails, of a node that reads it
+ * only because no reader reaches it: the readers notice its return. */
 #define SPARE_BACKOFF_FIRST_S 2.0
 #define SPARE_BACKOFF_S 4.0
 
@@ -333,7 +328,8 @@
         BbFollow_SetBackoff(follow, SPARE_BACKOFF_FIRST_S, SPARE_BACKOFF_S);
     }
     else {
-        BbFollow_SetBackoff(follow, BACKOFF_FIRST_S, BACKOFF_S);
+        BbFollow_SetBackoff(follow, BB_FOLLOW_BACKOFF_FIRST_S,
+                            BB_FOLLOW_BACKOFF_MAX_S);
     }
 }
 
--- a/tests/unit/placement_load_test.cc
+++ b/tests/unit/placement_load_test.cc
@@ -43,7 +43,6 @@
     int calls = 0, in_time = 0, late = 0, refused = 0, remote = 0;
     int attempts = 0;
     std::vector<double> times; // of served calls
-    std::vector<double> held;  // until a refusal
     std::vector<int> by_target;
     std::vector<int> asked, served; // by data centre
     double InTimeShare() const
@@ -235,7 +234,7 @@
         bb_endpoint_t *endpoint = BbPlacement_Choose(
             call->node->fleet, &request, random_, Clock(), nullptr);
         if (endpoint == nullptr) {
-            Refuse(call);
+            Refuse();
             return;
         }
         call->tried.push_back(endpoint);
@@ -330,7 +329,7 @@
         BbPlacement_SetFull(endpoint, kClass, Clock());
         call->full++;
         if (call->full >= options_.max_full) {
-            Refuse(call);
+            Refuse();
             return;
         }
         Place(call);
@@ -344,10 +343,9 @@
         result_.served[call->node->data_centre] += is_in_time;
         result_.times.push_back(took_s);
     }
-    void Refuse(const std::shared_ptr<Call> &call)
+    void Refuse()
     {
         result_.refused++;
-        result_.held.push_back(now_ - call->arrived_at);
     }
 
     LoadOptions options_;
