--- a/review/build.sh
+++ b/review/build.sh
@@ -4,11 +4,16 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/out
-for source in review/[1-5]/case.c; do
-    [ -e "$source" ] || continue
-    number=$(basename "$(dirname "$source")")
+
+# build PROGRAM SOURCE
+build() {
     gcc -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror -O2 -g -Ireview/lab \
-        -o "review/out/case$number" "$source" review/lab/lab.c \
-        -ljansson -lpthread
-    echo "built review/out/case$number"
+        -o "review/out/$1" "$2" review/lab/lab.c -ljansson -lpthread
+    echo "built review/out/$1"
+}
+
+for number in 1 2 3 4 5; do
+    [ ! -e "review/$number/case.c" ] ||
+        build "case$number" "review/$number/case.c"
 done
+build probes review/probes/probes.c
--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -99,20 +99,21 @@
     return fd;
 }
 
-/* A port that was free a moment ago. It lies below those that the kernel gives
- * to connections, so that no other process gets it in passing. */
+/* A port that was free a moment ago; each is drawn once. It lies below those
+ * that the kernel gives to connections, so that no other process gets it in
+ * passing. */
 static int
 free_port(void)
 {
-    static unsigned seed;
+    static unsigned next;
     struct sockaddr_in address = {.sin_family = AF_INET};
 
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (seed == 0) {
-        seed = (unsigned)getpid() ^ (unsigned)time(NULL) << 8;
+    if (next == 0) {
+        next = (unsigned)getpid() * 97 + (unsigned)time(NULL);
     }
-    for (int i = 0; i < 1000; i++) {
-        int port = FIRST_PORT + rand_r(&seed) % PORT_COUNT;
+    for (int i = 0; i < PORT_COUNT; i++) {
+        int port = FIRST_PORT + (int)(next++ % PORT_COUNT);
         int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         address.sin_port = htons((uint16_t)port);
         bool is_free =
@@ -1175,11 +1176,17 @@
     rmdir(work_dir);
 }
 
-int
-Lab_Finish(bool is_broken)
+void
+Lab_End(void)
 {
     is_stopping = true;
     end_nodes();
+}
+
+int
+Lab_Finish(bool is_broken)
+{
+    Lab_End();
     Lab_Record("result: the rule %s", is_broken ? "was broken" : "held");
     printf("the rule %s\n", is_broken ? "was broken" : "held");
     fflush(stdout);
@@ -1207,6 +1214,7 @@
 LabClient_OpenFar(lab_client_t *client, int port, int mss, int receive_bytes)
 {
     client->used = 0;
+    client->id[0] = '\0';
     client->fd = connect_to(port, mss, receive_bytes);
     return client->fd >= 0;
 }
@@ -1244,6 +1252,8 @@
                         "%s %s HTTP/1.1\r\nHost: mesh.example\r\n"
                         "X-Attempt-Id: %s\r\n%s%s\r\n",
                         method, target, id, deadline, length);
+    snprintf(client->id, sizeof(client->id), "%s", id);
+    Lab_Record("client: sends %s %s %s", id, method, target);
     return write_all(client->fd, head, (size_t)size);
 }
 
@@ -1256,9 +1266,9 @@
     return left > 0 && poll(&poll_fd, 1, (int)(left * 1000) + 1) > 0;
 }
 
-lab_answer_t
-LabClient_Read(lab_client_t *client, double timeout_s, double rate_kbps,
-               int64_t stop_after)
+static lab_answer_t
+read_answer(lab_client_t *client, double timeout_s, double rate_kbps,
+            int64_t stop_after)
 {
     lab_answer_t answer = {.content_length = -1};
     double until = clock_s() + timeout_s, began = 0;
@@ -1327,3 +1337,27 @@
     answer.status = status;
     return answer;
 }
+
+lab_answer_t
+LabClient_Read(lab_client_t *client, double timeout_s, double rate_kbps,
+               int64_t stop_after)
+{
+    lab_answer_t answer =
+        read_answer(client, timeout_s, rate_kbps, stop_after);
+
+    if (client->id[0] == '\0') {
+        return answer; /* of a heartbeat */
+    }
+    if (answer.status != 0) {
+        Lab_Record("client: %s gets %d, %lld bytes",
+                   answer.call_id[0] != '\0' ? answer.call_id : client->id,
+                   answer.status, (long long)answer.received);
+    }
+    else {
+        Lab_Record("client: %s has no whole answer, %lld of %lld bytes%s",
+                   client->id, (long long)answer.received,
+                   (long long)answer.content_length,
+                   answer.is_timeout ? ", waits no longer" : "");
+    }
+    return answer;
+}
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -78,6 +78,9 @@
  * each other. Exits with LAB_EXIT_NOT_RUN when they are not. */
 void Lab_Run(const char *config);
 int Lab_Finish(bool is_broken);
+
+/* Ends all processes that were started, without a result. */
+void Lab_End(void);
 void Lab_GiveUp(const char *reason) __attribute__((noreturn));
 
 void Lab_StartNode(lab_node_t *node);
@@ -118,6 +121,7 @@
     int fd;
     char buffer[65536];
     size_t used;
+    char id[40]; /* of the last request; "" before the first */
 } lab_client_t;
 
 typedef struct {
