Tell how old the knowledge of the configuration is

Change: bb_freshness records when the version in force was last confirmed as the newest one, by the store or by a node that knew, and the newest version another node has reported. call_refused (no_route), config, the metrics and the responses between nodes tell it. No decision depends on it yet.

Tests: MeshSync.ResponsesTellTheAgeOfTheVersion, MeshFreshness.

--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -24,6 +24,7 @@
 #define BB_CALL_IO_H
 
 #include "bb_fleet.h"
+#include "bb_freshness.h"
 #include "bb_h1_server.h"
 #include "bb_hop_client.h"
 #include "bb_mesh_config.h"
@@ -49,7 +50,8 @@
     bb_hop_client_t *hop;
     bb_repeat_budget_t *budget;
     bb_random_t *random;
-    double spill_share; /* see bb_placement.h */
+    double spill_share;              /* see bb_placement.h */
+    const bb_freshness_t *freshness; /* of the configuration; may be NULL */
 } bb_call_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
--- a/lib/mesh/bb_follower.c
+++ b/lib/mesh/bb_follower.c
@@ -60,6 +60,17 @@
                                          follower->options.arg);
 }
 
+static void
+report_confirmed(bb_follower_t *follower)
+{
+    const bb_follower_handler_t *handler = follower->options.handler;
+
+    if (handler->on_confirmed != NULL) {
+        handler->on_confirmed(follower->options.arg);
+    }
+    set_connected(follower, true, 0);
+}
+
 static void
 retry_later(bb_follower_t *follower, int error)
 {
@@ -127,7 +138,7 @@
                              follower->options.arg);
     }
     g_clear_pointer(&follower->keys, g_hash_table_destroy);
-    set_connected(follower, true, 0);
+    report_confirmed(follower);
     if (!follower->is_suspended) {
         poll_feed(follower);
     }
@@ -160,7 +171,7 @@
     }
     deliver_rows(follower, result);
     follower->version = MAX(follower->version, result->version);
-    set_connected(follower, true, 0);
+    report_confirmed(follower);
     if (result->count == 0) {
         poll_feed(follower);
         return;
--- a/lib/mesh/bb_follower.h
+++ b/lib/mesh/bb_follower.h
@@ -36,6 +36,9 @@
     /* keys is borrowed for the call. May be NULL. */
     void (*on_snapshot)(GHashTable *keys, int64_t version, void *arg);
     void (*on_health)(bool is_connected, int error, void *arg);
+    /* The store has responded: all changes up to now have been passed to
+     * on_row. May be NULL. */
+    void (*on_confirmed)(void *arg);
 } bb_follower_handler_t;
 
 typedef struct {
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -16,6 +16,22 @@
                                  : "";
 }
 
+/* Tells a route that does not exist from one that this node does not know yet.
+ */
+static void
+add_freshness(json_t *fields, const bb_mesh_call_t *call)
+{
+    const bb_freshness_t *freshness = call->io->options.freshness;
+
+    if (freshness != NULL) {
+        json_object_set_new(
+            fields, "config_age_s",
+            json_real(BbFreshness_AgeS(freshness, BbMeshCall_Now(call))));
+        json_object_set_new(fields, "heard_version",
+                            json_integer(freshness->heard_version));
+    }
+}
+
 static void
 log_error_response(const bb_mesh_call_t *call, int status, bb_reason_t reason)
 {
@@ -38,6 +54,9 @@
         json_object_set_new(fields, "retry_after_s",
                             json_real(call->retry_after_s));
     }
+    if (reason == BB_REASON_NO_ROUTE) {
+        add_freshness(fields, call);
+    }
     BbEvent_Write(event, fields);
 }
 
--- a/lib/mesh/bb_sync_client.c
+++ b/lib/mesh/bb_sync_client.c
@@ -122,6 +122,21 @@
     g_free(delta);
 }
 
+static void
+report_confirmed(bb_sync_client_t *client, const json_t *root)
+{
+    const bb_sync_client_options_t *options = &client->options;
+    const json_t *age = json_object_get(root, "age_s");
+
+    if (options->on_confirmed != NULL) {
+        options->on_confirmed(
+            json_integer_value(json_object_get(root, "version")),
+            json_is_number(age) ? json_number_value(age)
+                                : BB_FRESHNESS_UNKNOWN,
+            options->arg);
+    }
+}
+
 static void
 set_readers_available(bb_sync_client_t *client, bool are_readers_available)
 {
@@ -166,6 +181,7 @@
     if (root != NULL) {
         apply_nodes(client, root);
         apply_config(client, root);
+        report_confirmed(client, root);
     }
     json_decref(root);
     if (!query->is_one_off) {
--- a/lib/mesh/bb_sync_client.h
+++ b/lib/mesh/bb_sync_client.h
@@ -29,6 +29,7 @@
 #include <ev.h>
 
 #include "bb_fleet.h"
+#include "bb_freshness.h"
 #include "bb_h1_client.h"
 #include "bb_random.h"
 #include "bb_readers.h"
@@ -67,6 +68,10 @@
                     int64_t revision, void *arg);
     /* All node records up to this revision have been passed to on_node. */
     void (*on_revision)(int64_t revision, void *arg);
+    /* Another node has responded. Its version, which was passed to on_config
+     * if this node lacked it, was the newest one age_s ago; age_s is
+     * BB_FRESHNESS_UNKNOWN if that node does not know. May be NULL. */
+    void (*on_confirmed)(int64_t version, double age_s, void *arg);
     /* Only in scope BB_SYNC_READERS: whether any reader answers that reaches
      * the store. Called when this changes. */
     void (*on_readers_available)(bool are_readers_available, void *arg);
--- a/lib/mesh/bb_sync_server.c
+++ b/lib/mesh/bb_sync_server.c
@@ -75,15 +75,16 @@
     const bb_sync_server_options_t *options = &server->options;
     int64_t own_revision = options->revision(options->arg);
     node_collector_t collector = {json_array(), revision};
-    json_t *root = json_pack("{s:I, s:b, s:I}", "version",
+    json_t *root = json_pack("{s:I, s:f, s:b, s:I}", "version",
                              (json_int_t)BbVersions_Newest(options->versions),
+                             "age_s", options->config_age_s(options->arg),
                              "connected", options->is_connected(options->arg),
                              "revision", (json_int_t)own_revision);
 
     add_config(server, version, root);
     BbFleet_ForEach(options->fleet, add_node, &collector);
     json_object_set_new(root, "nodes", collector.nodes);
-    char *text = json_dumps(root, JSON_COMPACT);
+    char *text = json_dumps(root, JSON_COMPACT | JSON_REAL_PRECISION(4));
     json_decref(root);
     BbH1_Respond(request, 200, NULL, text, strlen(text));
     free(text);
--- a/lib/mesh/bb_sync_server.h
+++ b/lib/mesh/bb_sync_server.h
@@ -11,6 +11,8 @@
  *
  * The response is a JSON object:
  *   "version"    configuration version that this node uses
+ *   "age_s"      seconds since "version" was last confirmed as the newest one,
+ *                or BB_FRESHNESS_UNKNOWN
  *   "connected"  whether this node reads the store itself and reaches it
  *   "revision"   revision up to which this node knows all node records
  *   "base", "size", "delta"
@@ -43,6 +45,8 @@
     /* Returns the revision up to which this node knows all node records. */
     int64_t (*revision)(void *arg);
     bool (*is_connected)(void *arg);
+    /* Returns the age of the configuration (see bb_freshness.h). */
+    double (*config_age_s)(void *arg);
     /* The node at address holds a newer configuration version. */
     void (*on_newer_version)(int64_t version, const char *address, void *arg);
     void *arg;
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -315,6 +315,7 @@
         .budget = sidecar->budget,
         .random = sidecar->random,
         .spill_share = settings->spill_share,
+        .freshness = &sidecar->freshness,
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
 }
--- a/programs/bbsidecar/sidecar_endpoints.c
+++ b/programs/bbsidecar/sidecar_endpoints.c
@@ -188,7 +188,32 @@
 }
 
 static void
-respond_with_metrics(bb_h1_request_t *request)
+append_gauge(GString *text, const char *name, const char *help, double value)
+{
+    g_string_append_printf(text,
+                           "# HELP burdockbarrow_%s %s\n"
+                           "# TYPE burdockbarrow_%s gauge\n"
+                           "burdockbarrow_%s %.15g\n",
+                           name, help, name, name, value);
+}
+
+static void
+append_config_gauges(GString *text, sidecar_t *sidecar)
+{
+    append_gauge(text, "config_version", "configuration version in force",
+                 (double)Sidecar_OwnVersion(sidecar));
+    append_gauge(text, "config_heard_version",
+                 "newest version reported by another node",
+                 (double)sidecar->freshness.heard_version);
+    append_gauge(
+        text, "config_age_seconds",
+        "time since the version was confirmed as the newest one, "
+        "-1 if never",
+        BbFreshness_AgeS(&sidecar->freshness, BbClock_Now(sidecar->loop)));
+}
+
+static void
+respond_with_metrics(sidecar_t *sidecar, bb_h1_request_t *request)
 {
     char *counters = BbCounters_FormatPrometheus();
     GString *text = g_string_new(counters);
@@ -196,6 +221,7 @@
 
     BbH1Fields_Init(&fields);
     BbH1Fields_Add(&fields, "Content-Type", "text/plain; version=0.0.4");
+    append_config_gauges(text, sidecar);
     BbHistogram_FormatPrometheus(text);
     BbH1_Respond(request, 200, &fields, text->str, text->len);
     BbH1Fields_Free(&fields);
@@ -213,7 +239,7 @@
         BbH1_Respond(request, is_ready(sidecar) ? 200 : 503, NULL, NULL, 0);
     }
     else if (strcmp(path, "/metrics") == 0) {
-        respond_with_metrics(request);
+        respond_with_metrics(sidecar, request);
     }
     else {
         BbH1_Respond(request, 404, NULL, NULL, 0);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -8,6 +8,7 @@
 
 #include "bb_call_io.h"
 #include "bb_follower.h"
+#include "bb_freshness.h"
 #include "bb_hop_client.h"
 #include "bb_hop_server.h"
 #include "bb_local_target.h"
@@ -27,6 +28,7 @@
     bb_fleet_t *fleet;
     bb_readers_t *readers;
     bb_mesh_config_t *config;
+    bb_freshness_t freshness; /* of config */
     bb_local_target_t *target;
     bb_target_io_t *target_io;
     bb_hop_server_t *hop_server;
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -35,6 +35,14 @@
 
 /* ---- configuration ---- */
 
+static double
+config_age_s(void *arg)
+{
+    const sidecar_t *sidecar = arg;
+
+    return BbFreshness_AgeS(&sidecar->freshness, BbClock_Now(sidecar->loop));
+}
+
 static void
 apply_config(const char *text, size_t size, const char *source, void *arg)
 {
@@ -72,14 +80,22 @@
     BbSyncServer_NotifyChange(sidecar->sync_server);
     if (BbEvent_Allows(BB_EVENT_CONFIG)) {
         BbEvent_Write(BB_EVENT_CONFIG,
-                      json_pack("{s:I, s:I, s:i, s:s}", "version",
+                      json_pack("{s:I, s:I, s:i, s:s, s:f}", "version",
                                 (json_int_t)BbMeshConfig_Version(config),
                                 "previous", (json_int_t)previous, "routes",
                                 (int)BbMeshConfig_RouteCount(config), "source",
-                                source));
+                                source, "age_s", config_age_s(sidecar)));
     }
 }
 
+static void
+confirm_config(void *arg)
+{
+    sidecar_t *sidecar = arg;
+
+    BbFreshness_Confirm(&sidecar->freshness, BbClock_Now(sidecar->loop));
+}
+
 static void
 handle_config_row(const bb_table_row_t *row, void *arg)
 {
@@ -113,6 +129,7 @@
 static const bb_follower_handler_t config_handler = {
     .on_row = handle_config_row,
     .on_health = handle_config_health,
+    .on_confirmed = confirm_config,
 };
 
 /* ---- other nodes ---- */
@@ -263,6 +280,8 @@
 Sidecar_HandlePeerVersion(int64_t version, const char *address, void *arg)
 {
     sidecar_t *sidecar = arg;
+
+    BbFreshness_Hear(&sidecar->freshness, version);
     BbSyncClient_HintVersion(sidecar->sync_client, version, address);
 }
 
@@ -302,6 +321,18 @@
     sidecar->peer_revision = MAX(sidecar->peer_revision, revision);
 }
 
+static void
+handle_peer_confirmed(int64_t version, double age_s, void *arg)
+{
+    sidecar_t *sidecar = arg;
+
+    BbFreshness_Hear(&sidecar->freshness, version);
+    if (age_s >= 0 && version >= Sidecar_OwnVersion(sidecar)) {
+        BbFreshness_Confirm(&sidecar->freshness,
+                            BbClock_Now(sidecar->loop) - age_s);
+    }
+}
+
 static bool
 is_connected(void *arg)
 {
@@ -459,6 +490,7 @@
         .versions = sidecar->versions,
         .revision = known_revision,
         .is_connected = is_connected,
+        .config_age_s = config_age_s,
         .on_newer_version = Sidecar_HandlePeerVersion,
         .arg = sidecar,
     };
@@ -474,6 +506,7 @@
         .on_config = apply_config,
         .on_node = apply_node,
         .on_revision = handle_peer_revision,
+        .on_confirmed = handle_peer_confirmed,
         .on_readers_available = handle_readers_available,
         .revision = known_revision,
         .arg = sidecar,
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -474,6 +474,9 @@
         server_options.is_connected = [](void *arg) {
             return static_cast<SyncNode *>(arg)->is_connected;
         };
+        server_options.config_age_s = [](void *arg) {
+            return static_cast<SyncNode *>(arg)->config_age_s;
+        };
         server_options.on_newer_version = [](int64_t version, const char *from,
                                              void *arg) {
             BbSyncClient_HintVersion(static_cast<SyncNode *>(arg)->client,
@@ -511,6 +514,11 @@
         options.on_revision = [](int64_t, void *) {};
         options.on_readers_available = [](bool, void *) {};
         options.revision = [](void *) -> int64_t { return 0; };
+        options.on_confirmed = [](int64_t version, double age_s, void *arg) {
+            auto *node = static_cast<SyncNode *>(arg);
+            node->confirmed_version = version;
+            node->confirmed_age_s = age_s;
+        };
         options.arg = this;
         client = BbSyncClient_New(&options);
     }
@@ -540,6 +548,9 @@
     int64_t revision = 1;
     int query_count = 0; // requests received from other nodes
     bool is_connected = false;
+    double config_age_s = BB_FRESHNESS_UNKNOWN; // told to other nodes
+    int64_t confirmed_version = 0;              // told by another node
+    double confirmed_age_s = BB_FRESHNESS_UNKNOWN;
     bb_fleet_t *fleet;
     bb_readers_t *readers;
     bb_versions_t *versions;
@@ -682,3 +693,39 @@
     EXPECT_TRUE(
         loop.RunUntil([&] { return cut_off.config == "the tables"; }, 1.0));
 }
+
+// Guards against logs that cannot tell a route that does not exist from one of
+// a version that has not arrived: the age that a node tells of its version
+// reaches the node that asks.
+TEST(MeshSync, ResponsesTellTheAgeOfTheVersion)
+{
+    Loop loop;
+    SyncNode asking(&loop, "asking"), other(&loop, "other");
+    bb_node_record_t record = {};
+    record.address = const_cast<char *>(other.address.c_str());
+    record.data_centre = const_cast<char *>("b");
+    record.service = const_cast<char *>("orders");
+    record.target_id = const_cast<char *>("other");
+    BbFleet_Merge(asking.fleet, "other", &record, 5, 0);
+    other.config_age_s = 0.25;
+    BbVersions_Add(other.versions, 7, "the tables", 10);
+    BbSyncClient_SetScope(asking.client, BB_SYNC_REMOTE);
+    ASSERT_TRUE(loop.RunUntil([&] { return asking.confirmed_version == 7; }));
+    EXPECT_EQ(asking.config, "the tables");
+    EXPECT_DOUBLE_EQ(asking.confirmed_age_s, 0.25);
+}
+
+// Guards against an age that starts anew when late news of an older state
+// arrive.
+TEST(MeshFreshness, KeepsTheLatestConfirmationAndTheNewestVersion)
+{
+    bb_freshness_t freshness = {};
+    EXPECT_EQ(BbFreshness_AgeS(&freshness, 50), BB_FRESHNESS_UNKNOWN);
+    BbFreshness_Confirm(&freshness, 40);
+    BbFreshness_Confirm(&freshness, 35);
+    EXPECT_EQ(BbFreshness_AgeS(&freshness, 50), 10);
+    BbFreshness_Hear(&freshness, 9);
+    BbFreshness_Hear(&freshness, 8);
+    EXPECT_TRUE(BbFreshness_IsBehind(&freshness, 8));
+    EXPECT_FALSE(BbFreshness_IsBehind(&freshness, 9));
+}
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -81,7 +81,7 @@
 };
 
 const bb_follower_handler_t PlatformStore::kFollowerHandler = {
-    OnRow, OnSnapshot, OnHealth};
+    OnRow, OnSnapshot, OnHealth, nullptr};
 
 } // namespace
 
@@ -254,7 +254,7 @@
         [](GHashTable *, int64_t, void *arg) {
             BbFollower_Suspend(static_cast<PlatformStore *>(arg)->follower);
         },
-        OnHealth};
+        OnHealth, nullptr};
     fake_store.Put("t", "a", "1");
     fake_store.Put("t", "b", "2");
     follower_options.handler = &suspending_handler;
