--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -14,6 +14,7 @@
 #include "fake_store.h"
 #include "mesh_rig.h"
 #include "platform.h"
+#include "relay.h"
 
 using mesh_rig::FakeStore;
 using mesh_rig::Loop;
@@ -130,6 +131,81 @@
     EXPECT_TRUE(loop.RunUntil([&] { return seen["a"] == "1"; }, 4.0));
 }
 
+namespace {
+
+// A node counts as undisturbed this long after a fault of the store or of its
+// connections, and must then have the newest version.
+const double kStableWindow = 3.0;
+
+// The connection to the store passes through a relay.
+struct RelayedStore : PlatformStore {
+    RelayedStore() : relay(&loop, fake_store.address)
+    {
+        platform_store_options_t options = {loop.loop, relay.address.c_str(),
+                                            0};
+        relayed = PlatformStore_New(&options);
+        follower_options.store = relayed;
+    }
+    ~RelayedStore()
+    {
+        BbFollower_Free(follower);
+        follower = nullptr;
+        PlatformStore_Free(relayed);
+    }
+    void FollowTheTable()
+    {
+        fake_store.Put("t", "a", "old");
+        follower = BbFollower_New(&follower_options);
+        ASSERT_TRUE(loop.RunUntil([&] { return seen["a"] == "old"; }));
+        loop.RunFor(0.05);
+    }
+    // Leaves several idle connections to the store.
+    void OpenIdleConnections()
+    {
+        static int done;
+        done = 0;
+        for (int i = 0; i < 3; i++) {
+            relayed->ops->read(
+                relayed, "other", nullptr,
+                [](const bb_table_result_t *, void *) { done++; }, nullptr);
+        }
+        ASSERT_TRUE(loop.RunUntil([&] { return done == 3; }));
+    }
+    mesh_rig::Relay relay;
+    bb_table_store_t *relayed;
+};
+
+} // namespace
+
+// Guards against a node that serves an old version until its feed call times
+// out, because all its connections to the store went silent (issue 28).
+TEST_F(RelayedStore, LearnsAChangeAfterItsConnectionsWentSilent)
+{
+    FollowTheTable();
+    OpenIdleConnections();
+    relay.MuteOpenConnections();
+    fake_store.Put("t", "a", "new");
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return seen["a"] == "new"; }, kStableWindow));
+}
+
+// Guards against a node that lacks a version stored while the store was silent
+// for longer than it may after the store serves again (issue 28).
+TEST_F(RelayedStore, LearnsAChangeSoonAfterASilentStore)
+{
+    FollowTheTable();
+    for (double silent_s : {0.3, 1.2, 2.4, 4.0}) {
+        std::string value = std::to_string(silent_s);
+        relay.is_silent = true;
+        fake_store.Put("t", "a", value);
+        loop.RunFor(silent_s);
+        relay.is_silent = false;
+        EXPECT_TRUE(
+            loop.RunUntil([&] { return seen["a"] == value; }, kStableWindow))
+            << "silent for " << silent_s << " s";
+    }
+}
+
 // Guards against one store call for each of many changes in quick succession:
 // the follower pauses and reads them together.
 TEST_F(PlatformStore, ReadsChangesInQuickSuccessionTogether)
