Soak: faults of the connections to the store, bounds of the platform

The soak reached the store directly, so no connection could go silent, and its bound for a version was 6 s. Each node now has a relay to the store: connections of some nodes go silent for good, are reset, or lose responses for 0.3 to 4.3 s, in series, from a random source of their own so that a seed keeps its other faults.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -3,6 +3,7 @@
 // callers and targets observe.
 //
 // Use: soak [--seed N] [--seconds S] [--nodes N] [--sidecar PATH] [--log DIR]
+//          [--faults all|connections]
 // Exit: 0 all guarantees held, 1 a guarantee was violated or fewer than half
 // of the calls were served, 2 wrong option.
 //
@@ -23,12 +24,14 @@
 #include <set>
 
 #include "fake_store.h"
+#include "relay.h"
 
 using mesh_rig::Connection;
 using mesh_rig::FakeStore;
 using mesh_rig::FreeAddress;
 using mesh_rig::HeaderField;
 using mesh_rig::Loop;
+using mesh_rig::Relay;
 using mesh_rig::Status;
 
 namespace {
@@ -38,19 +41,26 @@
 // A target gets no more calls this long after its drain was acknowledged.
 const double kDrainBound = 3.0;
 // An undisturbed node serves a configuration this long after it was stored.
-const double kConvergeBound = 6.0;
+const double kConvergeBound = 2.0;
 // A node that gets SIGTERM ends its calls within this time (shutdown_s).
 const double kShutdownLimit = 4.0;
 
-// A node counts as undisturbed this long after its last fault.
+// A node and the store count as undisturbed this long after their last fault.
 const double kUndisturbedAfter = 3.0;
 
+// Makes the random source of connection faults differ from the main one.
+const unsigned kConnectionSeedOffset = 1000000;
+
 struct Options {
     unsigned seed = 1;
     double seconds = 20;
     int nodes = 6;
     std::string sidecar = "build/bbsidecar";
     std::string log = "";
+    // Only new versions and faults of the connections to the store. Among all
+    // faults the store is hardly ever undisturbed for long enough to check
+    // when a version arrives.
+    bool has_only_connection_faults = false;
 };
 
 class Soak;
@@ -80,6 +90,8 @@
     std::string name, data_centre, service;
     std::string callers, forwarded, admin, announcements, settings;
     SoakTarget target;
+    std::unique_ptr<Relay> store_relay; // its connections to the store
+    double store_silent_until = 0;
     pid_t pid = -1;
     double started_at = 0, disturbed_at = 0, paused_until = 0, sigterm_at = 0;
     double restart_at = 0;
@@ -102,7 +114,9 @@
 class Soak {
   public:
     explicit Soak(const Options &options)
-        : options_(options), random_(options.seed), store_(&loop_)
+        : options_(options), random_(options.seed),
+          connection_random_(options.seed + kConnectionSeedOffset),
+          store_(&loop_)
     {
         char path[] = "/tmp/bbsoak-XXXXXX";
         work_dir_ = mkdtemp(path);
@@ -127,6 +141,7 @@
         start_ = ev_time();
         ev_tstamp end = start_ + options_.seconds;
         next_fault_ = start_ + 3.0;
+        next_connection_fault_ = start_ + 3.0;
         loop_.RunUntil([&] { return Step() || ev_time() >= end; },
                        options_.seconds + 5);
         is_load_stopped_ = true;
@@ -159,11 +174,19 @@
     }
     int RandomBelow(int bound)
     {
-        return std::uniform_int_distribution<int>(0, bound - 1)(random_);
+        return RandomBelow(bound, &random_);
     }
     double RandomFraction()
     {
-        return std::uniform_real_distribution<double>(0, 1)(random_);
+        return RandomFraction(&random_);
+    }
+    static int RandomBelow(int bound, std::mt19937 *random)
+    {
+        return std::uniform_int_distribution<int>(0, bound - 1)(*random);
+    }
+    static double RandomFraction(std::mt19937 *random)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(*random);
     }
     void LogFault(const char *format, ...)
         __attribute__((format(printf, 2, 3)))
@@ -229,6 +252,7 @@
         node->admin = FreeAddress();
         node->announcements = FreeAddress();
         node->settings = work_dir_ + "/" + node->name + ".toml";
+        node->store_relay = std::make_unique<Relay>(&loop_, store_.address);
         SoakTarget &target = node->target;
         target.soak = this;
         target.service = node->service;
@@ -251,7 +275,7 @@
             << "\"\n[listen]\ncallers = \"" << node->callers
             << "\"\nforwarded = \"" << node->forwarded << "\"\nadmin = \""
             << node->admin << "\"\nannouncements = \"" << node->announcements
-            << "\"\n[platform]\naddress = \"" << store_.address
+            << "\"\n[platform]\naddress = \"" << node->store_relay->address
             << "\"\n[limits]\nshutdown_s = " << kShutdownLimit
             << "\nrepeat_ratio = 0.2\nrepeat_extra = 60\n";
     }
@@ -276,6 +300,13 @@
     void SuperviseNode(SoakNode *node)
     {
         int status;
+        if (node->store_silent_until > 0) {
+            node->disturbed_at = std::max(node->disturbed_at, Now());
+            if (Now() >= node->store_silent_until) {
+                node->store_silent_until = 0;
+                node->store_relay->is_silent = false;
+            }
+        }
         if (node->paused_until > 0 && Now() >= node->paused_until) {
             kill(node->pid, SIGCONT);
             node->paused_until = 0;
@@ -589,9 +620,9 @@
                 std::to_string(call->marker));
         }
         if (was_put_long_ago && IsUndisturbed(node) &&
-            Now() - store_disturbed_at_ > kConvergeBound) {
+            Now() - store_disturbed_at_ > kUndisturbedAfter) {
             AddViolation(node->name + " lacks version " +
-                         std::to_string(call->marker) + " after 6 s");
+                         std::to_string(call->marker) + " after 2 s");
         }
     }
 
@@ -602,6 +633,11 @@
     }
     void InjectFault()
     {
+        if (options_.has_only_connection_faults) {
+            PutConfig();
+            LogFault("new configuration version %d", version_);
+            return;
+        }
         SoakNode *node = RandomNode();
         bool is_up =
             node->pid > 0 && node->paused_until <= 0 && node->sigterm_at <= 0;
@@ -636,19 +672,18 @@
             LogFault("store refuses calls");
             store_.refuse = 5 + RandomBelow(40);
             store_.refuse_status = RandomBelow(2) == 0 ? 503 : 429;
-            store_disturbed_at_ = Now() + 2;
             break;
         case 5:
             LogFault("store is silent");
             store_.is_silent = true;
             silent_until_ = Now() + 0.5 + 2.5 * RandomFraction();
-            store_disturbed_at_ = silent_until_ + 2;
             break;
         case 6:
             LogFault("store drops its history and loses responses");
             store_.history_from = store_.version + 1;
             store_.version++;
             store_.lose_answers = 2;
+            store_disturbed_at_ = Now();
             store_.AnswerWaitingFeeds();
             break;
         case 7:
@@ -672,6 +707,36 @@
             LogFault("new configuration version %d", version_);
         }
     }
+    // Faults of the connections between nodes and the store. They have a
+    // random source of their own, so that a seed keeps its other faults.
+    void InjectConnectionFault()
+    {
+        int count = 1 + RandomBelow(options_.nodes, &connection_random_);
+        int first = RandomBelow(options_.nodes, &connection_random_);
+        int kind = RandomBelow(3, &connection_random_);
+        double silent_s = 0.3 + 4.0 * RandomFraction(&connection_random_);
+        faults_++;
+        LogFault("connections to the store of %d nodes from n%d on: %s", count,
+                 first,
+                 kind == 0   ? "silent for good"
+                 : kind == 1 ? "reset"
+                             : "responses lost for some time");
+        for (int i = 0; i < count; i++) {
+            auto &node =
+                nodes_[static_cast<size_t>((first + i) % options_.nodes)];
+            node->disturbed_at = std::max(node->disturbed_at, Now());
+            if (kind == 0) {
+                node->store_relay->MuteOpenConnections();
+            }
+            else if (kind == 1) {
+                node->store_relay->ResetOpenConnections();
+            }
+            else {
+                node->store_relay->is_silent = true;
+                node->store_silent_until = Now() + silent_s;
+            }
+        }
+    }
     // Starts a drain; the next generation starts 0.5 s after kDrainBound.
     void DrainAndReplaceTarget(SoakNode *node)
     {
@@ -701,6 +766,9 @@
         for (auto &node : nodes_) {
             SuperviseNode(node.get());
         }
+        if (store_.is_silent || store_.refuse > 0) {
+            store_disturbed_at_ = now;
+        }
         if (silent_until_ > 0 && now >= silent_until_) {
             silent_until_ = 0;
             store_.is_silent = false;
@@ -748,8 +816,16 @@
         }
         if (!is_load_stopped_ && ev_time() >= next_fault_) {
             next_fault_ = ev_time() + 0.15 + 0.6 * RandomFraction();
+            if (options_.has_only_connection_faults) {
+                next_fault_ += 1.5;
+            }
             InjectFault();
         }
+        if (!is_load_stopped_ && ev_time() >= next_connection_fault_) {
+            next_connection_fault_ =
+                ev_time() + 1.0 + 6.0 * RandomFraction(&connection_random_);
+            InjectConnectionFault();
+        }
         for (auto &call : calls_) {
             if (!call->is_done) {
                 CheckCall(call.get());
@@ -810,7 +886,7 @@
     }
 
     Options options_;
-    std::mt19937 random_;
+    std::mt19937 random_, connection_random_;
     Loop loop_;
     FakeStore store_;
     std::string work_dir_;
@@ -825,7 +901,7 @@
     std::set<pid_t> killed_pids_, paused_pids_;
     std::map<int, double> config_put_at_;
     std::vector<std::string> violations_, fault_log_;
-    ev_tstamp start_ = 0, next_fault_ = 0;
+    ev_tstamp start_ = 0, next_fault_ = 0, next_connection_fault_ = 0;
     double next_announcement_ = 0, next_call_ = 1.5, next_probe_ = 2.5;
     double silent_until_ = 0, store_disturbed_at_ = 0;
     bool is_load_stopped_ = false;
@@ -854,6 +930,10 @@
         else if (key == "--sidecar") {
             options.sidecar = argv[i + 1];
         }
+        else if (key == "--faults") {
+            options.has_only_connection_faults =
+                strcmp(argv[i + 1], "connections") == 0;
+        }
         else if (key == "--log") {
             options.log = argv[i + 1];
         }
