Follower: notice a feed call that delivers nothing within 1.8 s

Cause: a node learns versions by a feed call that waits. A store without changes and a connection that delivers nothing more look the same until the call times out, and that took 10 s of wait and 2 s more. In fleets of up to 24 nodes no other source is asked. After a time-out the next call could take another silent idle connection (2 s more), calls during a silence held on for 2 s, and other nodes were asked 0.5 s later only.

Evidence: config_age_s of 9.3 to 12.4 s at each 404 before. FakeStore ends the wait of a feed call as asked; it waited without end before.

Price: one call a second of each reader.

--- a/lib/http/bb_h1_fetch.c
+++ b/lib/http/bb_h1_fetch.c
@@ -10,6 +10,7 @@
     void (*done)(const bb_h1_fetch_result_t *fetched, void *arg);
     void *arg;
     bb_h1_exchange_t *exchange;
+    double transfer_s; /* timeout from the head on; 0: the timer goes on */
     ev_timer timer;
     int status;
     GByteArray *body;
@@ -44,6 +45,11 @@
     bb_h1_fetch_t *fetch = arg;
     (void)fields;
     fetch->status = status;
+    if (fetch->transfer_s > 0) {
+        ev_timer_stop(fetch->loop, &fetch->timer);
+        ev_timer_set(&fetch->timer, fetch->transfer_s, 0.0);
+        ev_timer_start(fetch->loop, &fetch->timer);
+    }
 }
 
 static void
@@ -123,7 +129,11 @@
         BbH1_Send(fetch->exchange, options->json, size);
         BbH1_SendEnd(fetch->exchange);
     }
-    ev_timer_init(&fetch->timer, handle_timeout, options->timeout_s, 0.0);
+    bool has_head_timeout = options->head_timeout_s > 0;
+    fetch->transfer_s = has_head_timeout ? options->timeout_s : 0;
+    ev_timer_init(
+        &fetch->timer, handle_timeout,
+        has_head_timeout ? options->head_timeout_s : options->timeout_s, 0.0);
     fetch->timer.data = fetch;
     ev_timer_start(options->loop, &fetch->timer);
     return fetch;
--- a/lib/http/bb_h1_fetch.h
+++ b/lib/http/bb_h1_fetch.h
@@ -41,6 +41,10 @@
     const char *json;  /* request body, NULL for none */
     double max_idle_s; /* see bb_h1_exchange_options_t */
     double timeout_s;  /* from the start to the last byte */
+    /* If above 0, the head must arrive within this time and timeout_s counts
+     * from the head on, so that a large response on a slow link is told from
+     * a server that does not respond. */
+    double head_timeout_s;
     void (*done)(const bb_h1_fetch_result_t *fetched, void *arg);
     void *arg;
 } bb_h1_fetch_options_t;
--- a/lib/mesh/bb_follower.c
+++ b/lib/mesh/bb_follower.c
@@ -4,8 +4,9 @@
 #include "bb_error.h"
 #include "bb_event.h"
 
-/* Time for which the store may hold one feed call open (long polling). */
-#define FEED_WAIT_S 10.0
+/* Time for which the store may hold one feed call open (long polling), unless
+ * the options say otherwise. */
+#define DEFAULT_FEED_WAIT_S 10.0
 
 struct bb_follower {
     bb_follower_options_t options;
@@ -19,6 +20,7 @@
     bool has_snapshot;
     bool is_connected;
     bool is_suspended;
+    bool is_check_requested; /* the next feed call does not wait */
     double lost_at;
     GHashTable *keys; /* keys received by the full read in progress */
     char *last_key;
@@ -186,8 +188,10 @@
     bb_table_store_t *store = follower->options.store;
     /* The first call after a failure does not wait for changes, so it shows at
      * once whether the store is reachable again. */
-    double wait_s = follower->is_connected ? FEED_WAIT_S : 0.0;
+    bool is_check = follower->is_check_requested || !follower->is_connected;
+    double wait_s = is_check ? 0.0 : follower->options.feed_wait_s;
 
+    follower->is_check_requested = false;
     follower->pending =
         store->ops->feed(store, follower->table, follower->version, wait_s,
                          handle_feed, follower);
@@ -217,6 +221,9 @@
     bb_follower_t *follower = g_new0(bb_follower_t, 1);
 
     follower->options = *options;
+    if (options->feed_wait_s <= 0) {
+        follower->options.feed_wait_s = DEFAULT_FEED_WAIT_S;
+    }
     BbFollower_SetBackoff(follower, BB_FOLLOWER_BACKOFF_FIRST_S,
                           BB_FOLLOWER_BACKOFF_MAX_S);
     follower->table = g_strdup(options->table);
@@ -281,6 +288,18 @@
     ev_timer_start(follower->options.loop, &follower->next_call_timer);
 }
 
+void
+BbFollower_Check(bb_follower_t *follower)
+{
+    if (follower->is_suspended || !follower->has_snapshot ||
+        follower->keys != NULL || follower->pending == NULL) {
+        return; /* a call that does not wait is under way or due */
+    }
+    stop_pending(follower);
+    follower->is_check_requested = true;
+    poll_feed(follower);
+}
+
 bool
 BbFollower_IsSuspended(const bb_follower_t *follower)
 {
--- a/lib/mesh/bb_follower.h
+++ b/lib/mesh/bb_follower.h
@@ -49,6 +49,9 @@
      * quick succession are then read in one call, which returns only the
      * newest value of each row. */
     double pause_s;
+    /* Time for which the store may hold a feed call open; 0 means 10. A
+     * connection that delivers nothing more is noticed only after it. */
+    double feed_wait_s;
     double start_delay_s; /* before the first call */
     bool is_suspended;    /* makes no call before BbFollower_Resume() */
     const bb_follower_handler_t *handler;
@@ -67,6 +70,9 @@
  * last version; a full read that was interrupted starts again. */
 void BbFollower_Suspend(bb_follower_t *follower);
 void BbFollower_Resume(bb_follower_t *follower, double delay_s);
+/* Replaces a feed call that waits for changes by one that does not wait, on
+ * another connection: the one in use may deliver nothing more. */
+void BbFollower_Check(bb_follower_t *follower);
 bool BbFollower_IsSuspended(const bb_follower_t *follower);
 
 /* Version up to which all changes were received; 0 before the first full
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -12,6 +12,11 @@
 #define CONFIG_PAUSE_S 0.3
 #define NODES_PAUSE_S 1.0
 
+/* Longest wait of a feed call for the configuration. A node whose connections
+ * to the store went silent must notice it, and have the newest version, within
+ * the 3 s after which it counts as undisturbed. */
+#define CONFIG_FEED_WAIT_S 1.0
+
 /* Mean pauses between calls to a failing store, for a fallback reader: a node
  * without the reader role that reads the store because no reader reaches it.
  * They can be long, since the readers notice when the store works again. */
@@ -114,16 +119,24 @@
     (void)arg;
 }
 
-/* A fallback reader resumes the node table once the store has answered. */
+static void update_store_state(sidecar_t *sidecar);
+
+/* A fallback reader resumes the node table once the store has answered. The
+ * feed call of the node table, which waits for longer, is checked when that of
+ * the configuration has failed. */
 static void
 handle_config_health(bool is_connected, int error, void *arg)
 {
     sidecar_t *sidecar = arg;
     (void)error;
 
-    if (is_connected && !BbFollower_IsSuspended(sidecar->config_follower)) {
+    if (!is_connected) {
+        BbFollower_Check(sidecar->node_follower);
+    }
+    else if (!BbFollower_IsSuspended(sidecar->config_follower)) {
         BbFollower_Resume(sidecar->node_follower, 0.0);
     }
+    update_store_state(sidecar);
 }
 
 static const bb_follower_handler_t config_handler = {
@@ -462,18 +475,27 @@
                                sidecar);
 }
 
+/* While the store is unreachable the node asks others for its configuration.
+ */
+static void
+update_store_state(sidecar_t *sidecar)
+{
+    bool is_reading = !BbFollower_IsSuspended(sidecar->node_follower);
+
+    BbSyncClient_SetStoreUnreachable(sidecar->sync_client,
+                                     is_reading && !is_connected(sidecar));
+}
+
 static void
 handle_role_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
     (void)loop;
     (void)events;
     sidecar_t *sidecar = timer->data;
-    bool is_reading = !BbFollower_IsSuspended(sidecar->node_follower);
 
     Sidecar_PublishRecord(sidecar);
     update_role(sidecar);
-    BbSyncClient_SetStoreUnreachable(sidecar->sync_client,
-                                     is_reading && !is_connected(sidecar));
+    update_store_state(sidecar);
     if (sidecar->shutdown_started_at <= 0) {
         reap_record(sidecar);
     }
@@ -557,6 +579,7 @@
         .store = sidecar->store,
         .table = PLATFORM_OPERATOR_TABLE,
         .pause_s = CONFIG_PAUSE_S,
+        .feed_wait_s = CONFIG_FEED_WAIT_S,
         .handler = &config_handler,
         .arg = sidecar,
         .random = sidecar->random,
@@ -565,6 +588,7 @@
     sidecar->config_follower = BbFollower_New(&follower);
     follower.table = PLATFORM_NODE_TABLE;
     follower.pause_s = NODES_PAUSE_S;
+    follower.feed_wait_s = 0; /* the default */
     follower.is_suspended = false;
     follower.start_delay_s =
         sidecar->settings->is_first_start ? FIRST_START_DELAY_S : 0.0;
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 
+#include <cmath>
 #include <cstring>
 #include <map>
 #include <string>
@@ -35,9 +36,13 @@
         options.handler = &kHandler;
         options.arg = this;
         EXPECT_EQ(BbH1Server_New(&options, &server_), 0);
+        ev_timer_init(&wait_timer_, OnWaitTimer, kWaitCheck, kWaitCheck);
+        wait_timer_.data = this;
+        ev_timer_start(loop->loop, &wait_timer_);
     }
     ~FakeStore()
     {
+        ev_timer_stop(loop_->loop, &wait_timer_);
         BbH1Server_Free(server_);
     }
     void Put(const std::string &table, const std::string &key,
@@ -79,7 +84,25 @@
         bb_h1_request_t *request;
         std::string table;
         int64_t after;
+        ev_tstamp until; // end of the wait
     };
+    // Interval at which the ends of waits are checked.
+    static constexpr double kWaitCheck = 0.02;
+    // Answers feeds without changes at the end of their wait.
+    static void OnWaitTimer(struct ev_loop *, ev_timer *timer, int)
+    {
+        auto *store = static_cast<FakeStore *>(timer->data);
+        std::vector<Waiting> waiting;
+        waiting.swap(store->waiting_);
+        for (const auto &feed : waiting) {
+            if (ev_time() < feed.until) {
+                store->waiting_.push_back(feed);
+            }
+            else {
+                store->Answer(feed.request, 200, json_pack("{s:[]}", "rows"));
+            }
+        }
+    }
     static std::string QueryValue(const std::string &target,
                                   const std::string &name)
     {
@@ -210,7 +233,7 @@
         std::string target = request->target->str;
         calls++;
         if (is_silent) {
-            waiting_.push_back({request, "none", INT64_MAX});
+            waiting_.push_back({request, "none", INT64_MAX, HUGE_VAL});
             return;
         }
         if (refuse > 0) {
@@ -230,13 +253,14 @@
                 BbH1_Respond(request, 410, nullptr, nullptr, 0);
                 return;
             }
-            if (std::stoll(QueryValue(target, "wait_ms")) == 0) {
+            double wait_ms = std::stod(QueryValue(target, "wait_ms"));
+            if (wait_ms <= 0) {
                 Answer(
                     request, 200,
                     json_pack("{s:o}", "rows", ListRows(table, after, true)));
                 return;
             }
-            AnswerFeed({request, table, after});
+            AnswerFeed({request, table, after, ev_time() + wait_ms / 1000});
         }
         else if (target == "/v1/rows-tx") {
             Write(request, body);
@@ -249,6 +273,7 @@
     Loop *loop_;
     bb_h1_server_t *server_ = nullptr;
     std::vector<Waiting> waiting_;
+    ev_timer wait_timer_;
 
   public:
     std::string address;
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -137,6 +137,9 @@
 // connections, and must then have the newest version.
 const double kStableWindow = 3.0;
 
+// CONFIG_FEED_WAIT_S of the sidecar.
+const double kConfigFeedWait = 1.0;
+
 // The connection to the store passes through a relay.
 struct RelayedStore : PlatformStore {
     RelayedStore() : relay(&loop, fake_store.address)
@@ -145,6 +148,7 @@
                                             0};
         relayed = PlatformStore_New(&options);
         follower_options.store = relayed;
+        follower_options.feed_wait_s = kConfigFeedWait;
     }
     ~RelayedStore()
     {
