Calls: no final 404 at a node that knows it lacks a version

Cause: a node answered 404 although another node had already reported a newer version, which may have the route.

Without a report of a newer version 404 stays.

Test: MeshIo.UnknownRoutesAreNotDeniedWhileANewerVersionIsKnown, failed before (404 at both expectations), passes now.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -166,6 +166,24 @@
     ev_timer_start(call->io->options.loop, &call->deadline_timer);
 }
 
+/* A caller does not retry after 404, so a node that knows of a newer version,
+ * which may have the route, answers 503. */
+static void
+respond_without_route(bb_mesh_call_t *call)
+{
+    const bb_freshness_t *freshness = call->io->options.freshness;
+    bool is_outdated =
+        freshness != NULL &&
+        BbFreshness_IsBehind(freshness, BbMeshConfig_Version(call->config));
+
+    if (is_outdated) {
+        BbMeshCall_RespondError(call, 503, BB_REASON_CONFIG_OUTDATED);
+    }
+    else {
+        BbMeshCall_RespondError(call, 404, BB_REASON_NO_ROUTE);
+    }
+}
+
 static void
 handle_head(bb_h1_request_t *request, void *arg)
 {
@@ -187,7 +205,7 @@
         request->target->str);
     call->route = route;
     if (route == NULL) {
-        BbMeshCall_RespondError(call, 404, BB_REASON_NO_ROUTE);
+        respond_without_route(call);
         return;
     }
     int64_t limit = BbMeshConfig_Limits(call->config)->body_bytes;
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -54,7 +54,7 @@
         json_object_set_new(fields, "retry_after_s",
                             json_real(call->retry_after_s));
     }
-    if (reason == BB_REASON_NO_ROUTE) {
+    if (call->config != NULL && call->route == NULL) {
         add_freshness(fields, call);
     }
     BbEvent_Write(event, fields);
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -390,6 +390,21 @@
     EXPECT_TRUE(target.requests.empty());
 }
 
+// Guards against a final 404 for a route of a version that has not arrived:
+// callers do not retry after it (issue 28).
+TEST_F(MeshIo, UnknownRoutesAreNotDeniedWhileANewerVersionIsKnown)
+{
+    const char *request =
+        "GET /none/1 HTTP/1.1\r\nHost: h\r\nCall-Id: c1\r\n\r\n";
+    Caller caller(&loop, node.caller_address);
+    EXPECT_EQ(Status(caller.Call(request)), "404");
+    BbFreshness_Hear(&node.freshness, 1000000);
+    Caller second(&loop, node.caller_address);
+    std::string response = second.Call(request);
+    EXPECT_EQ(Status(response), "503");
+    EXPECT_NE(mesh_rig::HeaderField(response, "Retry-After"), "");
+}
+
 // Guards against a queue inside the target, which its node cannot see: a node
 // sends its target no more calls at a time than it has slots.
 TEST_F(MeshIo, TargetsGetNoMoreCallsThanSlots)
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -310,6 +310,7 @@
         options.budget = budget;
         options.random = random;
         options.spill_share = 0.9;
+        options.freshness = &freshness;
         EXPECT_EQ(BbCallIo_New(&options, &calls), 0);
         config_ = MakeConfig();
         BbCallIo_SetConfig(calls, config_);
@@ -377,6 +378,7 @@
     bb_fleet_t *fleet;
     bb_random_t *random;
     bb_repeat_budget_t *budget;
+    bb_freshness_t freshness = {};
     bb_call_io_t *calls;
 };
 
