HTTP server: a failed write does not end the request under its handler

Cause: BbH1_RespondData closed the connection when send() failed, which reported the loss, so the handler freed the attempt and the request while BbAttempt_ForwardData or start_streaming still used both.

Change: a connection whose write fails drops further output and is closed by its timer in the next turn of the loop.

--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -38,6 +38,7 @@
     bool is_paused;        /* by the handler */
     bool is_close_pending; /* closed after the responses to open requests */
     bool is_lingering;     /* the last response was sent; input is dropped */
+    bool is_broken;        /* a write failed; closed by the idle timer */
     bool is_closed;        /* freed once depth is 0 */
     bool has_partial_head; /* the head of the newest request is incomplete */
     struct bb_h1_connection *prev, *next;
@@ -129,7 +130,7 @@
 update_read_watcher(bb_h1_connection_t *connection)
 {
     struct ev_loop *loop = connection->server->loop;
-    bool can_read = !connection->is_closed && !connection->is_paused &&
+    bool can_read = !connection->is_broken && !connection->is_paused &&
                     connection->request_count < BB_H1_MAX_PIPELINE;
 
     if (connection->is_closed) {
@@ -148,7 +149,7 @@
 {
     bb_h1_server_t *server = connection->server;
 
-    if (connection->is_closed) {
+    if (connection->is_closed || connection->is_broken) {
         return;
     }
     connection->idle_timer.repeat =
@@ -163,7 +164,7 @@
     bb_h1_connection_t *connection = timer->data;
 
     ev_timer_stop(loop, timer);
-    if (!connection->is_lingering &&
+    if (!connection->is_lingering && !connection->is_broken &&
         connection->request_count > (connection->has_partial_head ? 1 : 0)) {
         return; /* started again when no request is open */
     }
@@ -174,6 +175,35 @@
 
 /* ---- responses ---- */
 
+/* Closes the connection from the event loop. A handler that has just passed
+ * data of a response would not expect on_connection_lost, and the end of its
+ * request, before that call returns. */
+static void
+break_connection(bb_h1_connection_t *connection)
+{
+    struct ev_loop *loop = connection->server->loop;
+
+    connection->is_broken = true;
+    ev_io_stop(loop, &connection->read_watcher);
+    ev_io_stop(loop, &connection->write_watcher);
+    ev_timer_stop(loop, &connection->idle_timer);
+    ev_timer_set(&connection->idle_timer, 0.0, 0.0);
+    ev_timer_start(loop, &connection->idle_timer);
+}
+
+/* Drops the data of responses on a broken connection. */
+static void
+drop_output(bb_h1_connection_t *connection)
+{
+    bb_h1_request_t *request;
+
+    g_byte_array_set_size(connection->out, 0);
+    connection->out_offset = 0;
+    DL_FOREACH (connection->requests, request) {
+        g_byte_array_set_size(request->out, 0);
+    }
+}
+
 static bool
 write_out(bb_h1_connection_t *connection)
 {
@@ -186,7 +216,7 @@
                 continue;
             }
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
-                close_connection(connection);
+                break_connection(connection);
                 return false;
             }
             ev_io_start(connection->server->loop, &connection->write_watcher);
@@ -260,7 +290,11 @@
 {
     bool must_close = false;
 
-    if (connection->is_closed || connection->is_lingering) {
+    if (connection->is_broken) {
+        drop_output(connection);
+    }
+    if (connection->is_closed || connection->is_broken ||
+        connection->is_lingering) {
         return;
     }
     connection->depth++;
@@ -478,15 +512,15 @@
     }
     store_head(connection, request);
     connection->has_partial_head = false;
+    if (connection->is_broken) {
+        return -1;
+    }
     ev_timer_stop(server->loop, &connection->idle_timer);
     const char *expect = BbH1Fields_Get(&request->fields, "Expect");
     if (expect != NULL && strcasecmp(expect, "100-continue") == 0 &&
         connection->requests == request) {
         BbH1_AppendFormat(connection->out, "HTTP/1.1 100 Continue\r\n\r\n");
         write_out(connection);
-        if (connection->is_closed) {
-            return -1;
-        }
     }
     if (!http_should_keep_alive(parser)) {
         connection->is_close_pending = true;
@@ -574,7 +608,7 @@
         return; /* bytes after the last request */
     }
     size_t used = http_parser_execute(parser, &request_settings, data, size);
-    if (connection->is_closed) {
+    if (connection->is_closed || connection->is_broken) {
         return;
     }
     if (connection->is_close_pending && connection->current_request == NULL) {
@@ -604,7 +638,7 @@
     }
     else if (!connection->is_lingering) {
         parse_bytes(connection, data, (size_t)size);
-        if (!connection->is_closed &&
+        if (!connection->is_closed && !connection->is_broken &&
             connection->request_count <=
                 (connection->has_partial_head ? 1 : 0)) {
             if (!ev_is_active(&connection->idle_timer)) {
--- /dev/null
+++ b/tests/unit/h1_server_test.cc
@@ -0,0 +1,74 @@
+// Tests of lib/http/bb_h1_server with raw connections.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "bb_h1_server.h"
+#include "mesh_rig.h"
+
+using mesh_rig::Connection;
+using mesh_rig::Loop;
+
+namespace {
+
+// A server that keeps its newest request open, and one client.
+struct H1Server : testing::Test {
+    H1Server() : address(mesh_rig::FreeAddress())
+    {
+        bb_h1_server_options_t options = {};
+        options.loop = loop.loop;
+        options.address = address.c_str();
+        options.handler = &kHandler;
+        options.arg = this;
+        EXPECT_EQ(BbH1Server_New(&options, &server), 0);
+        client =
+            std::make_unique<Connection>(&loop, BbH1_Connect(address.c_str()));
+        loop.RunFor(0.02); // until the connection is established
+    }
+    ~H1Server()
+    {
+        BbH1Server_Free(server);
+    }
+    static void OnHead(bb_h1_request_t *request, void *arg)
+    {
+        auto *test = static_cast<H1Server *>(arg);
+        test->request = request;
+        test->request_count++;
+    }
+    static void OnConnectionLost(bb_h1_request_t *, void *arg)
+    {
+        auto *test = static_cast<H1Server *>(arg);
+        test->request = nullptr;
+        test->lost_count++;
+    }
+    static const bb_h1_handler_t kHandler;
+    Loop loop;
+    std::string address;
+    bb_h1_server_t *server = nullptr;
+    std::unique_ptr<Connection> client;
+    bb_h1_request_t *request = nullptr;
+    int request_count = 0, lost_count = 0;
+};
+
+const bb_h1_handler_t H1Server::kHandler = {OnHead, nullptr, nullptr,
+                                            OnConnectionLost, nullptr};
+
+} // namespace
+
+// Guards against a request that is freed while its handler passes data: a
+// process ended by signal 11 when clients left large responses.
+TEST_F(H1Server, RequestsOutliveAFailedWriteOfTheirResponse)
+{
+    client->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(loop.RunUntil([&] { return request_count == 1; }));
+    client->Close(true);
+    usleep(20000); // until the reset has arrived, without a turn of the loop
+    std::string data(100000, 'x');
+    BbH1_RespondStart(request, 200, nullptr, BB_H1_CHUNKED);
+    for (int i = 0; i < 5; i++) {
+        ASSERT_EQ(lost_count, 0) << "during write " << i;
+        BbH1_RespondData(request, data.data(), data.size());
+        EXPECT_EQ(BbH1_UnsentBytes(request), 0u);
+    }
+    EXPECT_TRUE(loop.RunUntil([&] { return lost_count == 1; }, 1.0));
+}
