HTTP server: notice the end of a connection that is not read

Cause: reading stops at 64 open requests, and while a body is paused, and only reading showed the end of a connection.

Change: while a connection is not read, poll() for POLLRDHUP looks for its end every 0.1 s; it shows the end before the bytes that wait.

--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -4,6 +4,7 @@
 #include <assert.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -17,6 +18,9 @@
 #define DEFAULT_IDLE_S 60.0
 #define ACCEPTS_PER_EVENT 64
 
+/* Interval at which a connection that is not read is checked for its end. */
+#define END_CHECK_S 0.1
+
 /* After the last response a connection stays open for reading for this long:
  * closing it with unread bytes would reset it, and the client could lose the
  * response. */
@@ -29,6 +33,7 @@
     ev_io read_watcher;
     ev_io write_watcher;
     ev_timer idle_timer; /* also limits the reading of a head, and lingering */
+    ev_timer end_timer;  /* runs while the connection is not read */
     bb_h1_request_t *requests;        /* in order of arrival */
     bb_h1_request_t *current_request; /* whose head or body is being read */
     int request_count;
@@ -105,6 +110,7 @@
     ev_io_stop(server->loop, &connection->read_watcher);
     ev_io_stop(server->loop, &connection->write_watcher);
     ev_timer_stop(server->loop, &connection->idle_timer);
+    ev_timer_stop(server->loop, &connection->end_timer);
     close(connection->fd);
     while (connection->requests != NULL) {
         bb_h1_request_t *request = connection->requests;
@@ -138,9 +144,29 @@
     }
     if (can_read && !ev_is_active(&connection->read_watcher)) {
         ev_io_start(loop, &connection->read_watcher);
+        ev_timer_stop(loop, &connection->end_timer);
     }
     else if (!can_read && ev_is_active(&connection->read_watcher)) {
         ev_io_stop(loop, &connection->read_watcher);
+        ev_timer_again(loop, &connection->end_timer);
+    }
+}
+
+/* Reading would show the end of a connection only behind the bytes that wait
+ * in the socket; poll() shows it before them. */
+static void
+check_end(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    bb_h1_connection_t *connection = timer->data;
+    struct pollfd state = {.fd = connection->fd, .events = POLLRDHUP};
+
+    if (poll(&state, 1, 0) > 0 &&
+        (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        connection->depth++;
+        close_connection(connection);
+        release_connection(connection);
     }
 }
 
@@ -186,6 +212,7 @@
     connection->is_broken = true;
     ev_io_stop(loop, &connection->read_watcher);
     ev_io_stop(loop, &connection->write_watcher);
+    ev_timer_stop(loop, &connection->end_timer);
     ev_timer_stop(loop, &connection->idle_timer);
     ev_timer_set(&connection->idle_timer, 0.0, 0.0);
     ev_timer_start(loop, &connection->idle_timer);
@@ -665,9 +692,12 @@
     ev_io_init(&connection->read_watcher, handle_read, fd, EV_READ);
     ev_io_init(&connection->write_watcher, handle_write, fd, EV_WRITE);
     ev_init(&connection->idle_timer, handle_idle);
+    ev_init(&connection->end_timer, check_end);
+    connection->end_timer.repeat = END_CHECK_S;
     connection->read_watcher.data = connection;
     connection->write_watcher.data = connection;
     connection->idle_timer.data = connection;
+    connection->end_timer.data = connection;
     DL_APPEND(server->connections, connection);
     ev_io_start(server->loop, &connection->read_watcher);
     restart_idle_timer(connection);
--- a/tests/unit/h1_server_test.cc
+++ b/tests/unit/h1_server_test.cc
@@ -72,3 +72,20 @@
     }
     EXPECT_TRUE(loop.RunUntil([&] { return lost_count == 1; }, 1.0));
 }
+
+// Guards against targets that work on for a client that has left: the server
+// stops reading at its limit of open requests, and did not see the end of the
+// connection then.
+TEST_F(H1Server, NoticesTheEndOfAConnectionThatIsNotRead)
+{
+    for (int i = 0; i < BB_H1_MAX_PIPELINE; i++) {
+        client->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE(loop.RunUntil([&] { return request_count == i + 1; }));
+    }
+    client->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); // is not read
+    loop.RunFor(0.05);
+    client->Close(false);
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return lost_count == BB_H1_MAX_PIPELINE; }, 0.5));
+    EXPECT_EQ(request_count, BB_H1_MAX_PIPELINE);
+}
