Shutdown: wait until given responses are sent

Cause: a call stops being open when its response is handed to the HTTP server; what waits in the server's buffers was not counted, and the exit closed its connections.

Change: a drained node also needs BbH1Server_IsFlushed() of the servers for callers and for other nodes. The forced end before the platform's SIGKILL stays.

--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -759,6 +759,32 @@
     g_free(server);
 }
 
+static bool
+has_unsent_bytes(const bb_h1_connection_t *connection)
+{
+    const bb_h1_request_t *request;
+
+    DL_FOREACH (connection->requests, request) {
+        if (request->out->len > 0) {
+            return true;
+        }
+    }
+    return connection->out->len > connection->out_offset;
+}
+
+bool
+BbH1Server_IsFlushed(const bb_h1_server_t *server)
+{
+    const bb_h1_connection_t *connection;
+
+    DL_FOREACH (server->connections, connection) {
+        if (has_unsent_bytes(connection)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
 BbH1Server_SetLimits(bb_h1_server_t *server, size_t max_head_bytes,
                      double idle_s, double head_s)
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -90,6 +90,9 @@
 void BbH1Server_SetLimits(bb_h1_server_t *server, size_t max_head_bytes,
                           double idle_s, double head_s);
 
+/* Whether all bytes of responses given so far have been passed to sockets. */
+bool BbH1Server_IsFlushed(const bb_h1_server_t *server);
+
 /* Makes later responses carry "Connection: close". */
 void BbH1Server_SetClosing(bb_h1_server_t *server);
 
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -365,6 +365,12 @@
     return io->call_count;
 }
 
+bool
+BbCallIo_IsFlushed(const bb_call_io_t *io)
+{
+    return BbH1Server_IsFlushed(io->server);
+}
+
 double
 BbCallIo_LastCallTime(const bb_call_io_t *io)
 {
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -74,6 +74,10 @@
 
 int BbCallIo_OpenCalls(const bb_call_io_t *io);
 
+/* Whether all responses given so far have been passed to sockets. A call is no
+ * longer open once its response is given. */
+bool BbCallIo_IsFlushed(const bb_call_io_t *io);
+
 /* Time of the last new call, in seconds of BbClock_Now(). */
 double BbCallIo_LastCallTime(const bb_call_io_t *io);
 
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -476,3 +476,9 @@
         g_free(server);
     }
 }
+
+bool
+BbHopServer_IsFlushed(const bb_hop_server_t *server)
+{
+    return BbH1Server_IsFlushed(server->http_server);
+}
--- a/lib/mesh/bb_hop_server.h
+++ b/lib/mesh/bb_hop_server.h
@@ -46,6 +46,9 @@
                     bb_hop_server_t **out);
 void BbHopServer_Free(bb_hop_server_t *server);
 
+/* Whether all responses given so far have been passed to sockets. */
+bool BbHopServer_IsFlushed(const bb_hop_server_t *server);
+
 #ifdef __cplusplus
 }
 #endif
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -200,6 +200,13 @@
            BbTargetIo_OpenCallCount(sidecar->target_io);
 }
 
+static bool
+is_flushed(const sidecar_t *sidecar)
+{
+    return BbCallIo_IsFlushed(sidecar->call_io) &&
+           BbHopServer_IsFlushed(sidecar->hop_server);
+}
+
 static void
 handle_shutdown_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -210,8 +217,8 @@
     bool are_callers_gone =
         since_s >= REFUSE_AFTER_S ||
         now - BbCallIo_LastCallTime(sidecar->call_io) >= CALLERS_GONE_S;
-    bool is_drained = open_calls(sidecar) == 0 && since_s >= SHUTDOWN_MIN_S &&
-                      are_callers_gone;
+    bool is_drained = open_calls(sidecar) == 0 && is_flushed(sidecar) &&
+                      since_s >= SHUTDOWN_MIN_S && are_callers_gone;
 
     if (since_s >= REFUSE_AFTER_S) {
         BbCallIo_RefuseNewCalls(sidecar->call_io);
--- a/tests/unit/h1_server_test.cc
+++ b/tests/unit/h1_server_test.cc
@@ -89,3 +89,21 @@
         loop.RunUntil([&] { return lost_count == BB_H1_MAX_PIPELINE; }, 0.5));
     EXPECT_EQ(request_count, BB_H1_MAX_PIPELINE);
 }
+
+// Guards against a process that exits at the end of a shutdown with responses
+// that are given but not sent: it asks whether any are left.
+TEST_F(H1Server, KnowsOfResponsesThatAreNotSent)
+{
+    const std::string body(16 * 1024 * 1024, 'x');
+    EXPECT_TRUE(BbH1Server_IsFlushed(server));
+    client->StopReading();
+    client->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(loop.RunUntil([&] { return request_count == 1; }));
+    BbH1_Respond(request, 200, nullptr, body.data(), body.size());
+    loop.RunFor(0.05);
+    EXPECT_FALSE(BbH1Server_IsFlushed(server));
+    client->ResumeReading();
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return client->received.size() > body.size(); }));
+    EXPECT_TRUE(BbH1Server_IsFlushed(server));
+}
