Routes: match paths of any length

Cause: the lookup key had a fixed size; longer requests matched no route.

Change: only the part of the path that a prefix of the version can match goes into the key; a key beyond the stack buffer is allocated.

--- a/lib/mesh/bb_mesh_config.c
+++ b/lib/mesh/bb_mesh_config.c
@@ -6,9 +6,9 @@
 
 #include "bb_error.h"
 
-/* Size of the lookup key: host, space, path and the terminating NUL. Longer
- * requests match no route. */
-#define MAX_LOOKUP_KEY 2304
+/* Size of the lookup key on the stack: host, space, the part of the path that
+ * can match a prefix, and the terminating NUL. Longer keys are allocated. */
+#define STACK_KEY_BYTES 2304
 
 struct bb_mesh_config {
     int references;
@@ -17,6 +17,7 @@
     GHashTable *services;  /* name to its max_connections */
     GHashTable *routes;    /* "host prefix" to bb_mesh_route_t */
     GPtrArray *route_list; /* bb_mesh_route_t, owned, in order of addition */
+    size_t longest_prefix; /* in bytes */
 };
 
 static void
@@ -91,6 +92,8 @@
     route->rank = options->rank;
     route->max_targets = options->max_targets;
     g_ptr_array_add(config->route_list, route);
+    config->longest_prefix =
+        MAX(config->longest_prefix, strlen(options->prefix));
     g_hash_table_replace(config->routes,
                          g_strconcat(route->host, " ", route->prefix, NULL),
                          route);
@@ -197,17 +200,12 @@
     }
 }
 
-bb_mesh_route_t *
-BbMeshConfig_FindRoute(bb_mesh_config_t *config, const char *host,
-                       const char *target)
+/* key has room for host, space, path and the terminating NUL. */
+static bb_mesh_route_t *
+find_longest_prefix(const bb_mesh_config_t *config, char *key,
+                    const char *host, size_t host_size, const char *target,
+                    size_t path_size)
 {
-    char key[MAX_LOOKUP_KEY];
-    size_t host_size = host != NULL ? strcspn(host, ":") : 0;
-    size_t path_size = strcspn(target, "?#");
-
-    if (host_size == 0 || host_size + path_size + 2 > sizeof(key)) {
-        return NULL;
-    }
     for (size_t i = 0; i < host_size; i++) {
         key[i] = g_ascii_tolower(host[i]);
     }
@@ -228,6 +226,27 @@
     return NULL;
 }
 
+bb_mesh_route_t *
+BbMeshConfig_FindRoute(bb_mesh_config_t *config, const char *host,
+                       const char *target)
+{
+    char on_stack[STACK_KEY_BYTES];
+    size_t host_size = host != NULL ? strcspn(host, ":") : 0;
+    size_t path_size = MIN(strcspn(target, "?#"), config->longest_prefix);
+    size_t key_size = host_size + path_size + 2;
+
+    if (host_size == 0) {
+        return NULL;
+    }
+    char *key = key_size <= sizeof(on_stack) ? on_stack : g_malloc(key_size);
+    bb_mesh_route_t *route =
+        find_longest_prefix(config, key, host, host_size, target, path_size);
+    if (key != on_stack) {
+        g_free(key);
+    }
+    return route;
+}
+
 const char *
 BbMeshRoute_NextService(bb_mesh_route_t *route)
 {
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -58,8 +58,8 @@
 
 } // namespace
 
-// Guards against a shorter prefix taking precedence, and against a prefix that
-// matches within a path segment.
+// Guards against a shorter prefix taking precedence, against a prefix that
+// matches within a path segment, and against long paths without a route.
 TEST(MeshConfig, MatchesLongestPrefixOfWholeSegments)
 {
     Config c;
@@ -74,6 +74,11 @@
     EXPECT_EQ(name("a.example", "/x/y/1?q=/z/"), "/x/y/");
     EXPECT_EQ(name("A.EXAMPLE:8080", "/x/yy"), "/x/");
     EXPECT_EQ(name("a.example", "/xy"), "/");
+    EXPECT_EQ(name("a.example", ("/x/y/" + std::string(60000, 'z')).c_str()),
+              "/x/y/");
+    std::string long_prefix = "/x/" + std::string(5000, 'p') + "/";
+    c.Route("a.example", long_prefix.c_str(), "orders");
+    EXPECT_EQ(name("a.example", (long_prefix + "1").c_str()), long_prefix);
     EXPECT_EQ(name("b.example", "/x/y/"), "none");
     EXPECT_EQ(name(nullptr, "/x/y/"), "none");
 }
