HTTP client: report that sent bytes are gone also when none waited

Seen by callers: an upload over 1 MiB to a target that reads fast ends with 504 at its deadline and holds a slot until then (review, probes).

Cause: reading of a body pauses at 1 MiB buffered and goes on at on_drained, which only the write watcher called; when the socket takes all bytes at once there is none.

Change: BbH1_Send starts the write watcher for owners with on_drained, so it is called from the loop in either case.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -585,6 +585,12 @@
         g_byte_array_append(connection->out, data, (guint)size);
     }
     write_out(connection);
+    if (exchange->handler->on_drained != NULL && connection->is_connected &&
+        !connection->is_close_pending) {
+        /* Calls on_drained from the loop also when all bytes were written at
+         * once: the owner may have stopped reading until then. */
+        ev_io_start(connection->client->loop, &connection->write_watcher);
+    }
 }
 
 void
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -362,6 +362,30 @@
     EXPECT_EQ(other_target.RunCount("c2"), 0);
 }
 
+// Guards against uploads that stop at the limit of buffered bytes when the
+// next hop takes all of them at once.
+TEST_F(MeshIoTwoNodes, LargeUploadsReachFastTargets)
+{
+    const std::string body(5 * 1024 * 1024, 'u');
+    for (bool is_forwarded : {false, true}) {
+        Target &used = is_forwarded ? other_target : target;
+        if (is_forwarded) {
+            node.SendHeartbeat(2, true);
+        }
+        std::string id = is_forwarded ? "c2" : "c1";
+        Caller caller(&loop, node.caller_address);
+        std::string text = Caller::Request("POST", "/once/1", id, body);
+        ASSERT_TRUE(loop.RunUntil([&] {
+            ssize_t size = send(caller.connection.fd, text.data(), text.size(),
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
+            text.erase(0, size > 0 ? static_cast<size_t>(size) : 0);
+            return text.empty();
+        })) << id;
+        EXPECT_EQ(Status(caller.Wait(1)), "200") << id;
+        EXPECT_EQ(used.RunCount(id), 1) << id;
+    }
+}
+
 // Guards against request smuggling, and against forwarding requests that
 // cannot be parsed.
 TEST_F(MeshIo, MalformedRequestsAreRefused)
