HTTP server: refuse a Content-Length beyond the range of a length

Cause: the length became negative, which the client side writes as no body.

Change: such a head is malformed, 400.

--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -534,7 +534,9 @@
     bb_h1_server_t *server = connection->server;
     bb_h1_request_t *request = connection->current_request;
 
-    if (connection->reader.head_bytes > server->max_head_bytes) {
+    bool has_length = parser->content_length != UINT64_MAX;
+    if (connection->reader.head_bytes > server->max_head_bytes ||
+        (has_length && parser->content_length > INT64_MAX)) {
         return -1;
     }
     store_head(connection, request);
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -401,6 +401,9 @@
          "Content-Length: 2\r\n\r\nab",
          "400"},
         {"nonsense\r\n\r\n", "400"},
+        {"POST /once/1 HTTP/1.1\r\nHost: h\r\n"
+         "Content-Length: 9223372036854775808\r\n\r\n",
+         "400"},
         {"GET /none/1 HTTP/1.1\r\nHost: h\r\n\r\n", "404"},
     };
     for (const auto &c : cases) {
