--- a/programs/bbsidecar/main.c
+++ b/programs/bbsidecar/main.c
@@ -110,6 +110,9 @@
     options_t options = {0};
     bb_sidecar_settings_t settings;
 
+    /* A reload that is requested during the start needs no action, but the
+     * default action would end the process. */
+    signal(SIGHUP, SIG_IGN);
     if (parse_options(&argc, &argv, &options) != 0) {
         return EXIT_BAD_SETTINGS;
     }
