HTTP server: responses in a file of their own

bb_h1_server.c had 776 lines and two jobs: connections and requests, and the order and sending of responses. bb_h1_response.c has the second, the private header what both share. No change of behaviour; unit tests of the HTTP and mesh modules pass (89).

--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -1,7 +1,4 @@
-#include "bb_h1_server.h"
-
 #include <arpa/inet.h>
-#include <assert.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -12,6 +9,7 @@
 #include <utlist.h>
 
 #include "bb_error.h"
+#include "bb_h1_server_private.h"
 
 #define READ_BYTES 65536
 #define DEFAULT_HEAD_BYTES 65536
@@ -21,49 +19,6 @@
 /* Interval at which a connection that is not read is checked for its end. */
 #define END_CHECK_S 0.1
 
-/* After the last response a connection stays open for reading for this long:
- * closing it with unread bytes would reset it, and the client could lose the
- * response. */
-#define LINGER_S 1.0
-
-struct bb_h1_connection {
-    bb_h1_reader_t reader;
-    bb_h1_server_t *server;
-    int fd;
-    ev_io read_watcher;
-    ev_io write_watcher;
-    ev_timer idle_timer; /* also limits the reading of a head, and lingering */
-    ev_timer end_timer;  /* runs while the connection is not read */
-    bb_h1_request_t *requests;        /* in order of arrival */
-    bb_h1_request_t *current_request; /* whose head or body is being read */
-    int request_count;
-    GByteArray *out;
-    size_t out_offset;
-    int depth;             /* callbacks in progress */
-    bool is_paused;        /* by the handler */
-    bool is_close_pending; /* closed after the responses to open requests */
-    bool is_lingering;     /* the last response was sent; input is dropped */
-    bool is_broken;        /* a write failed; closed by the idle timer */
-    bool is_closed;        /* freed once depth is 0 */
-    bool has_partial_head; /* the head of the newest request is incomplete */
-    struct bb_h1_connection *prev, *next;
-};
-
-struct bb_h1_server {
-    struct ev_loop *loop;
-    int fd;
-    ev_io accept_watcher;
-    const bb_h1_handler_t *handler;
-    void *arg;
-    size_t max_head_bytes;
-    double idle_s;
-    double head_s;
-    bool is_closing; /* see BbH1Server_SetClosing() */
-    bb_h1_connection_t *connections;
-};
-
-static void flush_connection(bb_h1_connection_t *connection);
-
 /* ---- closing of connections, idle timeout ---- */
 
 static void
@@ -75,8 +30,9 @@
     g_free(request);
 }
 
-static void
-drop_request(bb_h1_connection_t *connection, bb_h1_request_t *request)
+void
+BbH1Connection_DropRequest(bb_h1_connection_t *connection,
+                           bb_h1_request_t *request)
 {
     DL_DELETE(connection->requests, request);
     connection->request_count--;
@@ -97,8 +53,8 @@
     g_free(connection);
 }
 
-static void
-close_connection(bb_h1_connection_t *connection)
+void
+BbH1Connection_Close(bb_h1_connection_t *connection)
 {
     bb_h1_server_t *server = connection->server;
 
@@ -118,13 +74,13 @@
             server->handler->on_connection_lost != NULL) {
             server->handler->on_connection_lost(request, server->arg);
         }
-        drop_request(connection, request);
+        BbH1Connection_DropRequest(connection, request);
     }
     connection->depth--;
 }
 
-static void
-release_connection(bb_h1_connection_t *connection)
+void
+BbH1Connection_Release(bb_h1_connection_t *connection)
 {
     connection->depth--;
     if (connection->is_closed && connection->depth == 0) {
@@ -132,8 +88,8 @@
     }
 }
 
-static void
-update_read_watcher(bb_h1_connection_t *connection)
+void
+BbH1Connection_UpdateReading(bb_h1_connection_t *connection)
 {
     struct ev_loop *loop = connection->server->loop;
     bool can_read = !connection->is_broken && !connection->is_paused &&
@@ -165,13 +121,13 @@
     if (poll(&state, 1, 0) > 0 &&
         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
         connection->depth++;
-        close_connection(connection);
-        release_connection(connection);
+        BbH1Connection_Close(connection);
+        BbH1Connection_Release(connection);
     }
 }
 
-static void
-restart_idle_timer(bb_h1_connection_t *connection)
+void
+BbH1Connection_RestartIdleTimer(bb_h1_connection_t *connection)
 {
     bb_h1_server_t *server = connection->server;
 
@@ -195,282 +151,15 @@
         return; /* started again when no request is open */
     }
     connection->depth++;
-    close_connection(connection);
-    release_connection(connection);
-}
-
-/* ---- responses ---- */
-
-/* Closes the connection from the event loop. A handler that has just passed
- * data of a response would not expect on_connection_lost, and the end of its
- * request, before that call returns. */
-static void
-break_connection(bb_h1_connection_t *connection)
-{
-    struct ev_loop *loop = connection->server->loop;
-
-    connection->is_broken = true;
-    ev_io_stop(loop, &connection->read_watcher);
-    ev_io_stop(loop, &connection->write_watcher);
-    ev_timer_stop(loop, &connection->end_timer);
-    ev_timer_stop(loop, &connection->idle_timer);
-    ev_timer_set(&connection->idle_timer, 0.0, 0.0);
-    ev_timer_start(loop, &connection->idle_timer);
-}
-
-/* Drops the data of responses on a broken connection. */
-static void
-drop_output(bb_h1_connection_t *connection)
-{
-    bb_h1_request_t *request;
-
-    g_byte_array_set_size(connection->out, 0);
-    connection->out_offset = 0;
-    DL_FOREACH (connection->requests, request) {
-        g_byte_array_set_size(request->out, 0);
-    }
-}
-
-static bool
-write_out(bb_h1_connection_t *connection)
-{
-    while (connection->out_offset < connection->out->len) {
-        ssize_t sent = send(
-            connection->fd, connection->out->data + connection->out_offset,
-            connection->out->len - connection->out_offset, MSG_NOSIGNAL);
-        if (sent < 0) {
-            if (errno == EINTR) {
-                continue;
-            }
-            if (errno != EAGAIN && errno != EWOULDBLOCK) {
-                break_connection(connection);
-                return false;
-            }
-            ev_io_start(connection->server->loop, &connection->write_watcher);
-            return false;
-        }
-        connection->out_offset += (size_t)sent;
-    }
-    g_byte_array_set_size(connection->out, 0);
-    connection->out_offset = 0;
-    ev_io_stop(connection->server->loop, &connection->write_watcher);
-    return true;
-}
-
-/* Moves the bytes that may be sent next from the requests to the output of the
- * connection, in the order of the requests. *must_close: the connection is to
- * be closed after these bytes. */
-static void
-move_responses(bb_h1_connection_t *connection, bool *must_close)
-{
-    bb_h1_request_t *request = connection->requests;
-
-    while (request != NULL) {
-        bb_h1_request_t *next = request->next;
-        if (request->out->len > 0) {
-            g_byte_array_append(connection->out, request->out->data,
-                                request->out->len);
-            g_byte_array_set_size(request->out, 0);
-        }
-        if (request->is_aborted) {
-            *must_close = true;
-            return;
-        }
-        if (!request->is_response_ended || !request->is_read) {
-            return;
-        }
-        drop_request(connection, request);
-        request = next;
-    }
-    *must_close = connection->is_close_pending;
-}
-
-static void
-start_lingering(bb_h1_connection_t *connection)
-{
-    bool has_open_requests = connection->requests != NULL;
-
-    if (has_open_requests || shutdown(connection->fd, SHUT_WR) != 0) {
-        close_connection(connection);
-        return;
-    }
-    connection->is_lingering = true;
-    connection->idle_timer.repeat = LINGER_S;
-    ev_timer_again(connection->server->loop, &connection->idle_timer);
-}
-
-static void
-report_drained(bb_h1_connection_t *connection)
-{
-    bb_h1_server_t *server = connection->server;
-    bb_h1_request_t *request = connection->requests;
-
-    if (!connection->is_closed && request != NULL &&
-        request->is_awaiting_drain && !request->is_response_ended) {
-        request->is_awaiting_drain = false;
-        server->handler->on_drained(request, server->arg);
-    }
-}
-
-static void
-flush_connection(bb_h1_connection_t *connection)
-{
-    bool must_close = false;
-
-    if (connection->is_broken) {
-        drop_output(connection);
-    }
-    if (connection->is_closed || connection->is_broken ||
-        connection->is_lingering) {
-        return;
-    }
-    connection->depth++;
-    move_responses(connection, &must_close);
-    bool is_all_written = write_out(connection);
-    if (is_all_written && must_close) {
-        start_lingering(connection);
-    }
-    else if (connection->request_count == 0) {
-        restart_idle_timer(connection);
-    }
-    if (is_all_written) {
-        report_drained(connection);
-    }
-    update_read_watcher(connection);
-    release_connection(connection);
-}
-
-static void
-handle_write(struct ev_loop *loop, ev_io *watcher, int events)
-{
-    (void)loop;
-    (void)events;
-    flush_connection(watcher->data);
-}
-
-static void
-write_head(bb_h1_request_t *request, int status, const bb_h1_fields_t *fields,
-           int64_t content_length)
-{
-    bb_h1_connection_t *connection = request->connection;
-
-    assert(!request->is_response_started);
-    request->is_response_started = true;
-    request->is_chunked = content_length == BB_H1_CHUNKED;
-    BbH1_AppendFormat(request->out, "HTTP/1.1 %d %s\r\n", status,
-                      http_status_str((enum http_status)status));
-    if (fields != NULL) {
-        BbH1Fields_Write(fields, request->out);
-    }
-    if (request->is_chunked) {
-        BbH1_AppendFormat(request->out, "Transfer-Encoding: chunked\r\n");
-    }
-    else if (status != 204 && status != 304) {
-        BbH1_AppendFormat(request->out,
-                          "Content-Length: %" G_GINT64_FORMAT "\r\n",
-                          content_length);
-    }
-    bool is_newest = request->next == NULL;
-    if (connection->is_close_pending && is_newest) {
-        BbH1_AppendFormat(request->out, "Connection: close\r\n");
-    }
-    else if (connection->server->is_closing && is_newest && request->is_read) {
-        connection->is_close_pending = true;
-        BbH1_AppendFormat(request->out, "Connection: close\r\n");
-    }
-    BbH1_AppendFormat(request->out, "\r\n");
-}
-
-void
-BbH1_RespondInterim(bb_h1_request_t *request, int status)
-{
-    assert(!request->is_response_started);
-    BbH1_AppendFormat(request->out, "HTTP/1.1 %d %s\r\n\r\n", status,
-                      http_status_str((enum http_status)status));
-    flush_connection(request->connection);
-}
-
-void
-BbH1_RespondStart(bb_h1_request_t *request, int status,
-                  const bb_h1_fields_t *fields, int64_t content_length)
-{
-    write_head(request, status, fields, content_length);
-    flush_connection(request->connection);
-}
-
-static void
-write_data(bb_h1_request_t *request, const void *data, size_t size)
-{
-    if (request->is_head_request || size == 0) {
-        return;
-    }
-    if (request->is_chunked) {
-        BbH1_WriteChunk(request->out, data, size);
-    }
-    else {
-        g_byte_array_append(request->out, data, (guint)size);
-    }
-}
-
-void
-BbH1_RespondData(bb_h1_request_t *request, const void *data, size_t size)
-{
-    write_data(request, data, size);
-    flush_connection(request->connection);
-}
-
-void
-BbH1_RespondEnd(bb_h1_request_t *request)
-{
-    bb_h1_connection_t *connection = request->connection;
-
-    assert(!request->is_response_ended);
-    if (request->is_chunked && !request->is_head_request) {
-        BbH1_WriteChunk(request->out, NULL, 0);
-    }
-    request->is_response_ended = true;
-    if (connection->is_paused) {
-        connection->is_paused = false;
-    }
-    flush_connection(connection);
-}
-
-void
-BbH1_Respond(bb_h1_request_t *request, int status,
-             const bb_h1_fields_t *fields, const void *body, size_t size)
-{
-    write_head(request, status, fields, (int64_t)size);
-    write_data(request, body, size);
-    BbH1_RespondEnd(request);
-}
-
-size_t
-BbH1_UnsentBytes(const bb_h1_request_t *request)
-{
-    const bb_h1_connection_t *connection = request->connection;
-
-    return request->out->len + connection->out->len - connection->out_offset;
-}
-
-void
-BbH1_NotifyWhenDrained(bb_h1_request_t *request)
-{
-    request->is_awaiting_drain = true;
-}
-
-void
-BbH1_Abort(bb_h1_request_t *request)
-{
-    request->is_response_ended = true;
-    request->is_aborted = true;
-    flush_connection(request->connection);
+    BbH1Connection_Close(connection);
+    BbH1Connection_Release(connection);
 }
 
 void
 BbH1_PauseBody(bb_h1_request_t *request, bool is_paused)
 {
     request->connection->is_paused = is_paused;
-    update_read_watcher(request->connection);
+    BbH1Connection_UpdateReading(request->connection);
 }
 
 /* ---- requests ---- */
@@ -549,7 +238,7 @@
     if (expect != NULL && strcasecmp(expect, "100-continue") == 0 &&
         connection->requests == request) {
         BbH1_AppendFormat(connection->out, "HTTP/1.1 100 Continue\r\n\r\n");
-        write_out(connection);
+        BbH1Connection_WriteOut(connection);
     }
     if (!http_should_keep_alive(parser)) {
         connection->is_close_pending = true;
@@ -582,7 +271,7 @@
     connection->current_request = NULL;
     request->is_read = true;
     if (request->is_response_ended) {
-        flush_connection(connection);
+        BbH1Connection_Flush(connection);
     }
     else if (server->handler->on_end != NULL) {
         server->handler->on_end(request, server->arg);
@@ -614,7 +303,7 @@
     if (request != NULL && request->is_head_reported) {
         /* The body is malformed; the handler was called and may have
          * responded. */
-        close_connection(connection);
+        BbH1Connection_Close(connection);
         return;
     }
     if (request == NULL) {
@@ -663,7 +352,7 @@
     }
     connection->depth++;
     if (size <= 0) {
-        close_connection(connection);
+        BbH1Connection_Close(connection);
     }
     else if (!connection->is_lingering) {
         parse_bytes(connection, data, (size_t)size);
@@ -671,16 +360,24 @@
             connection->request_count <=
                 (connection->has_partial_head ? 1 : 0)) {
             if (!ev_is_active(&connection->idle_timer)) {
-                restart_idle_timer(connection);
+                BbH1Connection_RestartIdleTimer(connection);
             }
         }
-        update_read_watcher(connection);
+        BbH1Connection_UpdateReading(connection);
     }
-    release_connection(connection);
+    BbH1Connection_Release(connection);
 }
 
 /* ---- server ---- */
 
+static void
+handle_write(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    BbH1Connection_Flush(watcher->data);
+}
+
 static void
 add_connection(bb_h1_server_t *server, int fd)
 {
@@ -702,7 +399,7 @@
     connection->end_timer.data = connection;
     DL_APPEND(server->connections, connection);
     ev_io_start(server->loop, &connection->read_watcher);
-    restart_idle_timer(connection);
+    BbH1Connection_RestartIdleTimer(connection);
 }
 
 static void
@@ -755,32 +452,19 @@
     close(server->fd);
     DL_FOREACH_SAFE (server->connections, connection, next) {
         connection->depth++;
-        close_connection(connection);
-        release_connection(connection);
+        BbH1Connection_Close(connection);
+        BbH1Connection_Release(connection);
     }
     g_free(server);
 }
 
-static bool
-has_unsent_bytes(const bb_h1_connection_t *connection)
-{
-    const bb_h1_request_t *request;
-
-    DL_FOREACH (connection->requests, request) {
-        if (request->out->len > 0) {
-            return true;
-        }
-    }
-    return connection->out->len > connection->out_offset;
-}
-
 bool
 BbH1Server_IsFlushed(const bb_h1_server_t *server)
 {
     const bb_h1_connection_t *connection;
 
     DL_FOREACH (server->connections, connection) {
-        if (has_unsent_bytes(connection)) {
+        if (BbH1Connection_HasUnsentBytes(connection)) {
             return false;
         }
     }
