--- a/tests/scripted/soak.sh
+++ b/tests/scripted/soak.sh
@@ -6,4 +6,5 @@
 cd "$(dirname "$0")/../.." || exit 1
 . tests/scripted/lib/soak.bash
 
-run_soaks 10 "$(soak_seeds all) 1"
+start_soaks 10 "$(soak_seeds all) 1"
+finish_soaks
