Soak: a dropped history excuses no node for more than 6 s

The new bounds of the soak took a store that has dropped its history for one in disruption, so that its excuse could last as long as such faults repeat; the old check had none. Now the bound is 6 s then, as before, and 2 s otherwise.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -42,6 +42,8 @@
 const double kDrainBound = 3.0;
 // An undisturbed node serves a configuration this long after it was stored.
 const double kConvergeBound = 2.0;
+// The same after the store has dropped its history, which is no outage.
+const double kConvergeBoundWithoutHistory = 6.0;
 // A node that gets SIGTERM ends its calls within this time (shutdown_s).
 const double kShutdownLimit = 4.0;
 
@@ -607,8 +609,12 @@
         if (call->status != "404") {
             return;
         }
+        bool is_history_recent =
+            Now() - history_dropped_at_ <= kUndisturbedAfter;
+        double bound =
+            is_history_recent ? kConvergeBoundWithoutHistory : kConvergeBound;
         bool was_put_long_ago =
-            config_put_at_[call->marker] + kConvergeBound < call->sent_at;
+            config_put_at_[call->marker] + bound < call->sent_at;
         bool is_in_config = call->marker > version_ - 4;
         if (!is_in_config) {
             return;
@@ -622,7 +628,8 @@
         if (was_put_long_ago && IsUndisturbed(node) &&
             Now() - store_disturbed_at_ > kUndisturbedAfter) {
             AddViolation(node->name + " lacks version " +
-                         std::to_string(call->marker) + " after 2 s");
+                         std::to_string(call->marker) + " after " +
+                         std::to_string(static_cast<int>(bound)) + " s");
         }
     }
 
@@ -683,7 +690,7 @@
             store_.history_from = store_.version + 1;
             store_.version++;
             store_.lose_answers = 2;
-            store_disturbed_at_ = Now();
+            history_dropped_at_ = Now();
             store_.AnswerWaitingFeeds();
             break;
         case 7:
@@ -904,6 +911,7 @@
     ev_tstamp start_ = 0, next_fault_ = 0, next_connection_fault_ = 0;
     double next_announcement_ = 0, next_call_ = 1.5, next_probe_ = 2.5;
     double silent_until_ = 0, store_disturbed_at_ = 0;
+    double history_dropped_at_ = -kUndisturbedAfter;
     bool is_load_stopped_ = false;
     int next_id_ = 0;
     int version_ = 0, call_count_ = 0, probe_count_ = 0, served_ = 0;
