--- a/lib/mesh/bb_follower.h
+++ b/lib/mesh/bb_follower.h
@@ -70,9 +70,11 @@
  * last version; a full read that was interrupted starts again. */
 void BbFollower_Suspend(bb_follower_t *follower);
 void BbFollower_Resume(bb_follower_t *follower, double delay_s);
+
 /* Replaces a feed call that waits for changes by one that does not wait, on
  * another connection: the one in use may deliver nothing more. */
 void BbFollower_Check(bb_follower_t *follower);
+
 bool BbFollower_IsSuspended(const bb_follower_t *follower);
 
 /* Version up to which all changes were received; 0 before the first full
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -417,8 +417,7 @@
     EXPECT_TRUE(target.requests.empty());
 }
 
-// Guards against a final 404 for a route of a version that has not arrived:
-// callers do not retry after it (issue 28).
+// Guards against a final 404 for a route of a version that has not arrived.
 TEST_F(MeshIo, UnknownRoutesAreNotDeniedWhileANewerVersionIsKnown)
 {
     const char *request =
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -181,8 +181,7 @@
 
 } // namespace
 
-// Guards against a node that serves an old version until its feed call times
-// out, because all its connections to the store went silent (issue 28).
+// Guards against an old version in force until a silent feed call times out.
 TEST_F(RelayedStore, LearnsAChangeAfterItsConnectionsWentSilent)
 {
     FollowTheTable();
@@ -193,8 +192,7 @@
         loop.RunUntil([&] { return seen["a"] == "new"; }, kStableWindow));
 }
 
-// Guards against a node that lacks a version stored while the store was silent
-// for longer than it may after the store serves again (issue 28).
+// Guards against a version that arrives late after a silence of the store.
 TEST_F(RelayedStore, LearnsAChangeSoonAfterASilentStore)
 {
     FollowTheTable();
