Sidecar: log acknowledgements of leaves and the record found at a start

The logs do not tell whether the leave was in the node's record when it was acknowledged, nor what the next process found in it, so the hypotheses in docs/incidents/2026-12-05-forgotten-leave.md cannot be told apart.

Change: event leave (status, whether it is recorded, wait) and event own_record (state, source, time since the start). No change of logic.

--- a/programs/bbsidecar/sidecar_endpoints.c
+++ b/programs/bbsidecar/sidecar_endpoints.c
@@ -80,9 +80,29 @@
     BbH1Fields_Free(&fields);
 }
 
+static void
+log_leave(const sidecar_t *sidecar, int status)
+{
+    double now = BbClock_Now(sidecar->loop);
+
+    if (BbEvent_Allows(BB_EVENT_LEAVE)) {
+        BbEvent_Write(BB_EVENT_LEAVE,
+                      json_pack("{s:s, s:i, s:b, s:f}", "target",
+                                BbLocalTarget_Id(sidecar->target), "status",
+                                status, "is_recorded",
+                                BbRowWriter_IsDone(sidecar->record) &&
+                                    sidecar->shutdown_started_at <= 0,
+                                "waited_s",
+                                now - sidecar->target_departed_at));
+    }
+}
+
 static void
 respond_to_leaves(sidecar_t *sidecar, int status)
 {
+    if (sidecar->pending_leaves->len > 0) {
+        log_leave(sidecar, status);
+    }
     ev_timer_stop(sidecar->loop, &sidecar->ack_timer);
     while (sidecar->pending_leaves->len > 0) {
         bb_h1_request_t *request =
@@ -157,6 +177,9 @@
         defer_response(sidecar, request);
     }
     else {
+        if (status == 200 && sidecar->target_departed_at > 0) {
+            log_leave(sidecar, status);
+        }
         respond_to_announcement(request, status);
     }
 }
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -46,6 +46,7 @@
     int64_t peer_revision; /* of all node records received from other nodes */
     bool is_reader;        /* reads the store for the nodes that are not */
     bool has_records; /* the node table of the store was read completely */
+    bool is_own_record_logged;
     bb_h1_server_t *admin;
     bb_h1_server_t *metrics;
     bb_h1_server_t *announcements;
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -193,11 +193,38 @@
     }
 }
 
+/* Reports what an earlier process of this node has left in its record; record
+ * NULL means that there is none. Only the first record that this process
+ * learns of is reported, since it writes the later ones itself. */
+static void
+log_own_record(sidecar_t *sidecar, const bb_node_record_t *record,
+               const char *source)
+{
+    if (sidecar->is_own_record_logged) {
+        return;
+    }
+    sidecar->is_own_record_logged = true;
+    const char *state = record == NULL               ? "none"
+                        : record->is_target_departed ? "departed"
+                        : record->is_ready           ? "ready"
+                                                     : "not_ready";
+    if (BbEvent_Allows(BB_EVENT_OWN_RECORD)) {
+        BbEvent_Write(
+            BB_EVENT_OWN_RECORD,
+            json_pack("{s:s, s:s, s:s, s:f}", "record", state, "target",
+                      record != NULL ? record->target_id : "", "source",
+                      source, "after_s",
+                      BbClock_Now(sidecar->loop) - sidecar->started_at));
+    }
+}
+
 /* Restores the state of the target from the record of an earlier process of
  * this node. */
 static void
-restore_target(sidecar_t *sidecar, const bb_node_record_t *record)
+restore_target(sidecar_t *sidecar, const bb_node_record_t *record,
+               const char *source)
 {
+    log_own_record(sidecar, record, source);
     if (record->is_target_departed) {
         if (BbLocalTarget_RestoreDeparted(sidecar->target, record->target_id,
                                           record->target_born_ms)) {
@@ -216,16 +243,15 @@
 
     if (row->value != NULL &&
         BbNodeRecord_Parse(row->value, row->size, &record) == 0) {
-        restore_target(arg, &record);
+        restore_target(arg, &record, "store");
         BbNodeRecord_Clear(&record);
     }
 }
 
 static void
-apply_node(const char *node, const char *text, size_t size, int64_t revision,
-           void *arg)
+apply_node(sidecar_t *sidecar, const char *node, const char *text, size_t size,
+           int64_t revision, const char *source)
 {
-    sidecar_t *sidecar = arg;
     bb_node_record_t record;
     bool is_readable =
         text != NULL && BbNodeRecord_Parse(text, size, &record) == 0;
@@ -236,7 +262,7 @@
     if (strcmp(node, sidecar->settings->name) == 0) {
         BbRowWriter_Observe(sidecar->record, revision, text, size);
         if (is_readable) {
-            restore_target(sidecar, &record);
+            restore_target(sidecar, &record, source);
         }
     }
     if (BbFleet_Merge(sidecar->fleet, node, is_readable ? &record : NULL,
@@ -253,8 +279,15 @@
 static void
 handle_node_row(const bb_table_row_t *row, void *arg)
 {
-    apply_node(row->key, row->is_removed ? NULL : row->value, row->size,
-               row->version, arg);
+    apply_node(arg, row->key, row->is_removed ? NULL : row->value, row->size,
+               row->version, "store");
+}
+
+static void
+handle_peer_node(const char *node, const char *text, size_t size,
+                 int64_t revision, void *arg)
+{
+    apply_node(arg, node, text, size, revision, "node");
 }
 
 static void update_role(sidecar_t *sidecar);
@@ -266,6 +299,7 @@
 
     sidecar->has_records = true;
     if (!g_hash_table_contains(keys, sidecar->settings->name)) {
+        log_own_record(sidecar, NULL, "store");
         BbRowWriter_Observe(sidecar->record, version, NULL, 0);
     }
     BbFleet_KeepOnly(sidecar->fleet, keys, version);
@@ -526,7 +560,7 @@
         .data_centre = sidecar->settings->data_centre,
         .address = sidecar->settings->forward_address,
         .on_config = apply_config,
-        .on_node = apply_node,
+        .on_node = handle_peer_node,
         .on_revision = handle_peer_revision,
         .on_confirmed = handle_peer_confirmed,
         .on_readers_available = handle_readers_available,
