Row writer: remove the row when that is wanted during a write

Cause: the response to a write was read as that of the value wanted by then. A removal that was wanted while a write was in progress counted as done, so a node that got SIGTERM just after a change of its target left a record that says ready. In the other order the next write named a version that no longer existed and was refused once.

Change: the writer notes whether the write in progress removes the row.

Figures: PlatformStore.RemovesTheRowWhenThatIsWantedDuringAWrite failed before (row not removed; 5 calls instead of 3), passes; all PlatformStore tests pass.

--- a/lib/mesh/bb_row_writer.c
+++ b/lib/mesh/bb_row_writer.c
@@ -17,6 +17,7 @@
     char *stored;  /* value of the row at version; NULL if unknown */
     bool is_dirty; /* wanted is not yet acknowledged */
     bool is_set_during_write; /* wanted was set during a write */
+    bool is_removing;         /* the write in progress removes the row */
     int64_t version;
     void *pending;
     ev_timer retry_timer;
@@ -90,7 +91,7 @@
         return;
     }
     writer->backoff_s = 0;
-    writer->version = writer->wanted != NULL ? result->version : 0;
+    writer->version = writer->is_removing ? 0 : result->version;
     writer->is_dirty = writer->is_set_during_write;
     if (writer->is_set_during_write) {
         write_row(writer);
@@ -112,6 +113,7 @@
         return;
     }
     size_t size = writer->wanted != NULL ? strlen(writer->wanted) : 0;
+    writer->is_removing = writer->wanted == NULL;
     writer->pending =
         store->ops->write(store, writer->table, writer->key, writer->wanted,
                           size, writer->version, handle_written, writer);
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -246,6 +246,26 @@
     EXPECT_TRUE(fake_store.rows["t/own"].is_removed);
 }
 
+// Guards against the row of a node that ended: the removal was wanted while a
+// write was in progress, and was taken for done.
+TEST_F(PlatformStore, RemovesTheRowWhenThatIsWantedDuringAWrite)
+{
+    writer = BbRowWriter_New(&writer_options);
+    BbRowWriter_Set(writer, "one");
+    BbRowWriter_Set(writer, nullptr);
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    EXPECT_TRUE(fake_store.rows["t/own"].is_removed);
+    int before = fake_store.calls;
+    BbRowWriter_Set(writer, "two");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    BbRowWriter_Set(writer, nullptr);
+    BbRowWriter_Set(writer, "three");
+    ASSERT_TRUE(loop.RunUntil([&] { return BbRowWriter_IsDone(writer); }));
+    EXPECT_EQ(fake_store.rows["t/own"].value, "three");
+    EXPECT_FALSE(fake_store.rows["t/own"].is_removed);
+    EXPECT_EQ(fake_store.calls - before, 3); // no write was refused
+}
+
 // Guards against a process that overwrites the row of an earlier process
 // before it has read it, and against losing a value that is set while the row
 // is reported.
