Sidecar: keep the record of a departed target over an orderly restart

Cause: at SIGTERM the node removed its row, also when its target was draining or gone, and acknowledged later leaves without a record. Nothing told the next process that this incarnation had left. Evidence: 'leave' with is_recorded false, then 'own_record' 'none' 0.5 ms after the start of the next process, 0.5 s before the heartbeat. Ruled out: a record that is read too late, and a wrong order of heartbeats (there was no record at all).

Change: the row of a node whose target has departed stays at SIGTERM and says that the node is stopped. During a shutdown a leave is acknowledged only when it is recorded, and the process waits for that write within its shutdown time.

Why this works: whatever is acknowledged is in the row before the response, and the next process applies the row whether it reads it before or after the late heartbeat.

--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -30,6 +30,9 @@
     if (record->is_target_departed) {
         json_object_set_new(object, "left", json_true());
     }
+    if (record->is_stopped) {
+        json_object_set_new(object, "stopped", json_true());
+    }
     char *text = json_dumps(object, JSON_COMPACT);
     char *copy = g_strdup(text);
 
@@ -62,6 +65,7 @@
             json_is_true(json_object_get(object, "left"));
         out->target_born_ms =
             json_integer_value(json_object_get(object, "born_ms"));
+        out->is_stopped = json_is_true(json_object_get(object, "stopped"));
     }
     json_decref(object);
     return error == 0 ? 0 : BB_ERR_PARSE;
@@ -183,9 +187,35 @@
     BbNodeRecord_Clear(&endpoint->record);
     copy_record(&endpoint->record, record);
     endpoint->is_removed = false;
+    endpoint->is_stopped = false;
     add_to_service(fleet, endpoint);
 }
 
+/* Keeps the record of a stopped node for bb_sync_server and bb_reaper. */
+static void
+set_stopped(bb_fleet_t *fleet, bb_endpoint_t *endpoint,
+            const bb_node_record_t *record, double now)
+{
+    if (!endpoint->is_removed) {
+        remove_from_service(fleet, endpoint);
+    }
+    BbNodeRecord_Clear(&endpoint->record);
+    copy_record(&endpoint->record, record);
+    endpoint->is_removed = true;
+    endpoint->is_stopped = true;
+    endpoint->stopped_at = now;
+}
+
+static void
+remove_endpoint(bb_fleet_t *fleet, bb_endpoint_t *endpoint)
+{
+    if (!endpoint->is_removed) {
+        remove_from_service(fleet, endpoint);
+    }
+    endpoint->is_removed = true;
+    endpoint->is_stopped = false;
+}
+
 static bb_endpoint_t *
 add_endpoint(bb_fleet_t *fleet, const char *node)
 {
@@ -245,12 +275,14 @@
     if (endpoint->is_local) {
         return false; /* the own record is set by BbFleet_SetOwn() */
     }
-    if (record != NULL) {
-        set_record(fleet, endpoint, record, now);
+    if (record == NULL) {
+        remove_endpoint(fleet, endpoint);
     }
-    else if (!endpoint->is_removed) {
-        remove_from_service(fleet, endpoint);
-        endpoint->is_removed = true;
+    else if (record->is_stopped) {
+        set_stopped(fleet, endpoint, record, now);
+    }
+    else {
+        set_record(fleet, endpoint, record, now);
     }
     return true;
 }
@@ -264,11 +296,11 @@
     g_hash_table_iter_init(&iter, fleet->nodes);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         bb_endpoint_t *endpoint = value;
-        if (!endpoint->is_local && !endpoint->is_removed &&
+        bool has_record = !endpoint->is_removed || endpoint->is_stopped;
+        if (!endpoint->is_local && has_record &&
             endpoint->revision <= revision &&
             !g_hash_table_contains(nodes, key)) {
-            remove_from_service(fleet, endpoint);
-            endpoint->is_removed = true;
+            remove_endpoint(fleet, endpoint);
             endpoint->revision = revision;
         }
     }
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -12,7 +12,8 @@
  *
  * LIMITS
  *   An endpoint stays allocated while calls hold a reference, also after its
- *   removal.
+ *   removal. The record of a stopped node is kept, but the node counts as
+ *   removed: it gets no calls, queries or probes.
  */
 #ifndef BB_FLEET_H
 #define BB_FLEET_H
@@ -36,8 +37,10 @@
     bool is_target_departed; /* the target has announced that it leaves */
     int64_t target_born_ms;  /* wall clock at its start; 0 when not known */
     int slots;
-    bool is_ready; /* takes new calls */
-    int link_mbps; /* bandwidth of the VM's link */
+    bool is_ready;   /* takes new calls */
+    bool is_stopped; /* the node shuts down; the record only tells its next
+                        process that the target has departed */
+    int link_mbps;   /* bandwidth of the VM's link */
 } bb_node_record_t;
 
 /* A node as this node sees it; times are seconds. */
@@ -46,7 +49,9 @@
     char *node;
     bb_node_record_t record;
     int64_t revision; /* version of its row in the shared table */
-    bool is_removed;
+    bool is_removed;  /* without a record, or is_stopped */
+    bool is_stopped;  /* removed, but the table still has its record */
+    double stopped_at;
     bool is_local; /* this node itself */
     /* state of bb_placement */
     int in_flight; /* calls of this node there */
--- a/lib/mesh/bb_reaper.c
+++ b/lib/mesh/bb_reaper.c
@@ -51,11 +51,32 @@
     }
 }
 
+static bool
+is_removal_drawn(const search_t *search)
+{
+    return BbRandom_Unit(search->random) < search->removal_probability;
+}
+
+/* A stopped node needs no probe: if it runs again, it has replaced its record.
+ */
+static void
+check_stopped(search_t *search, bb_endpoint_t *endpoint)
+{
+    if (search->now - endpoint->stopped_at >= BB_REAPER_LOST_S &&
+        is_removal_drawn(search)) {
+        search->found = endpoint;
+    }
+}
+
 static void
 check_endpoint(bb_endpoint_t *endpoint, void *arg)
 {
     search_t *search = arg;
 
+    if (endpoint->is_stopped && search->found == NULL) {
+        check_stopped(search, endpoint);
+        return;
+    }
     if (search->found != NULL || endpoint->is_local || endpoint->is_removed ||
         !endpoint->is_unverified ||
         search->now - endpoint->unverified_since < BB_REAPER_LOST_S) {
@@ -66,8 +87,7 @@
         return;
     }
     endpoint->is_probe_requested = true;
-    if (endpoint->probe_failures >= MIN_FAILURES &&
-        BbRandom_Unit(search->random) < search->removal_probability &&
+    if (endpoint->probe_failures >= MIN_FAILURES && is_removal_drawn(search) &&
         is_data_centre_reachable(search->fleet, endpoint)) {
         search->found = endpoint;
     }
@@ -91,6 +111,7 @@
     if (search.found != NULL) {
         /* A refused removal is tried again after BB_REAPER_LOST_S. */
         search.found->unverified_since = now;
+        search.found->stopped_at = now;
     }
     return search.found;
 }
--- a/lib/mesh/bb_reaper.h
+++ b/lib/mesh/bb_reaper.h
@@ -8,6 +8,10 @@
  * centre removes nothing. A removal names the version that it removes; a node
  * that finds its own record removed writes it again.
  *
+ * A node that was stopped after its target had departed leaves a record that
+ * tells its next process of the departure. It is removed after the same time,
+ * when no heartbeat of the target can still be under way.
+ *
  * All nodes may remove records, each with a probability that falls with the
  * size of the fleet: all nodes together make about one call to the store
  * per second.
--- a/lib/mesh/bb_sync_server.c
+++ b/lib/mesh/bb_sync_server.c
@@ -37,7 +37,7 @@
     }
     json_t *entry = json_pack("{s:s, s:I}", "node", endpoint->node, "revision",
                               (json_int_t)endpoint->revision);
-    if (!endpoint->is_removed) {
+    if (!endpoint->is_removed || endpoint->is_stopped) {
         char *text = BbNodeRecord_Format(&endpoint->record);
         json_object_set_new(entry, "record", json_string(text));
         g_free(text);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -67,6 +67,15 @@
            BbClock_Now(sidecar->loop) - sidecar->started_at >= RECORD_WAIT_S;
 }
 
+/* A node that shuts down removes its record, unless its target has departed:
+ * the next process must know that, since heartbeats that the target sent
+ * before may arrive seconds late. */
+static bool
+is_record_wanted(const sidecar_t *sidecar)
+{
+    return sidecar->shutdown_started_at <= 0 || has_target_departed(sidecar);
+}
+
 void
 Sidecar_PublishRecord(sidecar_t *sidecar)
 {
@@ -80,11 +89,12 @@
         .target_born_ms = BbLocalTarget_BornMs(sidecar->target),
         .slots = BbLocalTarget_Slots(sidecar->target),
         .is_ready = accepts_calls(sidecar),
+        .is_stopped = sidecar->shutdown_started_at > 0,
         .link_mbps = (int)sidecar->settings->link_mbps,
     };
 
     BbFleet_SetOwn(sidecar->fleet, &record, BbClock_Now(sidecar->loop));
-    if (sidecar->shutdown_started_at > 0) {
+    if (!is_record_wanted(sidecar)) {
         BbRowWriter_Set(sidecar->record, NULL);
         return;
     }
@@ -217,8 +227,11 @@
     bool are_callers_gone =
         since_s >= REFUSE_AFTER_S ||
         now - BbCallIo_LastCallTime(sidecar->call_io) >= CALLERS_GONE_S;
+    bool is_recorded =
+        !has_target_departed(sidecar) || BbRowWriter_IsDone(sidecar->record);
     bool is_drained = open_calls(sidecar) == 0 && is_flushed(sidecar) &&
-                      since_s >= SHUTDOWN_MIN_S && are_callers_gone;
+                      is_recorded && since_s >= SHUTDOWN_MIN_S &&
+                      are_callers_gone;
 
     if (since_s >= REFUSE_AFTER_S) {
         BbCallIo_RefuseNewCalls(sidecar->call_io);
--- a/programs/bbsidecar/sidecar_endpoints.c
+++ b/programs/bbsidecar/sidecar_endpoints.c
@@ -86,14 +86,12 @@
     double now = BbClock_Now(sidecar->loop);
 
     if (BbEvent_Allows(BB_EVENT_LEAVE)) {
-        BbEvent_Write(BB_EVENT_LEAVE,
-                      json_pack("{s:s, s:i, s:b, s:f}", "target",
-                                BbLocalTarget_Id(sidecar->target), "status",
-                                status, "is_recorded",
-                                BbRowWriter_IsDone(sidecar->record) &&
-                                    sidecar->shutdown_started_at <= 0,
-                                "waited_s",
-                                now - sidecar->target_departed_at));
+        BbEvent_Write(
+            BB_EVENT_LEAVE,
+            json_pack("{s:s, s:i, s:b, s:f}", "target",
+                      BbLocalTarget_Id(sidecar->target), "status", status,
+                      "is_recorded", BbRowWriter_IsDone(sidecar->record),
+                      "waited_s", now - sidecar->target_departed_at));
     }
 }
 
@@ -124,8 +122,10 @@
     (void)events;
     sidecar_t *sidecar = timer->data;
     double since_s = BbClock_Now(loop) - sidecar->target_departed_at;
+    bool is_unrecorded_allowed =
+        sidecar->shutdown_started_at <= 0 && since_s >= UNRECORDED_LEAVE_S;
 
-    respond_to_leaves(sidecar, since_s >= UNRECORDED_LEAVE_S ? 200 : 503);
+    respond_to_leaves(sidecar, is_unrecorded_allowed ? 200 : 503);
 }
 
 /* An acknowledged leave is binding even if this process ends right after the
@@ -145,7 +145,6 @@
 must_wait_for_record(const sidecar_t *sidecar)
 {
     return sidecar->target_departed_at > 0 &&
-           sidecar->shutdown_started_at <= 0 &&
            !BbRowWriter_IsDone(sidecar->record);
 }
 
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -150,9 +150,10 @@
 static void
 log_node(const char *node, const bb_node_record_t *record, int64_t revision)
 {
-    const char *state = record == NULL     ? "removed"
-                        : record->is_ready ? "ready"
-                                           : "not_ready";
+    const char *state = record == NULL       ? "removed"
+                        : record->is_stopped ? "stopped"
+                        : record->is_ready   ? "ready"
+                                             : "not_ready";
 
     if (BbEvent_Allows(BB_EVENT_NODE)) {
         BbEvent_Write(BB_EVENT_NODE,
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -138,7 +138,9 @@
         record.service = const_cast<char *>("orders");
         record.target_id = const_cast<char *>(node);
         record.slots = slots;
-        record.is_ready = true;
+        record.is_ready = !adds_stopped;
+        record.is_target_departed = adds_stopped;
+        record.is_stopped = adds_stopped;
         record.link_mbps = mbps;
         BbFleet_Merge(fleet, node, &record, revision, 0);
         bb_endpoint_t *endpoint = BbFleet_Find(fleet, node);
@@ -177,6 +179,7 @@
     bb_fleet_t *fleet;
     bb_random_t *random;
     bool adds_unverified = false; // Add() leaves nodes unverified
+    bool adds_stopped = false;    // records of stopped nodes
     bool is_full = false;
     bool has_large_body = false;
 };
@@ -212,6 +215,34 @@
     EXPECT_EQ(BbFleet_NodeCount(f.fleet), 1u);
 }
 
+// Guards against calls, reads and budgets that count on a stopped node, whose
+// record remains for its next process, and against a node that stays out of
+// the fleet after that process has started.
+TEST(MeshFleet, StoppedNodesCountAsRemovedUntilTheyRunAgain)
+{
+    Fleet f;
+    bb_endpoint_t *live = f.Add("live", "a", 1);
+    f.Add("n1", "a", 2, 10, 1000);
+    f.adds_stopped = true;
+    bb_endpoint_t *stopped = f.Add("n1", "a", 3, 10, 1000);
+    EXPECT_EQ(f.Choose(0, 1.0, "c", {live}), nullptr);
+    EXPECT_EQ(BbFleet_NodeCount(f.fleet), 1u);
+    bb_readers_t *readers = BbReaders_New(f.fleet);
+    EXPECT_EQ(BbReaders_ListOthers(readers, "a")->len, 1u);
+    BbReaders_Free(readers);
+    EXPECT_TRUE(stopped->is_stopped);
+    EXPECT_TRUE(stopped->record.is_target_departed); // for queries of nodes
+    f.adds_stopped = false;
+    f.Add("n1", "a", 4);
+    EXPECT_FALSE(stopped->is_stopped);
+    EXPECT_EQ(f.Choose(0, 1.0, "c", {live}), stopped);
+    f.adds_stopped = true;
+    f.Add("n1", "a", 5);
+    BbFleet_Merge(f.fleet, "n1", nullptr, 6, 0);
+    EXPECT_FALSE(stopped->is_stopped);
+    EXPECT_EQ(BbFleet_NodeCount(f.fleet), 1u);
+}
+
 // Guards against records that change when they are formatted and parsed.
 TEST(MeshFleet, RecordsRoundTripAndRejectInvalidText)
 {
@@ -223,12 +254,18 @@
     record.slots = 18;
     record.is_ready = true;
     record.link_mbps = 5;
+    record.is_target_departed = true;
+    record.target_born_ms = 1000;
+    record.is_stopped = true;
     char *text = BbNodeRecord_Format(&record);
     bb_node_record_t read;
     ASSERT_EQ(BbNodeRecord_Parse(text, strlen(text), &read), 0);
     EXPECT_STREQ(read.address, "10.0.0.1:80");
     EXPECT_EQ(read.slots, 18);
     EXPECT_EQ(read.link_mbps, 5);
+    EXPECT_TRUE(read.is_target_departed);
+    EXPECT_EQ(read.target_born_ms, 1000);
+    EXPECT_TRUE(read.is_stopped);
     BbNodeRecord_Clear(&read);
     g_free(text);
     EXPECT_EQ(BbNodeRecord_Parse("{\"slots\":1}", 11, &read), BB_ERR_PARSE);
@@ -426,6 +463,24 @@
     }
 }
 
+// Guards against records of stopped nodes that are never removed, or before
+// late heartbeats of their targets can have arrived.
+TEST(MeshReaper, RemovesRecordsOfStoppedNodes)
+{
+    Fleet f;
+    f.adds_stopped = true;
+    bb_endpoint_t *stopped = f.Add("stopped", "a", 2);
+    bb_endpoint_t *found = nullptr;
+    double now = 0;
+    for (; found == nullptr && now < 300; now += 0.5) {
+        found = BbReaper_Next(f.fleet, f.random, now);
+        EXPECT_FALSE(stopped->is_probe_requested);
+    }
+    EXPECT_EQ(found, stopped);
+    EXPECT_GE(now, BB_REAPER_LOST_S);
+    EXPECT_LE(now, BB_REAPER_LOST_S + 60);
+}
+
 // Guards against a large fleet in which every node probes every other one.
 TEST(MeshReaper, ProbesOneMoreNodePerCheck)
 {
--- /dev/null
+++ b/tests/unit/sidecar_leave_test.cc
@@ -0,0 +1,118 @@
+// Leaves of targets across restarts of their node, with real processes.
+#include <gtest/gtest.h>
+
+#include "relay.h"
+#include "sidecar_process.h"
+
+using mesh_rig::FakeStore;
+using mesh_rig::Loop;
+using mesh_rig::Relay;
+using mesh_rig::SidecarProcess;
+
+namespace {
+
+const char kConfig[] =
+    "{\"version\":\"r1\",\"services\":[{\"name\":\"one\"}],\"limits\":{},"
+    "\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":[{\"name\":\"all\","
+    "\"prefix\":\"/\",\"kind\":\"safe\",\"timeout_s\":2,"
+    "\"target_latency_s\":0.5,\"priority\":1,\"service\":\"one\","
+    "\"max_attempts\":1}]}]}";
+
+struct SidecarLeave : testing::Test {
+    SidecarLeave()
+        : store(&loop), relay(&loop, store.address),
+          node(&loop, &store, relay.address)
+    {
+        store.Put("op", "config", kConfig);
+        EXPECT_TRUE(node.IsUp());
+    }
+    ~SidecarLeave()
+    {
+        if (HasFailure()) {
+            printf("%s", node.Log().c_str());
+        }
+    }
+    // The target announces itself and its node has recorded that.
+    bool BecomeReady()
+    {
+        return node.SendHeartbeat("i-1", 1) == "200" &&
+               loop.RunUntil([&] { return node.RecordHas("\"ready\":true"); });
+    }
+    bool Restart(int signal)
+    {
+        node.Signal(signal);
+        return StartAgain();
+    }
+    bool StartAgain()
+    {
+        bool has_ended = node.WaitForEnd();
+        node.Start();
+        return has_ended && node.IsUp();
+    }
+    // Whether a call of the VM is run by the target.
+    bool IsTargetCalled()
+    {
+        size_t before = node.target.requests.size();
+        node.Call("/x");
+        return node.target.requests.size() > before;
+    }
+    Loop loop;
+    FakeStore store;
+    Relay relay; // between the node and the store
+    SidecarProcess node;
+};
+
+} // namespace
+
+// Guards against calls to a target that has left while its node was stopped by
+// SIGTERM: a heartbeat from before the leave arrives at the next process.
+TEST_F(SidecarLeave, IsKnownAfterAnOrderlyRestart)
+{
+    ASSERT_TRUE(BecomeReady());
+    EXPECT_TRUE(IsTargetCalled());
+    node.Signal(SIGTERM);
+    loop.RunFor(0.3);
+    EXPECT_TRUE(node.LeaveAcknowledged("i-1"));
+    ASSERT_TRUE(StartAgain());
+    EXPECT_EQ(node.SendHeartbeat("i-1", 2), "200");
+    loop.RunFor(0.2);
+    EXPECT_FALSE(IsTargetCalled());
+    EXPECT_FALSE(node.RecordHas("\"ready\":true"));
+}
+
+// Guards against the same when the leave, or the drain, came before SIGTERM.
+TEST_F(SidecarLeave, IsKnownWhenItCameBeforeTheRestart)
+{
+    ASSERT_TRUE(BecomeReady());
+    EXPECT_EQ(node.SendHeartbeat("i-1", 3, "draining"), "200");
+    ASSERT_TRUE(Restart(SIGTERM));
+    EXPECT_EQ(node.SendHeartbeat("i-1", 2), "200");
+    loop.RunFor(0.2);
+    EXPECT_FALSE(IsTargetCalled());
+    // The next incarnation is not held back by the departed one.
+    EXPECT_EQ(node.SendHeartbeat("i-2", 1, "ready", 2000), "200");
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return node.RecordHas("\"ready\":true"); }));
+    EXPECT_TRUE(IsTargetCalled());
+}
+
+// Guards against records of nodes that are gone: without a departed target
+// SIGTERM removes the record.
+TEST_F(SidecarLeave, RecordIsRemovedAtSigtermWithoutADepartedTarget)
+{
+    ASSERT_TRUE(BecomeReady());
+    node.Signal(SIGTERM);
+    EXPECT_TRUE(node.WaitForEnd());
+    EXPECT_EQ(node.Record(), "");
+}
+
+// Guards against an acknowledgement during the shutdown that no other process
+// can know of: the store does not answer, so the leave cannot be recorded.
+TEST_F(SidecarLeave, IsNotAcknowledgedUnrecordedDuringAShutdown)
+{
+    ASSERT_TRUE(BecomeReady());
+    node.Signal(SIGTERM);
+    loop.RunFor(0.3);
+    relay.is_silent = true;
+    EXPECT_FALSE(node.LeaveAcknowledged("i-1", 4.0));
+}
