Record the leave of a target that the process has not heard of

Cause: a leave of an incarnation without an earlier heartbeat was remembered in memory only. The record could not tell it, because it names the start time of the target, which a leave does not bear.

Change: such a leave makes the state 'gone' when no target is known. The record has the time up to which incarnations with this id have departed, beside the start time of the target, so that a target with another id that started before the leave arrived is not held back.

Not covered: a leave of an unknown incarnation while another target is ready or leaving stays in memory; their start times order the heartbeats.

--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -30,6 +30,11 @@
     if (record->is_target_departed) {
         json_object_set_new(object, "left", json_true());
     }
+    if (record->is_target_departed &&
+        record->departed_born_ms != record->target_born_ms) {
+        json_object_set_new(object, "left_born_ms",
+                            json_integer(record->departed_born_ms));
+    }
     if (record->is_stopped) {
         json_object_set_new(object, "stopped", json_true());
     }
@@ -41,6 +46,18 @@
     return copy;
 }
 
+static void
+parse_departed_born(const json_t *object, bb_node_record_t *out)
+{
+    const json_t *born = json_object_get(object, "left_born_ms");
+
+    if (out->is_target_departed) {
+        out->departed_born_ms = json_is_integer(born)
+                                    ? json_integer_value(born)
+                                    : out->target_born_ms;
+    }
+}
+
 int
 BbNodeRecord_Parse(const char *text, size_t size, bb_node_record_t *out)
 {
@@ -65,6 +82,7 @@
             json_is_true(json_object_get(object, "left"));
         out->target_born_ms =
             json_integer_value(json_object_get(object, "born_ms"));
+        parse_departed_born(object, out);
         out->is_stopped = json_is_true(json_object_get(object, "stopped"));
     }
     json_decref(object);
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -36,6 +36,9 @@
     char *target_id; /* incarnation of the target; empty without target */
     bool is_target_departed; /* the target has announced that it leaves */
     int64_t target_born_ms;  /* wall clock at its start; 0 when not known */
+    /* Incarnations with target_id that were started up to then have departed:
+     * target_born_ms, or later if that is not known. 0 if none has. */
+    int64_t departed_born_ms;
     int slots;
     bool is_ready;   /* takes new calls */
     bool is_stopped; /* the node shuts down; the record only tells its next
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -109,13 +109,13 @@
 
 bool
 BbLocalTarget_RestoreDeparted(bb_local_target_t *target, const char *id,
-                              int64_t born_ms)
+                              int64_t born_ms, int64_t departed_born_ms)
 {
     bool is_first = target->id[0] == '\0';
     bool is_current =
-        strcmp(id, target->id) == 0 && born_ms == target->born_ms;
+        strcmp(id, target->id) == 0 && target->born_ms <= departed_born_ms;
 
-    add_departed(target, id, born_ms);
+    add_departed(target, id, departed_born_ms);
     if (is_first) {
         g_strlcpy(target->id, id, sizeof(target->id));
         target->born_ms = born_ms;
@@ -162,14 +162,16 @@
 BbLocalTarget_Leave(bb_local_target_t *target, const char *id)
 {
     bool is_current = strcmp(id, target->id) == 0;
+    bool is_state_changed = is_current || target->state == BB_LOCAL_UNKNOWN;
 
     /* An unknown incarnation cannot have started later than now. */
     add_departed(target, id,
                  is_current ? target->born_ms : g_get_real_time() / 1000);
-    if (is_current) {
+    if (is_state_changed) {
+        g_strlcpy(target->id, id, sizeof(target->id));
         target->state = BB_LOCAL_GONE;
     }
-    return is_current;
+    return is_state_changed;
 }
 
 void
@@ -199,6 +201,14 @@
     return target->born_ms;
 }
 
+int64_t
+BbLocalTarget_DepartedBornMs(const bb_local_target_t *target)
+{
+    const gint64 *born_ms = g_hash_table_lookup(target->departed, target->id);
+
+    return born_ms != NULL ? MAX(*born_ms, target->born_ms) : target->born_ms;
+}
+
 int
 BbLocalTarget_Slots(const bb_local_target_t *target)
 {
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -61,14 +61,17 @@
 bb_heartbeat_result_t BbLocalTarget_Heartbeat(bb_local_target_t *target,
                                               const bb_heartbeat_t *heartbeat);
 
-/* Marks an incarnation as departed. Returns true if it was the current one. */
+/* Marks an incarnation as departed. Returns true if the state changed: it was
+ * the current one, or no target was known. In the second case its start time
+ * is not known: BbLocalTarget_BornMs() is not changed. */
 bool BbLocalTarget_Leave(bb_local_target_t *target, const char *id);
 
 /* Restores the departure of an incarnation that an earlier process of this
- * node has acknowledged, so that late heartbeats of it are ignored. Returns
- * true if the state changed. */
+ * node has acknowledged, so that late heartbeats of it are ignored. born_ms
+ * and departed_born_ms are those of BbLocalTarget_BornMs() and
+ * BbLocalTarget_DepartedBornMs() then. Returns true if the state changed. */
 bool BbLocalTarget_RestoreDeparted(bb_local_target_t *target, const char *id,
-                                   int64_t born_ms);
+                                   int64_t born_ms, int64_t departed_born_ms);
 
 /* Restores the ready state that an earlier process of this node has recorded,
  * unless this process has already received a heartbeat. Returns true if the
@@ -87,6 +90,10 @@
 bb_local_state_t BbLocalTarget_State(const bb_local_target_t *target);
 const char *BbLocalTarget_Id(const bb_local_target_t *target);
 int64_t BbLocalTarget_BornMs(const bb_local_target_t *target);
+
+/* Latest start time of the incarnations with the current id that have
+ * departed; BbLocalTarget_BornMs() if none is known. */
+int64_t BbLocalTarget_DepartedBornMs(const bb_local_target_t *target);
 int BbLocalTarget_Slots(const bb_local_target_t *target);
 
 /* "unknown", "ready", "draining" or "gone". */
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -87,6 +87,7 @@
         .target_id = (char *)BbLocalTarget_Id(sidecar->target),
         .is_target_departed = has_target_departed(sidecar),
         .target_born_ms = BbLocalTarget_BornMs(sidecar->target),
+        .departed_born_ms = BbLocalTarget_DepartedBornMs(sidecar->target),
         .slots = BbLocalTarget_Slots(sidecar->target),
         .is_ready = accepts_calls(sidecar),
         .is_stopped = sidecar->shutdown_started_at > 0,
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -228,7 +228,8 @@
     log_own_record(sidecar, record, source);
     if (record->is_target_departed) {
         if (BbLocalTarget_RestoreDeparted(sidecar->target, record->target_id,
-                                          record->target_born_ms)) {
+                                          record->target_born_ms,
+                                          record->departed_born_ms)) {
             Sidecar_TargetChanged(sidecar, "recalled");
         }
     }
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -256,6 +256,7 @@
     record.link_mbps = 5;
     record.is_target_departed = true;
     record.target_born_ms = 1000;
+    record.departed_born_ms = 2000;
     record.is_stopped = true;
     char *text = BbNodeRecord_Format(&record);
     bb_node_record_t read;
@@ -265,6 +266,7 @@
     EXPECT_EQ(read.link_mbps, 5);
     EXPECT_TRUE(read.is_target_departed);
     EXPECT_EQ(read.target_born_ms, 1000);
+    EXPECT_EQ(read.departed_born_ms, 2000);
     EXPECT_TRUE(read.is_stopped);
     BbNodeRecord_Clear(&read);
     g_free(text);
@@ -768,19 +770,51 @@
             EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late),
                       BB_HEARTBEAT_CHANGED);
         }
-        EXPECT_TRUE(BbLocalTarget_RestoreDeparted(target, "i-1", 1000));
+        EXPECT_TRUE(BbLocalTarget_RestoreDeparted(target, "i-1", 1000, 1000));
         EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
         late.sequence++;
         EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_STALE);
-        EXPECT_FALSE(BbLocalTarget_RestoreDeparted(target, "i-1", 1000));
+        EXPECT_FALSE(BbLocalTarget_RestoreDeparted(target, "i-1", 1000, 1000));
         EXPECT_EQ(BbLocalTarget_Heartbeat(target, &next),
                   BB_HEARTBEAT_CHANGED);
-        EXPECT_FALSE(BbLocalTarget_RestoreDeparted(target, "i-1", 1000));
+        EXPECT_FALSE(BbLocalTarget_RestoreDeparted(target, "i-1", 1000, 1000));
         EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
         BbLocalTarget_Free(target);
     }
 }
 
+// Guards against a departure that is forgotten because the start time of the
+// target was not known when it left, and against a target that started before
+// the leave of another one arrived and is taken for departed.
+TEST(MeshLocalTarget, RestoresADepartureWithUnknownStartTime)
+{
+    bb_local_target_t *target = BbLocalTarget_New(&kTargetOptions);
+    int64_t now_ms = g_get_real_time() / 1000;
+    EXPECT_TRUE(BbLocalTarget_Leave(target, "i-1"));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
+    EXPECT_EQ(BbLocalTarget_BornMs(target), 0);
+    int64_t departed_ms = BbLocalTarget_DepartedBornMs(target);
+    EXPECT_GE(departed_ms, now_ms);
+    BbLocalTarget_Free(target);
+
+    bb_heartbeat_t late = Heartbeat("i-1", 4, now_ms - 100);
+    bb_heartbeat_t other = Heartbeat("i-2", 1, now_ms - 200);
+    bb_heartbeat_t same_id = Heartbeat("i-1", 1, departed_ms + 100);
+    target = BbLocalTarget_New(&kTargetOptions);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_CHANGED);
+    EXPECT_TRUE(BbLocalTarget_RestoreDeparted(target, "i-1", 0, departed_ms));
+    late.sequence++;
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_STALE);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &same_id), BB_HEARTBEAT_CHANGED);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&kTargetOptions);
+    EXPECT_TRUE(BbLocalTarget_RestoreDeparted(target, "i-1", 0, departed_ms));
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_STALE);
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &other), BB_HEARTBEAT_CHANGED);
+    BbLocalTarget_Free(target);
+}
+
 // Guards against a target that gets no calls from the restart of its node to
 // the next heartbeat, and against a restored state that is no longer true.
 TEST(MeshLocalTarget, RestoresAReadyTargetUntilAHeartbeat)
--- a/tests/unit/sidecar_leave_test.cc
+++ b/tests/unit/sidecar_leave_test.cc
@@ -96,6 +96,23 @@
     EXPECT_TRUE(IsTargetCalled());
 }
 
+// Guards against calls to a target whose leave was acknowledged by a process that
+// had not heard of it: the leave comes before any heartbeat, a kill follows, and
+// a heartbeat from before the leave arrives at the next process.
+TEST_F(SidecarLeave, IsKnownWhenItCameBeforeAnyHeartbeat)
+{
+    EXPECT_TRUE(node.LeaveAcknowledged("i-1"));
+    ASSERT_TRUE(Restart(SIGKILL));
+    EXPECT_EQ(node.SendHeartbeat("i-1", 2), "200");
+    loop.RunFor(0.2);
+    EXPECT_FALSE(IsTargetCalled());
+    // A target that started before the leave of the other one arrived.
+    EXPECT_EQ(node.SendHeartbeat("i-2", 1, "ready", 900), "200");
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return node.RecordHas("\"ready\":true"); }));
+    EXPECT_TRUE(IsTargetCalled());
+}
+
 // Guards against records of nodes that are gone: without a departed target
 // SIGTERM removes the record.
 TEST_F(SidecarLeave, RecordIsRemovedAtSigtermWithoutADepartedTarget)
