--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -91,8 +91,9 @@
 const char *BbLocalTarget_Id(const bb_local_target_t *target);
 int64_t BbLocalTarget_BornMs(const bb_local_target_t *target);
 
-/* Latest start time of the incarnations with the current id that have
- * departed; BbLocalTarget_BornMs() if none is known. */
+/* When the state is draining or gone: the latest start time of the
+ * incarnations with the current id that have departed. It is later than
+ * BbLocalTarget_BornMs() if the start time was not known at the leave. */
 int64_t BbLocalTarget_DepartedBornMs(const bb_local_target_t *target);
 int BbLocalTarget_Slots(const bb_local_target_t *target);
 
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -806,6 +806,10 @@
     late.sequence++;
     EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_STALE);
     EXPECT_EQ(BbLocalTarget_Heartbeat(target, &same_id), BB_HEARTBEAT_CHANGED);
+    same_id.sequence++;
+    same_id.is_draining = true;
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &same_id), BB_HEARTBEAT_CHANGED);
+    EXPECT_EQ(BbLocalTarget_DepartedBornMs(target), same_id.born_ms);
     BbLocalTarget_Free(target);
 
     target = BbLocalTarget_New(&kTargetOptions);
