Sidecar: no heartbeat makes a target ready before the record is known

Seen by targets: a node acknowledges a leave, records it, and is killed and started while the store is silent. A late heartbeat makes the target ready for as long as the store is away.

Cause: a heartbeat counted at once, although the new process did not know yet what its predecessor had acknowledged. The record corrected that only when it could be read.

Change: after a restart a ready heartbeat is kept until the record of this node is known, from the store or from another node; leaves and drains count at once. A record that cannot be read for 5 s is given up, and the next heartbeat counts: a live target goes on announcing itself, a departed one does not.

--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -14,8 +14,10 @@
     int64_t sequence;
     int slots;
     bb_local_state_t state;
-    bool is_restored;     /* ready only by the record of an earlier process */
-    GHashTable *departed; /* id to born_ms of the departed, as gint64 */
+    bool is_restored; /* ready only by the record of an earlier process */
+    bool waits_for_record;
+    bool is_ready_pending; /* ready by a heartbeat, once the record is known */
+    GHashTable *departed;  /* id to born_ms of the departed, as gint64 */
 };
 
 bb_local_target_t *
@@ -25,6 +27,7 @@
 
     target->address = g_strdup(options->address);
     target->service = g_strdup(options->service);
+    target->waits_for_record = options->waits_for_record;
     target->departed =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return target;
@@ -83,6 +86,12 @@
     bool is_draining = heartbeat->is_draining ||
                        (is_same && target->state == BB_LOCAL_DRAINING);
     bb_local_state_t state = is_draining ? BB_LOCAL_DRAINING : BB_LOCAL_READY;
+
+    target->is_ready_pending =
+        target->waits_for_record && state == BB_LOCAL_READY;
+    if (target->is_ready_pending) {
+        state = BB_LOCAL_UNKNOWN;
+    }
     bool is_changed = !is_same || state != target->state ||
                       heartbeat->slots != target->slots;
 
@@ -120,13 +129,36 @@
         g_strlcpy(target->id, id, sizeof(target->id));
         target->born_ms = born_ms;
     }
-    if (!is_first && (!is_current || target->state != BB_LOCAL_READY)) {
+    bool is_leaving =
+        target->state == BB_LOCAL_DRAINING || target->state == BB_LOCAL_GONE;
+    if (!is_first && (!is_current || is_leaving)) {
         return false;
     }
+    target->is_ready_pending = false;
     target->state = BB_LOCAL_GONE;
     return true;
 }
 
+bool
+BbLocalTarget_RecordKnown(bb_local_target_t *target)
+{
+    bool is_ready = target->is_ready_pending;
+
+    target->waits_for_record = false;
+    target->is_ready_pending = false;
+    if (is_ready) {
+        target->state = BB_LOCAL_READY;
+    }
+    return is_ready;
+}
+
+void
+BbLocalTarget_RecordMissing(bb_local_target_t *target)
+{
+    target->waits_for_record = false;
+    target->is_ready_pending = false;
+}
+
 bool
 BbLocalTarget_RestoreReady(bb_local_target_t *target, const char *id,
                            int64_t born_ms, int slots)
@@ -170,6 +202,7 @@
     if (is_state_changed) {
         g_strlcpy(target->id, id, sizeof(target->id));
         target->state = BB_LOCAL_GONE;
+        target->is_ready_pending = false;
     }
     return is_state_changed;
 }
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -6,7 +6,13 @@
  * with the latest start time; within an incarnation the sequence must grow. An
  * incarnation that has left stays gone, even if its heartbeats arrive late.
  *
+ * After a restart, a heartbeat may be one from before a leave that the earlier
+ * process has acknowledged. Until the record of that process is known, a
+ * heartbeat makes no target ready.
+ *
  * USE
+ *   With waits_for_record set, BbLocalTarget_RecordKnown() after the record
+ * was restored, or BbLocalTarget_RecordMissing() when it cannot be read.
  *   BbLocalTarget_Heartbeat(target, &heartbeat) and BbLocalTarget_Leave()
  *   return whether the state changed. Once either has returned, no call may
  *   start at a target that is draining or gone.
@@ -24,7 +30,7 @@
 #define BB_TARGET_ID_TEXT 200
 
 typedef enum {
-    BB_LOCAL_UNKNOWN, /* no valid heartbeat yet */
+    BB_LOCAL_UNKNOWN, /* no valid heartbeat yet, or none that counts */
     BB_LOCAL_READY,
     BB_LOCAL_DRAINING,
     BB_LOCAL_GONE, /* the incarnation has departed */
@@ -42,8 +48,9 @@
 } bb_heartbeat_t;
 
 typedef struct {
-    const char *address; /* of the target on this node's VM; copied */
-    const char *service; /* copied */
+    const char *address;   /* of the target on this node's VM; copied */
+    const char *service;   /* copied */
+    bool waits_for_record; /* an earlier process may have left a record */
 } bb_local_target_options_t;
 
 typedef struct bb_local_target bb_local_target_t;
@@ -73,6 +80,15 @@
 bool BbLocalTarget_RestoreDeparted(bb_local_target_t *target, const char *id,
                                    int64_t born_ms, int64_t departed_born_ms);
 
+/* Reports that the record of the earlier process is known and restored, or
+ * that there is none. The last heartbeat counts now. Returns true if the state
+ * changed. */
+bool BbLocalTarget_RecordKnown(bb_local_target_t *target);
+
+/* Reports that the record cannot be read. The last heartbeat is dropped and
+ * the next one counts. */
+void BbLocalTarget_RecordMissing(bb_local_target_t *target);
+
 /* Restores the ready state that an earlier process of this node has recorded,
  * unless this process has already received a heartbeat. Returns true if the
  * state changed. */
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -280,7 +280,9 @@
     const bb_repeat_budget_options_t budget = {
         .ratio = settings->repeat_ratio, .extra = settings->repeat_extra};
     const bb_local_target_options_t target = {
-        .address = settings->target_address, .service = settings->service};
+        .address = settings->target_address,
+        .service = settings->service,
+        .waits_for_record = !settings->is_first_start};
     const bb_target_io_options_t target_io = {
         .loop = sidecar->loop,
         .address = settings->target_address,
@@ -411,6 +413,7 @@
     ev_timer_stop(loop, &sidecar->role_timer);
     ev_timer_stop(loop, &sidecar->shutdown_timer);
     ev_timer_stop(loop, &sidecar->restored_timer);
+    ev_timer_stop(loop, &sidecar->record_timer);
     ev_timer_stop(loop, &sidecar->ack_timer);
     BbSyncClient_Free(sidecar->sync_client);
     BbProbe_Free(sidecar->probe);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -57,6 +57,7 @@
     ev_timer role_timer;
     ev_timer shutdown_timer;
     ev_timer restored_timer;
+    ev_timer record_timer; /* end of the wait for the record of this node */
     ev_timer ack_timer;
     GPtrArray *pending_leaves; /* answered once the record is written */
     double started_at;
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -31,6 +31,12 @@
  * arrives within that time. */
 #define RESTORED_READY_S 2.5
 
+/* A record that could not be read for this long after the start is given up:
+ * from then on heartbeats count without it. Longer than a heartbeat is late as
+ * a rule, and short enough that a live target is not idle through an outage of
+ * the store. */
+#define RECORD_MISSING_S 5.0
+
 /* When the whole fleet starts for the first time, reading the node records is
  * delayed until every node has had time to write its own. */
 #define FIRST_START_DELAY_S 2.2
@@ -219,6 +225,28 @@
     }
 }
 
+/* The record of an earlier process of this node, if there is one, is restored:
+ * heartbeats count from now on. */
+static void
+finish_restoring(sidecar_t *sidecar)
+{
+    ev_timer_stop(sidecar->loop, &sidecar->record_timer);
+    if (BbLocalTarget_RecordKnown(sidecar->target)) {
+        Sidecar_TargetChanged(sidecar, "heartbeat");
+    }
+}
+
+static void
+give_up_record(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    sidecar_t *sidecar = timer->data;
+
+    log_own_record(sidecar, NULL, "timeout");
+    BbLocalTarget_RecordMissing(sidecar->target);
+}
+
 /* Restores the state of the target from the record of an earlier process of
  * this node. */
 static void
@@ -236,6 +264,7 @@
     else if (record->is_ready) {
         restore_ready(sidecar, record);
     }
+    finish_restoring(sidecar);
 }
 
 static void
@@ -304,6 +333,7 @@
         log_own_record(sidecar, NULL, "store");
         BbRowWriter_Observe(sidecar->record, version, NULL, 0);
     }
+    finish_restoring(sidecar);
     BbFleet_KeepOnly(sidecar->fleet, keys, version);
     BbSyncServer_NotifyChange(sidecar->sync_server);
     Sidecar_PublishRecord(sidecar);
@@ -367,7 +397,12 @@
 handle_peer_revision(int64_t revision, void *arg)
 {
     sidecar_t *sidecar = arg;
+
     sidecar->peer_revision = MAX(sidecar->peer_revision, revision);
+    if (sidecar->peer_revision > 0) {
+        log_own_record(sidecar, NULL, "node");
+        finish_restoring(sidecar);
+    }
 }
 
 static void
@@ -610,6 +645,10 @@
     sidecar->record = BbRowWriter_New(&record);
     ev_init(&sidecar->restored_timer, expire_restored_state);
     sidecar->restored_timer.data = sidecar;
+    ev_timer_init(&sidecar->record_timer, give_up_record, RECORD_MISSING_S,
+                  0.0);
+    sidecar->record_timer.data = sidecar;
+    ev_timer_start(sidecar->loop, &sidecar->record_timer);
     bb_follower_options_t follower = {
         .loop = sidecar->loop,
         .store = sidecar->store,
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -276,7 +276,8 @@
         : target(target), slots_(slots), caller_address(FreeAddress()),
           forward_address(FreeAddress()), name(name), data_centre(data_centre)
     {
-        bb_local_target_options_t local = {target->address.c_str(), "orders"};
+        bb_local_target_options_t local = {target->address.c_str(), "orders",
+                                           false};
         local_target = BbLocalTarget_New(&local);
         bb_target_io_options_t target_options = {
             loop->loop, target->address.c_str(), "orders", &kHeaderNames,
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -693,7 +693,8 @@
 
 namespace {
 
-const bb_local_target_options_t kTargetOptions = {"10.0.0.1:80", "orders"};
+const bb_local_target_options_t kTargetOptions = {"10.0.0.1:80", "orders",
+                                                  false};
 
 bb_heartbeat_t
 Heartbeat(const char *id, int64_t sequence, int64_t born_ms,
@@ -757,7 +758,7 @@
 // node acknowledges the leave, restarts, and then gets an older heartbeat.
 TEST(MeshLocalTarget, RestoresAcknowledgedDepartures)
 {
-    bb_local_target_options_t options = {"10.0.0.1:80", "orders"};
+    bb_local_target_options_t options = {"10.0.0.1:80", "orders", false};
     bb_heartbeat_t late = {"i-1", "10.0.0.1:80", "orders", 9, false, 0,
                            7,     1000};
     bb_heartbeat_t next = late;
@@ -783,6 +784,46 @@
     }
 }
 
+// Guards against a late heartbeat that makes a departed target ready before
+// the record of the earlier process is known, and against a live target that
+// waits for a record that cannot be read.
+TEST(MeshLocalTarget, HeartbeatsWaitForTheRecord)
+{
+    bb_local_target_options_t options = kTargetOptions;
+    options.waits_for_record = true;
+    bb_heartbeat_t heartbeat = Heartbeat("i-1", 4, 100);
+    bb_local_target_t *target = BbLocalTarget_New(&options);
+    BbLocalTarget_Heartbeat(target, &heartbeat);
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_UNKNOWN);
+    EXPECT_TRUE(BbLocalTarget_RestoreDeparted(target, "i-1", 100, 100));
+    EXPECT_FALSE(BbLocalTarget_RecordKnown(target));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&options); // the record tells of no leave
+    BbLocalTarget_Heartbeat(target, &heartbeat);
+    EXPECT_TRUE(BbLocalTarget_RecordKnown(target));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&options); // a leave needs no record
+    BbLocalTarget_Heartbeat(target, &heartbeat);
+    EXPECT_TRUE(BbLocalTarget_Leave(target, "i-1"));
+    EXPECT_FALSE(BbLocalTarget_RecordKnown(target));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&options); // the record cannot be read
+    BbLocalTarget_Heartbeat(target, &heartbeat);
+    BbLocalTarget_RecordMissing(target);
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_UNKNOWN);
+    heartbeat.sequence++;
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &heartbeat),
+              BB_HEARTBEAT_CHANGED);
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_READY);
+    BbLocalTarget_Free(target);
+}
+
 // Guards against a departure that is forgotten because the start time of the
 // target was not known when it left, and against a target that started before
 // the leave of another one arrived and is taken for departed.
@@ -823,7 +864,7 @@
 // the next heartbeat, and against a restored state that is no longer true.
 TEST(MeshLocalTarget, RestoresAReadyTargetUntilAHeartbeat)
 {
-    const bb_local_target_options_t options = {"10.0.0.1:80", "orders"};
+    const bb_local_target_options_t options = {"10.0.0.1:80", "orders", false};
     bb_heartbeat_t heartbeat = {};
     heartbeat.id = "i-1";
     heartbeat.address = "10.0.0.1:80";
--- a/tests/unit/sidecar_leave_test.cc
+++ b/tests/unit/sidecar_leave_test.cc
@@ -56,6 +56,13 @@
         node.Call("/x");
         return node.target.requests.size() > before;
     }
+    // Whether the running process has logged this state of its target.
+    bool HasBecome(const std::string &state) const
+    {
+        std::string log = node.Log();
+        return log.find("\"state\":\"" + state + "\",\"slots\"",
+                        log.rfind("\"event\":\"start\"")) != std::string::npos;
+    }
     Loop loop;
     FakeStore store;
     Relay relay; // between the node and the store
@@ -96,9 +103,9 @@
     EXPECT_TRUE(IsTargetCalled());
 }
 
-// Guards against calls to a target whose leave was acknowledged by a process that
-// had not heard of it: the leave comes before any heartbeat, a kill follows, and
-// a heartbeat from before the leave arrives at the next process.
+// Guards against calls to a target whose leave was acknowledged by a process
+// that had not heard of it: the leave comes before any heartbeat, a kill
+// follows, and a heartbeat from before the leave arrives at the next process.
 TEST_F(SidecarLeave, IsKnownWhenItCameBeforeAnyHeartbeat)
 {
     EXPECT_TRUE(node.LeaveAcknowledged("i-1"));
@@ -113,6 +120,40 @@
     EXPECT_TRUE(IsTargetCalled());
 }
 
+// Guards against calls to a departed target while a restarted node cannot read
+// its record: the store is silent, and a late heartbeat arrives before it
+// returns.
+TEST_F(SidecarLeave, BindsBeforeTheRecordCanBeRead)
+{
+    ASSERT_TRUE(BecomeReady());
+    EXPECT_TRUE(node.LeaveAcknowledged("i-1"));
+    relay.is_silent = true;
+    ASSERT_TRUE(Restart(SIGKILL));
+    EXPECT_EQ(node.SendHeartbeat("i-1", 2), "200");
+    loop.RunFor(3.0);
+    EXPECT_FALSE(HasBecome("ready"));
+    relay.is_silent = false;
+    EXPECT_TRUE(loop.RunUntil([&] { return HasBecome("gone"); }));
+    EXPECT_FALSE(HasBecome("ready"));
+    EXPECT_FALSE(IsTargetCalled());
+}
+
+// Guards against a live target that gets no calls for as long as its restarted
+// node cannot read the store: its heartbeats go on.
+TEST_F(SidecarLeave, HeartbeatsCountWhenTheRecordStaysUnreadable)
+{
+    ASSERT_TRUE(BecomeReady());
+    relay.is_silent = true;
+    ASSERT_TRUE(Restart(SIGKILL));
+    int sequence = 2;
+    ev_tstamp end = ev_time() + 8.0;
+    while (!HasBecome("ready") && ev_time() < end) {
+        EXPECT_EQ(node.SendHeartbeat("i-1", sequence++), "200");
+        loop.RunFor(0.3);
+    }
+    EXPECT_TRUE(HasBecome("ready"));
+}
+
 // Guards against records of nodes that are gone: without a departed target
 // SIGTERM removes the record.
 TEST_F(SidecarLeave, RecordIsRemovedAtSigtermWithoutADepartedTarget)
