Sidecar: acknowledge a leave only when it is recorded

Cause: UNRECORDED_LEAVE_S preferred an acknowledgement to a record. A target without an acknowledgement ends all the same, some seconds later, and no call starts at it meanwhile, so nothing is gained for callers.

Change: 503 until the record is written.

Figures: SidecarLeave.IsNotAcknowledgedBeforeItIsRecorded failed before (acknowledged after 3 s), passes with all SidecarLeave tests.

--- a/programs/bbsidecar/sidecar_endpoints.c
+++ b/programs/bbsidecar/sidecar_endpoints.c
@@ -11,10 +11,6 @@
  * response. */
 #define ACK_WAIT_S 0.8
 
-/* When the target began to leave this long ago, its leave is acknowledged even
- * though the record is not written: the store is unreachable. */
-#define UNRECORDED_LEAVE_S 3.0
-
 /* ---- announcements from the target ---- */
 
 static void
@@ -115,17 +111,15 @@
     respond_to_leaves(sidecar, 200);
 }
 
-/* A target that gets 503 announces its leave again. */
+/* A target that gets 503 announces its leave again. While the store cannot be
+ * reached it gets no acknowledgement and ends without one; the leave binds this
+ * process all the same. */
 static void
 handle_ack_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
+    (void)loop;
     (void)events;
-    sidecar_t *sidecar = timer->data;
-    double since_s = BbClock_Now(loop) - sidecar->target_departed_at;
-    bool is_unrecorded_allowed =
-        sidecar->shutdown_started_at <= 0 && since_s >= UNRECORDED_LEAVE_S;
-
-    respond_to_leaves(sidecar, is_unrecorded_allowed ? 200 : 503);
+    respond_to_leaves(timer->data, 503);
 }
 
 /* An acknowledged leave is binding even if this process ends right after the
--- a/tests/unit/sidecar_leave_test.cc
+++ b/tests/unit/sidecar_leave_test.cc
@@ -164,6 +164,20 @@
     EXPECT_EQ(node.Record(), "");
 }
 
+// Guards against an acknowledgement that only this process knows of: the store is
+// silent for longer than the target repeats its leave, and a kill would make the
+// next process forget it.
+TEST_F(SidecarLeave, IsNotAcknowledgedBeforeItIsRecorded)
+{
+    ASSERT_TRUE(BecomeReady());
+    relay.is_silent = true;
+    EXPECT_FALSE(node.LeaveAcknowledged("i-1", 4.0));
+    EXPECT_FALSE(IsTargetCalled()); // it binds all the same
+    relay.is_silent = false;
+    EXPECT_TRUE(node.LeaveAcknowledged("i-1"));
+    EXPECT_TRUE(node.RecordHas("\"left\":true"));
+}
+
 // Guards against an acknowledgement during the shutdown that no other process
 // can know of: the store does not answer, so the leave cannot be recorded.
 TEST_F(SidecarLeave, IsNotAcknowledgedUnrecordedDuringAShutdown)
