--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -208,6 +208,26 @@
     }
 }
 
+// Guards against an old version for more than 3 s after a silence of the store
+// while a table is read whole, as after a dropped history: a read that began
+// just before the end of the silence, and the pause after it, must be over
+// then.
+TEST_F(RelayedStore, GivesUpAReadWithoutResponseInTimeForTheNext)
+{
+    const double longest_pause = 1.5 * BB_FOLLOWER_BACKOFF_MAX_S;
+    int error = 0;
+    relay.is_silent = true;
+    relayed->ops->read(
+        relayed, "t", nullptr,
+        [](const bb_table_result_t *result, void *arg) {
+            *static_cast<int *>(arg) = result->error;
+        },
+        &error);
+    EXPECT_TRUE(loop.RunUntil([&] { return error != 0; },
+                              kStableWindow - longest_pause));
+    EXPECT_EQ(error, BB_ERR_UNAVAILABLE);
+}
+
 // Guards against one store call for each of many changes in quick succession:
 // the follower pauses and reads them together.
 TEST_F(PlatformStore, ReadsChangesInQuickSuccessionTogether)
