Sync: nodes learn at once that no reader reaches the store

Change: a query may ask to be answered at once by a reader that does not reach the store. A node whose readers have all failed or said so reads the store itself, after a random delay that grows with the fleet (27 nodes: 0.02 s, 3,400: 2 s) instead of up to 2 s. Without such readers queries are held as before.

--- a/lib/mesh/bb_sync_client.c
+++ b/lib/mesh/bb_sync_client.c
@@ -165,8 +165,32 @@
     g_clear_pointer(&query->address, g_free);
 }
 
+/* Whether a reader that does not reach the store is to say so at once. Without
+ * such readers their queries are held, so that they tell when the store is
+ * back. A node without a version waits for the readers, which may have just
+ * started as well. */
+static bool
+expects_connected_readers(const bb_sync_client_t *client)
+{
+    return client->scope == BB_SYNC_READERS && client->are_readers_available &&
+           !has_no_version(client);
+}
+
 static void start_missing_queries(bb_sync_client_t *client);
 
+/* All readers were passed over, because they failed or reported that they do
+ * not reach the store. */
+static bool
+has_no_open_query(const bb_sync_client_t *client)
+{
+    for (int i = 0; i < BB_SYNC_SUBSCRIPTIONS; i++) {
+        if (client->queries[i].fetch != NULL) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 handle_response(query_t *query, const bb_h1_fetch_result_t *fetched)
 {
@@ -207,6 +231,9 @@
         close_query(query);
     }
     start_missing_queries(client);
+    if (expects_connected_readers(client) && has_no_open_query(client)) {
+        set_readers_available(client, false);
+    }
 }
 
 /* ---- queries ---- */
@@ -220,10 +247,10 @@
 
     g_snprintf(target, sizeof(target),
                BB_SYNC_PATH "?version=%" PRId64 "&revision=%" PRId64
-                            "&wait_ms=%d&from=%s",
+                            "&wait_ms=%d&connected=%d&from=%s",
                BbVersions_Newest(options->versions),
                options->revision(options->arg), (int)(wait_s * 1000),
-               client->address);
+               expects_connected_readers(client), client->address);
     query->address = g_strdup(address);
     const bb_h1_fetch_options_t fetch = {
         .loop = options->loop,
--- a/lib/mesh/bb_sync_client.h
+++ b/lib/mesh/bb_sync_client.h
@@ -5,8 +5,9 @@
  * other node keeps a long-polling query open at two readers, so that updates
  * are not delayed when one of them is killed, frozen or cut off. A reader that
  * fails, or that cannot reach the store, is passed over (gets no queries) for
- * up to two seconds. When no reader that reaches the store has answered for
- * 1.5 s, on_readers_available(false) tells the owner to read the store itself.
+ * up to two seconds. When all are passed over, or none that reaches the store
+ * has answered for 1.5 s, on_readers_available(false) tells the owner to read
+ * the store itself.
  * A node without a configuration version queries only one reader: the response
  * holds the whole version, and all nodes may have just started.
  *
--- a/lib/mesh/bb_sync_server.c
+++ b/lib/mesh/bb_sync_server.c
@@ -13,6 +13,7 @@
     bb_h1_request_t *request;
     int64_t version;
     int64_t revision;
+    bool must_be_connected; /* answered at once without the store */
     ev_timer timer;
     struct query *prev, *next;
 } query_t;
@@ -130,12 +131,13 @@
 }
 
 static bool
-has_update(const bb_sync_server_t *server, const query_t *query)
+is_answer_due(const bb_sync_server_t *server, const query_t *query)
 {
     const bb_sync_server_options_t *options = &server->options;
 
     return BbVersions_Newest(options->versions) > query->version ||
-           options->revision(options->arg) > query->revision;
+           options->revision(options->arg) > query->revision ||
+           (query->must_be_connected && !options->is_connected(options->arg));
 }
 
 void
@@ -148,10 +150,11 @@
         .request = request,
         .version = parse_query_number(target, "version="),
         .revision = parse_query_number(target, "revision="),
+        .must_be_connected = parse_query_number(target, "connected=") != 0,
     };
 
     report_newer_version(server, &parsed);
-    if (wait_s <= 0 || has_update(server, &parsed)) {
+    if (wait_s <= 0 || is_answer_due(server, &parsed)) {
         respond(server, request, parsed.version, parsed.revision);
         return;
     }
@@ -182,7 +185,7 @@
     query_t *query, *next;
 
     DL_FOREACH_SAFE (server->waiting, query, next) {
-        if (has_update(server, query)) {
+        if (is_answer_due(server, query)) {
             respond_to_query(query);
         }
     }
--- a/lib/mesh/bb_sync_server.h
+++ b/lib/mesh/bb_sync_server.h
@@ -2,10 +2,11 @@
  * bb_sync_server - sends the configuration and node records to other nodes
  *
  * Serves long-polling queries of the form
- * GET BB_SYNC_PATH?version=V&revision=R&wait_ms=W&from=ADDRESS: answers at
- * once when this node has a configuration newer than V or node records newer
- * than R, else as soon as it has, at the latest after W milliseconds (at most
- * 10 s). ADDRESS must come last. When the querying node has a newer version,
+ * GET BB_SYNC_PATH?version=V&revision=R&wait_ms=W&connected=C&from=ADDRESS:
+ * answers at once when this node has a configuration newer than V or node
+ * records newer than R, or if C is 1 when it does not reach the store, else as
+ * soon as that is so, at the latest after W milliseconds (at most 10 s).
+ * ADDRESS must come last. When the querying node has a newer version,
  * on_newer_version passes its address to the owner, which may query it in
  * turn; in this way a node that knows no others learns of them.
  *
@@ -65,8 +66,8 @@
 void BbSyncServer_DropQuery(bb_sync_server_t *server,
                             bb_h1_request_t *request);
 
-/* The configuration or the node records have changed: answers the waiting
- * queries for which there is an update. */
+/* The configuration, the node records or is_connected() have changed: answers
+ * the waiting queries that are due. */
 void BbSyncServer_NotifyChange(bb_sync_server_t *server);
 
 #ifdef __cplusplus
--- a/programs/bbsidecar/sidecar_endpoints.c
+++ b/programs/bbsidecar/sidecar_endpoints.c
@@ -112,8 +112,8 @@
 }
 
 /* A target that gets 503 announces its leave again. While the store cannot be
- * reached it gets no acknowledgement and ends without one; the leave binds this
- * process all the same. */
+ * reached it gets no acknowledgement and ends without one; the leave binds
+ * this process all the same. */
 static void
 handle_ack_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -23,8 +23,10 @@
 #define FALLBACK_BACKOFF_FIRST_S 2.0
 #define FALLBACK_BACKOFF_MAX_S 4.0
 
-/* Longest random delay before the first call of a fallback reader. */
-#define FALLBACK_DELAY_S 2.0
+/* Longest random delay before the first call of a fallback reader, and the
+ * rate of these calls of all nodes together, within the limit of the store. */
+#define FALLBACK_DELAY_MAX_S 2.0
+#define FALLBACK_CALLS_PER_S 1500.0
 
 /* When the record of an earlier process of this node says that the target is
  * ready, it is assumed ready for this long after the start. The next heartbeat
@@ -138,6 +140,7 @@
 
     if (!is_connected) {
         BbFollower_Check(sidecar->node_follower);
+        BbSyncServer_NotifyChange(sidecar->sync_server);
     }
     else if (!BbFollower_IsSuspended(sidecar->config_follower)) {
         BbFollower_Resume(sidecar->node_follower, 0.0);
@@ -437,9 +440,11 @@
         !sidecar->is_reader &&
         BbSyncClient_HasRecentResponses(sidecar->sync_client);
 
-    return are_readers_answering
-               ? FALLBACK_DELAY_S * BbRandom_Unit(sidecar->random)
-               : 0.0;
+    double nodes = (double)BbFleet_NodeCount(sidecar->fleet);
+    double longest_s = MIN(nodes / FALLBACK_CALLS_PER_S, FALLBACK_DELAY_MAX_S);
+
+    return are_readers_answering ? longest_s * BbRandom_Unit(sidecar->random)
+                                 : 0.0;
 }
 
 static void
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -553,7 +553,10 @@
             static_cast<SyncNode *>(arg)->announced_node = node;
         };
         options.on_revision = [](int64_t, void *) {};
-        options.on_readers_available = [](bool, void *) {};
+        options.on_readers_available = [](bool are_available, void *arg) {
+            static_cast<SyncNode *>(arg)->are_readers_available =
+                are_available;
+        };
         options.revision = [](void *) -> int64_t { return 0; };
         options.on_confirmed = [](int64_t version, double age_s, void *arg) {
             auto *node = static_cast<SyncNode *>(arg);
@@ -589,6 +592,7 @@
     int64_t revision = 1;
     int query_count = 0; // requests received from other nodes
     bool is_connected = false;
+    bool are_readers_available = true; // as told to the owner of the client
     double config_age_s = BB_FRESHNESS_UNKNOWN; // told to other nodes
     int64_t confirmed_version = 0;              // told by another node
     double confirmed_age_s = BB_FRESHNESS_UNKNOWN;
@@ -672,6 +676,43 @@
         2.0));
 }
 
+// Guards against a node without any disturbance that gets a version late
+// because the store fell silent for all readers: it must read the store itself
+// as soon as they know.
+TEST(MeshSync, NodesLearnAtOnceThatNoReaderReachesTheStore)
+{
+    Loop loop;
+    SyncNode asking(&loop, "asking"), one(&loop, "one"), two(&loop, "two");
+    for (SyncNode *reader : {&one, &two}) {
+        bb_node_record_t record = {};
+        record.address = const_cast<char *>(reader->address.c_str());
+        record.data_centre = const_cast<char *>(reader == &one ? "a" : "b");
+        record.service = const_cast<char *>("orders");
+        record.target_id = const_cast<char *>("i-1");
+        BbFleet_Merge(asking.fleet, reader->address.c_str(), &record, 5, 0);
+        reader->revision = 0;
+        reader->is_connected = true;
+    }
+    BbVersions_Add(asking.versions, 7, "the tables", 10);
+    BbSyncClient_SetScope(asking.client, BB_SYNC_READERS);
+    loop.RunFor(0.2);
+    one.is_connected = false;
+    BbSyncServer_NotifyChange(one.server);
+    loop.RunFor(0.2);
+    EXPECT_TRUE(asking.are_readers_available); // the other one is left
+    two.is_connected = false;
+    BbSyncServer_NotifyChange(two.server);
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return !asking.are_readers_available; }, 0.3));
+    // Without a reader that reaches the store, queries are held again.
+    int before = one.query_count + two.query_count;
+    loop.RunFor(3.0);
+    EXPECT_LE(one.query_count + two.query_count - before, 6);
+    one.is_connected = true;
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return asking.are_readers_available; }, 4.0));
+}
+
 // Guards against reachable nodes that stay marked as unverified, and against
 // probing a lost node without backoff.
 TEST(MeshProbe, TrustsReachableNodesAndBacksOffFromLostOnes)
