--- a/Makefile
+++ b/Makefile
@@ -73,7 +73,8 @@
 	@$(CXX) $(SAN) -o $@ $^ $(SIDECAR_LIBS)
 
 # Fault soak that runs real bbsidecar processes; see tests/soak/soak.cc.
-$(BUILD)/soak: $(BUILD)/tests/soak/soak.o $(LIB) $(BUILD)/bbsidecar
+SOAK_OBJ := $(patsubst %.cc,$(BUILD)/%.o,$(wildcard tests/soak/*.cc))
+$(BUILD)/soak: $(SOAK_OBJ) $(LIB) $(BUILD)/bbsidecar
 	@echo "  LINK $@"
 	@$(CXX) $(SAN) -o $@ $(filter %.o %.a,$^) -lgtest -lpthread $(PKG_LIBS)
 
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,215 @@
+// Randomized fault soak of bbsidecar: state of a run. See soak.cc for the use.
+#ifndef SOAK_H
+#define SOAK_H
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fake_store.h"
+#include "relay.h"
+
+namespace soak {
+
+using mesh_rig::Connection;
+using mesh_rig::FakeStore;
+using mesh_rig::FreeAddress;
+using mesh_rig::HeaderField;
+using mesh_rig::Loop;
+using mesh_rig::Relay;
+using mesh_rig::Status;
+
+// Bounds of the guarantees, in seconds.
+//
+// A target gets no more calls this long after its drain was acknowledged.
+const double kDrainBound = 3.0;
+// An undisturbed node serves a configuration this long after it was stored.
+const double kConvergeBound = 2.0;
+// The same after the store has dropped its history, which is no outage.
+const double kConvergeBoundWithoutHistory = 6.0;
+// A node that gets SIGTERM ends its calls within this time (shutdown_s).
+const double kShutdownLimit = 4.0;
+
+// A node and the store count as undisturbed this long after their last fault.
+const double kUndisturbedAfter = 3.0;
+
+// Makes the random source of connection faults differ from the main one.
+const unsigned kConnectionSeedOffset = 1000000;
+
+struct Options {
+    unsigned seed = 1;
+    double seconds = 20;
+    int nodes = 6;
+    std::string sidecar = "build/bbsidecar";
+    std::string log = "";
+    // Only new versions and faults of the connections to the store. Among all
+    // faults the store is hardly ever undisturbed for long enough to check
+    // when a version arrives.
+    bool has_only_connection_faults = false;
+};
+
+class Soak;
+
+// Target at a fixed address. Each replacement of its process has the next
+// generation.
+struct SoakTarget {
+    std::string address, service, announce_address;
+    int generation = 0;
+    int64_t sequence = 0;
+    bool is_draining = false;
+    double drain_acknowledged_at = 0; // 0: not acknowledged
+    double faulty_until = 0;
+    int fault = 0;
+    int listener = -1;
+    ev_io accept_io;
+    std::vector<std::unique_ptr<Connection>> connections;
+    Soak *soak = nullptr;
+    std::string Id() const
+    {
+        return "i-" + address.substr(address.find(':') + 1) + "-" +
+               std::to_string(generation);
+    }
+};
+
+struct SoakNode {
+    std::string name, data_centre, service;
+    std::string callers, forwarded, admin, announcements, settings;
+    SoakTarget target;
+    std::unique_ptr<Relay> store_relay; // its connections to the store
+    double store_silent_until = 0;
+    pid_t pid = -1;
+    double started_at = 0, disturbed_at = 0, paused_until = 0, sigterm_at = 0;
+    double restart_at = 0;
+    int newest_marker = 0; // highest marker route served by this process
+};
+
+struct Call {
+    std::string id, path;
+    bool is_unsafe; // must run at most once
+    SoakNode *node;
+    pid_t pid;
+    double sent_at;
+    std::unique_ptr<Connection> connection;
+    bool is_done = false;
+    bool is_probe = false; // of a marker route; not counted as a call
+    int marker = 0;
+    std::string status;
+};
+
+class Soak {
+  public:
+    explicit Soak(const Options &options);
+    ~Soak();
+    int Run();
+
+  private:
+    double Now() const;
+    int RandomBelow(int bound);
+    double RandomFraction();
+    static int RandomBelow(int bound, std::mt19937 *random);
+    static double RandomFraction(std::mt19937 *random);
+    void LogFault(const char *format, ...)
+        __attribute__((format(printf, 2, 3)));
+    void AddViolation(const std::string &text);
+
+    // ---- configuration ----
+    //
+    // Version N adds the marker route /mN/ and keeps those of the four
+    // versions before it, so that a probe of a marker shows which versions a
+    // node has.
+    void PutConfig();
+    static std::string FormatRule(const std::string &name,
+                                  const std::string &kind,
+                                  const std::string &service);
+
+    // ---- nodes ----
+    void AddNode(int index);
+    void WriteSettings(SoakNode *node);
+    void StartNode(SoakNode *node);
+    void SuperviseNode(SoakNode *node);
+
+    // ---- targets ----
+    static void OnAccept(struct ev_loop *, ev_io *io, int);
+    struct Work {
+        SoakTarget *target;
+        Connection *connection;
+        std::string id;
+        double done_at;
+        int fault;
+    };
+    void HandleRequest(SoakTarget *target, Connection *connection);
+    enum Fault {
+        kNone,
+        kShed,
+        kReset,
+        kTruncate,
+        kExtraResponse,
+        kSilent,
+        kStatus500,
+        kFaultCount
+    };
+    static std::string ResponseBody(const std::string &id);
+    void SendResponse(const Work &work);
+    void SendAnnouncement(SoakNode *node);
+
+    // ---- callers ----
+    void SendCall(SoakNode *node, const std::string &route, bool is_unsafe,
+                  int marker);
+    void CheckCall(Call *call);
+    // True if the process that the call was sent to got neither SIGKILL nor
+    // SIGSTOP.
+    bool WasOnlyTerminated(const Call *call) const;
+    bool IsUndisturbed(const SoakNode *node) const;
+    void CheckProbe(Call *call);
+
+    // ---- faults ----
+    SoakNode *RandomNode();
+    void InjectFault();
+    // Faults of the connections between nodes and the store. They have a
+    // random source of their own, so that a seed keeps its other faults.
+    void InjectConnectionFault();
+    // Starts a drain; the next generation starts 0.5 s after kDrainBound.
+    void DrainAndReplaceTarget(SoakNode *node);
+    void StartNextGeneration(SoakNode *node);
+
+    // ---- one step of the loop ----
+    bool Step();
+    // Sends each request whose connection is established, because connects do
+    // not block. A call whose connect fails or takes more than 1 s is dropped
+    // and not counted.
+    void SendPending();
+    void CheckAtEnd();
+
+    Options options_;
+    std::mt19937 random_, connection_random_;
+    Loop loop_;
+    FakeStore store_;
+    std::string work_dir_;
+    std::vector<std::unique_ptr<SoakNode>> nodes_;
+    std::vector<std::unique_ptr<Call>> calls_;
+    std::vector<std::pair<Call *, std::string>> pending_;
+    std::vector<std::unique_ptr<Connection>> announcement_connections_;
+    std::vector<Work> work_list_;
+    std::vector<std::pair<SoakNode *, double>> pending_replacements_;
+    std::map<std::string, int> run_counts_;
+    std::set<std::string> unsafe_ids_, refused_unsafe_ids_;
+    std::set<pid_t> killed_pids_, paused_pids_;
+    std::map<int, double> config_put_at_;
+    std::vector<std::string> violations_, fault_log_;
+    ev_tstamp start_ = 0, next_fault_ = 0, next_connection_fault_ = 0;
+    double next_announcement_ = 0, next_call_ = 1.5, next_probe_ = 2.5;
+    double silent_until_ = 0, store_disturbed_at_ = 0;
+    double history_dropped_at_ = -kUndisturbedAfter;
+    bool is_load_stopped_ = false;
+    int next_id_ = 0;
+    int version_ = 0, call_count_ = 0, probe_count_ = 0, served_ = 0;
+    int refused_ = 0, unknown_ = 0, faults_ = 0;
+};
+
+} // namespace soak
+
+#endif
