Soak: leaves of targets around restarts, with late heartbeats

Change: targets leave or drain within 2 s of a SIGTERM or SIGKILL of their node, stay for 5 to 9 s, and a heartbeat from before the leave arrives 0.3 to 3.5 s late.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -3,7 +3,7 @@
 // callers and targets observe.
 //
 // Use: soak [--seed N] [--seconds S] [--nodes N] [--sidecar PATH] [--log DIR]
-//          [--faults all|connections]
+//          [--faults all|connections|leaves]
 // Exit: 0 all guarantees held, 1 a guarantee was violated or fewer than half
 // of the calls were served, 2 wrong option.
 //
@@ -26,7 +26,8 @@
 
 Soak::Soak(const Options &options)
     : options_(options), random_(options.seed),
-      connection_random_(options.seed + kConnectionSeedOffset), store_(&loop_)
+      connection_random_(options.seed + kConnectionSeedOffset),
+      leave_random_(options.seed + kLeaveSeedOffset), store_(&loop_)
 {
     char path[] = "/tmp/bbsoak-XXXXXX";
     work_dir_ = mkdtemp(path);
@@ -55,6 +56,7 @@
     ev_tstamp end = start_ + options_.seconds;
     next_fault_ = start_ + 3.0;
     next_connection_fault_ = start_ + 3.0;
+    next_leave_ = start_ + 3.0;
     loop_.RunUntil([&] { return Step() || ev_time() >= end; },
                    options_.seconds + 5);
     is_load_stopped_ = true;
@@ -162,6 +164,7 @@
         pending_replacements_.erase(pending_replacements_.begin() +
                                     static_cast<long>(i));
     }
+    RunDueActions();
     if (now >= next_announcement_) {
         next_announcement_ = now + 0.5;
         for (auto &node : nodes_) {
@@ -186,7 +189,7 @@
     }
     if (!is_load_stopped_ && ev_time() >= next_fault_) {
         next_fault_ = ev_time() + 0.15 + 0.6 * RandomFraction();
-        if (options_.has_only_connection_faults) {
+        if (options_.faults != FaultSet::kAll) {
             next_fault_ += 1.5;
         }
         InjectFault();
@@ -196,6 +199,12 @@
             ev_time() + 1.0 + 6.0 * RandomFraction(&connection_random_);
         InjectConnectionFault();
     }
+    if (!is_load_stopped_ && ev_time() >= next_leave_) {
+        double scale = options_.faults == FaultSet::kLeaves ? 0.4 : 1.0;
+        double pause_s = 2.0 + 3.0 * RandomFraction(&leave_random_);
+        next_leave_ = ev_time() + scale * pause_s;
+        InjectLeave();
+    }
     for (auto &call : calls_) {
         if (!call->is_done) {
             CheckCall(call.get());
@@ -255,6 +264,22 @@
     }
 }
 
+// Returns false if there is no set of this name.
+static bool
+ParseFaults(const std::string &name, FaultSet *out)
+{
+    static const std::map<std::string, FaultSet> sets = {
+        {"all", FaultSet::kAll},
+        {"connections", FaultSet::kConnections},
+        {"leaves", FaultSet::kLeaves}};
+    auto found = sets.find(name);
+
+    if (found != sets.end()) {
+        *out = found->second;
+    }
+    return found != sets.end();
+}
+
 } // namespace soak
 
 int
@@ -276,8 +301,10 @@
             options.sidecar = argv[i + 1];
         }
         else if (key == "--faults") {
-            options.has_only_connection_faults =
-                strcmp(argv[i + 1], "connections") == 0;
+            if (!soak::ParseFaults(argv[i + 1], &options.faults)) {
+                fprintf(stderr, "soak: unknown faults %s\n", argv[i + 1]);
+                return 2;
+            }
         }
         else if (key == "--log") {
             options.log = argv[i + 1];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,6 +2,7 @@
 #ifndef SOAK_H
 #define SOAK_H
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -37,8 +38,20 @@
 // A node and the store count as undisturbed this long after their last fault.
 const double kUndisturbedAfter = 3.0;
 
-// Makes the random source of connection faults differ from the main one.
+// Make the random sources of connection faults and of leaves differ from the
+// main one.
 const unsigned kConnectionSeedOffset = 1000000;
+const unsigned kLeaveSeedOffset = 2000000;
+
+enum class FaultSet {
+    kAll,
+    // Only new versions and faults of the connections to the store. Among all
+    // faults the store is hardly ever undisturbed for long enough to check
+    // when a version arrives.
+    kConnections,
+    // These, and leaves of targets around restarts of their nodes.
+    kLeaves,
+};
 
 struct Options {
     unsigned seed = 1;
@@ -46,10 +59,7 @@
     int nodes = 6;
     std::string sidecar = "build/bbsidecar";
     std::string log = "";
-    // Only new versions and faults of the connections to the store. Among all
-    // faults the store is hardly ever undisturbed for long enough to check
-    // when a version arrives.
-    bool has_only_connection_faults = false;
+    FaultSet faults = FaultSet::kAll;
 };
 
 class Soak;
@@ -61,6 +71,7 @@
     int generation = 0;
     int64_t sequence = 0;
     bool is_draining = false;
+    bool has_left = false; // announced its leave, and sends no heartbeats
     double drain_acknowledged_at = 0; // 0: not acknowledged
     double faulty_until = 0;
     int fault = 0;
@@ -154,7 +165,12 @@
     };
     static std::string ResponseBody(const std::string &id);
     void SendResponse(const Work &work);
+    // Sends a heartbeat, or the leave until it is acknowledged.
     void SendAnnouncement(SoakNode *node);
+    static std::string FormatHeartbeat(const SoakTarget &target,
+                                       const std::string &state);
+    void Announce(SoakNode *node, const std::string &method,
+                  const std::string &body, bool is_leaving);
 
     // ---- callers ----
     void SendCall(SoakNode *node, const std::string &route, bool is_unsafe,
@@ -172,6 +188,17 @@
     // Faults of the connections between nodes and the store. They have a
     // random source of their own, so that a seed keeps its other faults.
     void InjectConnectionFault();
+    static bool IsUp(const SoakNode *node);
+    void KillNode(SoakNode *node);
+    void TerminateNode(SoakNode *node);
+    // A target leaves around a restart of its node, stays for seconds, and a
+    // heartbeat from before the leave arrives late. Leaves have a random
+    // source of their own, as connection faults have.
+    void InjectLeave();
+    void BeginLeave(SoakNode *node, bool is_drain, double late_s,
+                    double stay_s);
+    void RunLater(double delay_s, std::function<void()> action);
+    void RunDueActions();
     // Starts a drain; the next generation starts 0.5 s after kDrainBound.
     void DrainAndReplaceTarget(SoakNode *node);
     void StartNextGeneration(SoakNode *node);
@@ -185,7 +212,7 @@
     void CheckAtEnd();
 
     Options options_;
-    std::mt19937 random_, connection_random_;
+    std::mt19937 random_, connection_random_, leave_random_;
     Loop loop_;
     FakeStore store_;
     std::string work_dir_;
@@ -195,12 +222,14 @@
     std::vector<std::unique_ptr<Connection>> announcement_connections_;
     std::vector<Work> work_list_;
     std::vector<std::pair<SoakNode *, double>> pending_replacements_;
+    std::vector<std::pair<double, std::function<void()>>> actions_; // by time
     std::map<std::string, int> run_counts_;
     std::set<std::string> unsafe_ids_, refused_unsafe_ids_;
     std::set<pid_t> killed_pids_, paused_pids_;
     std::map<int, double> config_put_at_;
     std::vector<std::string> violations_, fault_log_;
     ev_tstamp start_ = 0, next_fault_ = 0, next_connection_fault_ = 0;
+    ev_tstamp next_leave_ = 0;
     double next_announcement_ = 0, next_call_ = 1.5, next_probe_ = 2.5;
     double silent_until_ = 0, store_disturbed_at_ = 0;
     double history_dropped_at_ = -kUndisturbedAfter;
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -13,34 +13,53 @@
     return nodes_[static_cast<size_t>(RandomBelow(options_.nodes))].get();
 }
 
+bool
+Soak::IsUp(const SoakNode *node)
+{
+    return node->pid > 0 && node->paused_until <= 0 && node->sigterm_at <= 0;
+}
+
+void
+Soak::KillNode(SoakNode *node)
+{
+    if (!IsUp(node)) {
+        return;
+    }
+    LogFault("SIGKILL %s", node->name.c_str());
+    killed_pids_.insert(node->pid);
+    node->restart_at = Now() + 0.3;
+    kill(node->pid, SIGKILL);
+}
+
+void
+Soak::TerminateNode(SoakNode *node)
+{
+    if (!IsUp(node)) {
+        return;
+    }
+    LogFault("SIGTERM %s", node->name.c_str());
+    node->sigterm_at = Now();
+    kill(node->pid, SIGTERM);
+}
+
 void
 Soak::InjectFault()
 {
-    if (options_.has_only_connection_faults) {
+    if (options_.faults != FaultSet::kAll) {
         PutConfig();
         LogFault("new configuration version %d", version_);
         return;
     }
     SoakNode *node = RandomNode();
-    bool is_up =
-        node->pid > 0 && node->paused_until <= 0 && node->sigterm_at <= 0;
+    bool is_up = IsUp(node);
     faults_++;
     switch (RandomBelow(12)) {
     case 0:
-        if (is_up) {
-            LogFault("SIGKILL %s", node->name.c_str());
-            killed_pids_.insert(node->pid);
-            node->restart_at = Now() + 0.3;
-            kill(node->pid, SIGKILL);
-        }
+        KillNode(node);
         break;
     case 1:
     case 2:
-        if (is_up) {
-            LogFault("SIGTERM %s", node->name.c_str());
-            node->sigterm_at = Now();
-            kill(node->pid, SIGTERM);
-        }
+        TerminateNode(node);
         break;
     case 3:
         if (is_up) {
@@ -120,11 +139,81 @@
     }
 }
 
+void
+Soak::RunLater(double delay_s, std::function<void()> action)
+{
+    actions_.push_back({Now() + delay_s, std::move(action)});
+}
+
+void
+Soak::RunDueActions()
+{
+    for (size_t i = 0; i < actions_.size();) {
+        if (actions_[i].first > Now()) {
+            i++;
+            continue;
+        }
+        std::function<void()> action = std::move(actions_[i].second);
+        actions_.erase(actions_.begin() + static_cast<long>(i));
+        action();
+    }
+}
+
+void
+Soak::InjectLeave()
+{
+    auto index =
+        static_cast<size_t>(RandomBelow(options_.nodes, &leave_random_));
+    SoakNode *node = nodes_[index].get();
+    bool is_kill = RandomBelow(3, &leave_random_) == 0;
+    bool is_drain = RandomBelow(3, &leave_random_) == 0;
+    double signal_s = 2.0 * RandomFraction(&leave_random_);
+    double leave_s = 2.0 * RandomFraction(&leave_random_);
+    double late_s = 0.3 + 3.2 * RandomFraction(&leave_random_);
+    double stay_s = kDrainBound + 2.0 + 4.0 * RandomFraction(&leave_random_);
+    bool is_leaving = node->target.is_draining || node->target.has_left;
+
+    if (options_.faults == FaultSet::kConnections || is_leaving) {
+        return;
+    }
+    faults_++;
+    RunLater(signal_s, [this, node, is_kill] {
+        is_kill ? KillNode(node) : TerminateNode(node);
+    });
+    RunLater(leave_s, [this, node, is_drain, late_s, stay_s] {
+        BeginLeave(node, is_drain, late_s, stay_s);
+    });
+}
+
+void
+Soak::BeginLeave(SoakNode *node, bool is_drain, double late_s, double stay_s)
+{
+    SoakTarget &target = node->target;
+
+    if (target.is_draining || target.has_left) {
+        return;
+    }
+    LogFault("%s %s, a heartbeat arrives %.1f s late",
+             is_drain ? "drain" : "leave", target.Id().c_str(), late_s);
+    target.sequence++;
+    std::string late = FormatHeartbeat(target, "ready");
+    int generation = target.generation;
+    RunLater(late_s, [this, node, late, generation] {
+        if (node->target.generation == generation) {
+            Announce(node, "PUT", late, false);
+        }
+    });
+    target.is_draining = is_drain;
+    target.has_left = !is_drain;
+    SendAnnouncement(node);
+    pending_replacements_.push_back({node, Now() + stay_s});
+}
+
 void
 Soak::DrainAndReplaceTarget(SoakNode *node)
 {
     SoakTarget &target = node->target;
-    if (target.is_draining) {
+    if (target.is_draining || target.has_left) {
         return;
     }
     LogFault("drain %s", target.Id().c_str());
@@ -140,6 +229,7 @@
     target.generation++;
     target.sequence = 0;
     target.is_draining = false;
+    target.has_left = false;
     target.drain_acknowledged_at = 0;
     SendAnnouncement(node);
 }
--- a/tests/soak/soak_targets.cc
+++ b/tests/soak/soak_targets.cc
@@ -105,32 +105,34 @@
     }
 }
 
+std::string
+Soak::FormatHeartbeat(const SoakTarget &target, const std::string &state)
+{
+    return "{\"service\":\"" + target.service + "\",\"address\":\"" +
+           target.address +
+           "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"" +
+           state + "\",\"cold_left_s\":0,\"sequence\":" +
+           std::to_string(target.sequence) +
+           ",\"born\":" + std::to_string(1000 + target.generation) + "}";
+}
+
 void
-Soak::SendAnnouncement(SoakNode *node)
+Soak::Announce(SoakNode *node, const std::string &method,
+               const std::string &body, bool is_leaving)
 {
     SoakTarget &target = node->target;
-    target.sequence++;
-    std::string body = "{\"service\":\"" + target.service +
-                       "\",\"address\":\"" + target.address +
-                       "\",\"zone\":\"a\",\"version\":\"v1\","
-                       "\"slots\":8,\"state\":\"" +
-                       (target.is_draining ? "draining" : "ready") +
-                       "\",\"cold_left_s\":0,\"sequence\":" +
-                       std::to_string(target.sequence) + ",\"born\":" +
-                       std::to_string(1000 + target.generation) + "}";
     auto connection = std::make_unique<Connection>(
         &loop_, BbH1_Connect(target.announce_address.c_str()));
-    bool is_draining = target.is_draining;
     int generation = target.generation;
-    connection->on_bytes = [this, node, is_draining,
+    connection->on_bytes = [this, node, is_leaving,
                             generation](Connection *w) {
         SoakTarget &t = node->target;
-        if (is_draining && generation == t.generation &&
+        if (is_leaving && generation == t.generation &&
             t.drain_acknowledged_at <= 0 && Status(w->received) == "200") {
             t.drain_acknowledged_at = Now();
         }
     };
-    connection->Send("PUT /v1/instances/" + target.Id() +
+    connection->Send(method + " /v1/instances/" + target.Id() +
                      " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
                      std::to_string(body.size()) + "\r\n\r\n" + body);
     announcement_connections_.push_back(std::move(connection));
@@ -141,4 +143,20 @@
     }
 }
 
+void
+Soak::SendAnnouncement(SoakNode *node)
+{
+    SoakTarget &target = node->target;
+
+    if (!target.has_left) {
+        target.sequence++;
+        std::string state = target.is_draining ? "draining" : "ready";
+        Announce(node, "PUT", FormatHeartbeat(target, state),
+                 target.is_draining);
+    }
+    else if (target.drain_acknowledged_at <= 0) {
+        Announce(node, "DELETE", "", true);
+    }
+}
+
 } // namespace soak
