Tests: a different port at each call of FreeAddress

A soak of 80 nodes aborted: a process had 200 ports, and got the same ones again before its nodes had bound them. It goes on with further ranges now.

--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -29,26 +29,29 @@
 const bb_header_names_t kHeaderNames = {"Call-Id", "Left-Ms", "Want-Target",
                                         "Caller",  "Seal",    "Not-Run"};
 
-// Returns a loopback address with a free port. Each process uses a port range
-// of its own, below the ephemeral ports, so that neither outgoing connections
-// nor tests that run at the same time take the port before it is bound.
+// Returns a loopback address with a free port, a different one at each call.
+// Each process uses a port range of its own, below the ephemeral ports, so
+// that neither outgoing connections nor tests that run at the same time take
+// the port before it is bound. A process that needs more goes on with ranges
+// that are not those of the processes started next to it.
 inline std::string
 FreeAddress()
 {
-    const int first = 10000, per_process = 200, ranges = 100;
+    const int first = 10000, per_range = 200, ranges = 100, range_step = 37;
     static int next = 0;
 
-    for (int i = 0; i < per_process; i++) {
-        int port =
-            first + getpid() % ranges * per_process + next++ % per_process;
+    while (next < per_range * ranges) {
+        int range = (getpid() + next / per_range * range_step) % ranges;
+        int port = first + range * per_range + next % per_range;
         std::string address = "127.0.0.1:" + std::to_string(port);
         int fd = BbH1_Listen(address.c_str());
+        next++;
         if (fd >= 0) {
             close(fd);
             return address;
         }
     }
-    ADD_FAILURE() << "found no free port in the port range of this process";
+    ADD_FAILURE() << "found no free port";
     return "";
 }
 
