--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -189,6 +189,18 @@
     g_clear_pointer(&endpoint->full_until, g_hash_table_destroy);
 }
 
+/* Leaves the endpoint without an entry in the lists of services. */
+static void
+replace_record(bb_fleet_t *fleet, bb_endpoint_t *endpoint,
+               const bb_node_record_t *record)
+{
+    if (!endpoint->is_removed) {
+        remove_from_service(fleet, endpoint);
+    }
+    BbNodeRecord_Clear(&endpoint->record);
+    copy_record(&endpoint->record, record);
+}
+
 static void
 set_record(bb_fleet_t *fleet, bb_endpoint_t *endpoint,
            const bb_node_record_t *record, double now)
@@ -199,11 +211,7 @@
     if (is_new) {
         reset_observations(endpoint, now);
     }
-    if (!endpoint->is_removed) {
-        remove_from_service(fleet, endpoint);
-    }
-    BbNodeRecord_Clear(&endpoint->record);
-    copy_record(&endpoint->record, record);
+    replace_record(fleet, endpoint, record);
     endpoint->is_removed = false;
     endpoint->is_stopped = false;
     add_to_service(fleet, endpoint);
@@ -214,11 +222,7 @@
 set_stopped(bb_fleet_t *fleet, bb_endpoint_t *endpoint,
             const bb_node_record_t *record, double now)
 {
-    if (!endpoint->is_removed) {
-        remove_from_service(fleet, endpoint);
-    }
-    BbNodeRecord_Clear(&endpoint->record);
-    copy_record(&endpoint->record, record);
+    replace_record(fleet, endpoint, record);
     endpoint->is_removed = true;
     endpoint->is_stopped = true;
     endpoint->stopped_at = now;
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -31,86 +31,12 @@
 #define SHUTDOWN_MARGIN_S 0.3
 #define FINAL_RESPONSES_S 0.1
 
-/* This long after the start the record of this node is written in any case. */
-#define RECORD_WAIT_S 2.5
-
-/* ---- record of this node ---- */
-
-static bool
-accepts_calls(const sidecar_t *sidecar)
-{
-    return BbLocalTarget_State(sidecar->target) == BB_LOCAL_READY &&
-           sidecar->shutdown_started_at <= 0;
-}
-
-static bool
-has_target_departed(const sidecar_t *sidecar)
-{
-    bb_local_state_t state = BbLocalTarget_State(sidecar->target);
-
-    return state == BB_LOCAL_DRAINING || state == BB_LOCAL_GONE;
-}
-
-/* A record written before the first heartbeat of the target, or before the
- * record of an earlier process of this node was read, would soon have to be
- * written again. */
-static bool
-is_record_due(const sidecar_t *sidecar)
-{
-    bool is_target_known =
-        BbLocalTarget_State(sidecar->target) != BB_LOCAL_UNKNOWN;
-    bool is_table_known =
-        sidecar->has_records || sidecar->settings->is_first_start;
-
-    return has_target_departed(sidecar) ||
-           (is_target_known && is_table_known) ||
-           BbClock_Now(sidecar->loop) - sidecar->started_at >= RECORD_WAIT_S;
-}
-
-/* A node that shuts down removes its record, unless its target has departed:
- * the next process must know that, since heartbeats that the target sent
- * before may arrive seconds late. */
-static bool
-is_record_wanted(const sidecar_t *sidecar)
-{
-    return sidecar->shutdown_started_at <= 0 || has_target_departed(sidecar);
-}
-
-void
-Sidecar_PublishRecord(sidecar_t *sidecar)
-{
-    const bb_sidecar_settings_t *settings = sidecar->settings;
-    const bb_node_record_t record = {
-        .address = settings->forward_address,
-        .data_centre = settings->data_centre,
-        .service = settings->service,
-        .target_id = (char *)BbLocalTarget_Id(sidecar->target),
-        .is_target_departed = has_target_departed(sidecar),
-        .target_born_ms = BbLocalTarget_BornMs(sidecar->target),
-        .departed_born_ms = BbLocalTarget_DepartedBornMs(sidecar->target),
-        .slots = BbLocalTarget_Slots(sidecar->target),
-        .is_ready = accepts_calls(sidecar),
-        .is_stopped = sidecar->shutdown_started_at > 0,
-        .link_mbps = (int)sidecar->settings->link_mbps,
-    };
-
-    BbFleet_SetOwn(sidecar->fleet, &record, BbClock_Now(sidecar->loop));
-    if (!is_record_wanted(sidecar)) {
-        BbRowWriter_Set(sidecar->record, NULL);
-        return;
-    }
-    if (!is_record_due(sidecar)) {
-        return;
-    }
-    char *text = BbNodeRecord_Format(&record);
-    BbRowWriter_Set(sidecar->record, text);
-    g_free(text);
-}
+/* ---- state of the target ---- */
 
 void
 Sidecar_TargetChanged(sidecar_t *sidecar, const char *reason)
 {
-    if (!has_target_departed(sidecar)) {
+    if (!Sidecar_HasTargetDeparted(sidecar)) {
         sidecar->target_departed_at = 0;
     }
     else if (sidecar->target_departed_at == 0) {
@@ -228,8 +154,8 @@
     bool are_callers_gone =
         since_s >= REFUSE_AFTER_S ||
         now - BbCallIo_LastCallTime(sidecar->call_io) >= CALLERS_GONE_S;
-    bool is_recorded =
-        !has_target_departed(sidecar) || BbRowWriter_IsDone(sidecar->record);
+    bool is_recorded = !Sidecar_HasTargetDeparted(sidecar) ||
+                       BbRowWriter_IsDone(sidecar->record);
     bool is_drained = open_calls(sidecar) == 0 && is_flushed(sidecar) &&
                       is_recorded && since_s >= SHUTDOWN_MIN_S &&
                       are_callers_gone;
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -67,12 +67,26 @@
 
 /* ---- sidecar.c ---- */
 
+/* The state of the local target has changed. */
+void Sidecar_TargetChanged(sidecar_t *sidecar, const char *reason);
+
+/* ---- sidecar_record.c: record of this node ---- */
+
+/* Needs the store. */
+void Sidecar_StartRecord(sidecar_t *sidecar);
+
 /* Updates the record of this node in the local fleet and, once enough is known
  * about its target, in the shared node table. */
 void Sidecar_PublishRecord(sidecar_t *sidecar);
 
-/* The state of the local target has changed. */
-void Sidecar_TargetChanged(sidecar_t *sidecar, const char *reason);
+/* Restores the state of the target from the record of this node, which may be
+ * one of an earlier process; record NULL means that there is none. source is
+ * "store" or "node". */
+void Sidecar_RestoreRecord(sidecar_t *sidecar, const bb_node_record_t *record,
+                           const char *source);
+
+/* The target is draining or gone. */
+bool Sidecar_HasTargetDeparted(const sidecar_t *sidecar);
 
 /* ---- sidecar_sync.c: configuration versions and node records ---- */
 
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -28,17 +28,6 @@
 #define FALLBACK_DELAY_MAX_S 2.0
 #define FALLBACK_CALLS_PER_S 1500.0
 
-/* When the record of an earlier process of this node says that the target is
- * ready, it is assumed ready for this long after the start. The next heartbeat
- * arrives within that time. */
-#define RESTORED_READY_S 2.5
-
-/* A record that could not be read for this long after the start is given up:
- * from then on heartbeats count without it. Longer than a heartbeat is late as
- * a rule, and short enough that a live target is not idle through an outage of
- * the store. */
-#define RECORD_MISSING_S 5.0
-
 /* When the whole fleet starts for the first time, reading the node records is
  * delayed until every node has had time to write its own. */
 #define FIRST_START_DELAY_S 2.2
@@ -173,115 +162,6 @@
     }
 }
 
-static void
-expire_restored_state(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)loop;
-    (void)events;
-    sidecar_t *sidecar = timer->data;
-
-    if (BbLocalTarget_ExpireRestored(sidecar->target)) {
-        Sidecar_TargetChanged(sidecar, "not_confirmed");
-    }
-}
-
-/* The target keeps running while its node is restarted. A leave is
- * acknowledged only after it is in the record, so a record that says "ready"
- * is outdated for a moment at most. If a target process with another
- * start time runs at the address, it refuses the call. */
-static void
-restore_ready(sidecar_t *sidecar, const bb_node_record_t *record)
-{
-    double age_s = BbClock_Now(sidecar->loop) - sidecar->started_at;
-
-    if (age_s < RESTORED_READY_S && sidecar->shutdown_started_at <= 0 &&
-        BbLocalTarget_RestoreReady(sidecar->target, record->target_id,
-                                   record->target_born_ms, record->slots)) {
-        ev_timer_set(&sidecar->restored_timer, RESTORED_READY_S - age_s, 0.0);
-        ev_timer_start(sidecar->loop, &sidecar->restored_timer);
-        Sidecar_TargetChanged(sidecar, "recalled");
-    }
-}
-
-/* Reports what an earlier process of this node has left in its record; record
- * NULL means that there is none. Only the first record that this process
- * learns of is reported, since it writes the later ones itself. */
-static void
-log_own_record(sidecar_t *sidecar, const bb_node_record_t *record,
-               const char *source)
-{
-    if (sidecar->is_own_record_logged) {
-        return;
-    }
-    sidecar->is_own_record_logged = true;
-    const char *state = record == NULL               ? "none"
-                        : record->is_target_departed ? "departed"
-                        : record->is_ready           ? "ready"
-                                                     : "not_ready";
-    if (BbEvent_Allows(BB_EVENT_OWN_RECORD)) {
-        BbEvent_Write(
-            BB_EVENT_OWN_RECORD,
-            json_pack("{s:s, s:s, s:s, s:f}", "record", state, "target",
-                      record != NULL ? record->target_id : "", "source",
-                      source, "after_s",
-                      BbClock_Now(sidecar->loop) - sidecar->started_at));
-    }
-}
-
-/* The record of an earlier process of this node, if there is one, is restored:
- * heartbeats count from now on. */
-static void
-finish_restoring(sidecar_t *sidecar)
-{
-    ev_timer_stop(sidecar->loop, &sidecar->record_timer);
-    if (BbLocalTarget_RecordKnown(sidecar->target)) {
-        Sidecar_TargetChanged(sidecar, "heartbeat");
-    }
-}
-
-static void
-give_up_record(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    (void)loop;
-    (void)events;
-    sidecar_t *sidecar = timer->data;
-
-    log_own_record(sidecar, NULL, "timeout");
-    BbLocalTarget_RecordMissing(sidecar->target);
-}
-
-/* Restores the state of the target from the record of an earlier process of
- * this node. */
-static void
-restore_target(sidecar_t *sidecar, const bb_node_record_t *record,
-               const char *source)
-{
-    log_own_record(sidecar, record, source);
-    if (record->is_target_departed) {
-        if (BbLocalTarget_RestoreDeparted(sidecar->target, record->target_id,
-                                          record->target_born_ms,
-                                          record->departed_born_ms)) {
-            Sidecar_TargetChanged(sidecar, "recalled");
-        }
-    }
-    else if (record->is_ready) {
-        restore_ready(sidecar, record);
-    }
-    finish_restoring(sidecar);
-}
-
-static void
-restore_from_own_row(const bb_table_row_t *row, void *arg)
-{
-    bb_node_record_t record;
-
-    if (row->value != NULL &&
-        BbNodeRecord_Parse(row->value, row->size, &record) == 0) {
-        restore_target(arg, &record, "store");
-        BbNodeRecord_Clear(&record);
-    }
-}
-
 static void
 apply_node(sidecar_t *sidecar, const char *node, const char *text, size_t size,
            int64_t revision, const char *source)
@@ -296,7 +176,7 @@
     if (strcmp(node, sidecar->settings->name) == 0) {
         BbRowWriter_Observe(sidecar->record, revision, text, size);
         if (is_readable) {
-            restore_target(sidecar, &record, source);
+            Sidecar_RestoreRecord(sidecar, &record, source);
         }
     }
     if (BbFleet_Merge(sidecar->fleet, node, is_readable ? &record : NULL,
@@ -333,10 +213,9 @@
 
     sidecar->has_records = true;
     if (!g_hash_table_contains(keys, sidecar->settings->name)) {
-        log_own_record(sidecar, NULL, "store");
         BbRowWriter_Observe(sidecar->record, version, NULL, 0);
     }
-    finish_restoring(sidecar);
+    Sidecar_RestoreRecord(sidecar, NULL, "store");
     BbFleet_KeepOnly(sidecar->fleet, keys, version);
     BbSyncServer_NotifyChange(sidecar->sync_server);
     Sidecar_PublishRecord(sidecar);
@@ -403,8 +282,7 @@
 
     sidecar->peer_revision = MAX(sidecar->peer_revision, revision);
     if (sidecar->peer_revision > 0) {
-        log_own_record(sidecar, NULL, "node");
-        finish_restoring(sidecar);
+        Sidecar_RestoreRecord(sidecar, NULL, "node");
     }
 }
 
@@ -625,35 +503,13 @@
     ev_timer_start(sidecar->loop, &sidecar->role_timer);
 }
 
-static void
-record_written(void *arg)
-{
-    Sidecar_AcknowledgeLeaves(arg);
-}
-
 void
 Sidecar_StartStore(sidecar_t *sidecar)
 {
     const platform_store_options_t store = {
         .loop = sidecar->loop, .address = sidecar->settings->platform_address};
     sidecar->store = PlatformStore_New(&store);
-    const bb_row_writer_options_t record = {
-        .loop = sidecar->loop,
-        .store = sidecar->store,
-        .table = PLATFORM_NODE_TABLE,
-        .key = sidecar->settings->name,
-        .random = sidecar->random,
-        .on_conflict = restore_from_own_row,
-        .on_done = record_written,
-        .arg = sidecar,
-    };
-    sidecar->record = BbRowWriter_New(&record);
-    ev_init(&sidecar->restored_timer, expire_restored_state);
-    sidecar->restored_timer.data = sidecar;
-    ev_timer_init(&sidecar->record_timer, give_up_record, RECORD_MISSING_S,
-                  0.0);
-    sidecar->record_timer.data = sidecar;
-    ev_timer_start(sidecar->loop, &sidecar->record_timer);
+    Sidecar_StartRecord(sidecar);
     bb_follower_options_t follower = {
         .loop = sidecar->loop,
         .store = sidecar->store,
--- a/tests/unit/sidecar_leave_test.cc
+++ b/tests/unit/sidecar_leave_test.cc
@@ -164,9 +164,9 @@
     EXPECT_EQ(node.Record(), "");
 }
 
-// Guards against an acknowledgement that only this process knows of: the store is
-// silent for longer than the target repeats its leave, and a kill would make the
-// next process forget it.
+// Guards against an acknowledgement that only this process knows of: the store
+// is silent for longer than the target repeats its leave, and a kill would
+// make the next process forget it.
 TEST_F(SidecarLeave, IsNotAcknowledgedBeforeItIsRecorded)
 {
     ASSERT_TRUE(BecomeReady());
