Local target: a repeated leave keeps the departure

Cause: the first leave noted the present time as the latest start time of the departed incarnation, the second one replaced it by the start time of the current target, which is not known and therefore 0.

Change: a departure that is known for a later start time stays.

Figures: MeshLocalTarget.ARepeatedLeaveKeepsTheDeparture failed before, passes.

--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -104,12 +104,14 @@
     return is_changed ? BB_HEARTBEAT_CHANGED : BB_HEARTBEAT_UNCHANGED;
 }
 
+/* A departure that is known for a later start time stays. */
 static void
 add_departed(bb_local_target_t *target, const char *id, int64_t born_ms)
 {
+    const gint64 *known = g_hash_table_lookup(target->departed, id);
     gint64 *value = g_new(gint64, 1);
 
-    *value = born_ms;
+    *value = known != NULL ? MAX(*known, born_ms) : born_ms;
     if (g_hash_table_size(target->departed) >= MAX_DEPARTED) {
         g_hash_table_remove_all(target->departed);
     }
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -824,6 +824,21 @@
     BbLocalTarget_Free(target);
 }
 
+// Guards against a late heartbeat of a departed target after the leave was
+// repeated: the second one, of an incarnation whose start time is not known,
+// forgot the first (soak, leaves, seed 934).
+TEST(MeshLocalTarget, ARepeatedLeaveKeepsTheDeparture)
+{
+    bb_local_target_t *target = BbLocalTarget_New(&kTargetOptions);
+    bb_heartbeat_t late = Heartbeat("i-1", 4, 1000);
+    EXPECT_TRUE(BbLocalTarget_Leave(target, "i-1"));
+    BbLocalTarget_Leave(target, "i-1");
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_STALE);
+    EXPECT_FALSE(BbLocalTarget_RestoreDeparted(target, "i-1", 0, 10));
+    EXPECT_EQ(BbLocalTarget_Heartbeat(target, &late), BB_HEARTBEAT_STALE);
+    BbLocalTarget_Free(target);
+}
+
 // Guards against a departure that is forgotten because the start time of the
 // target was not known when it left, and against a target that started before
 // the leave of another one arrived and is taken for departed.
