Local target: a leave outlasts a restored ready state

Seen by targets: a node restarts, takes its target for ready by the record, and acknowledges its leave within 2.5 s. Found by reading.

Cause: the leave did not end the restored state.

Change: it does, and so does a departure that is read from the record.

Figures: MeshLocalTarget.ALeaveOutlastsTheRestoredReadyState failed before, passes.

--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -118,6 +118,14 @@
     g_hash_table_replace(target->departed, g_strdup(id), value);
 }
 
+static void
+set_gone(bb_local_target_t *target)
+{
+    target->state = BB_LOCAL_GONE;
+    target->is_ready_pending = false;
+    target->is_restored = false;
+}
+
 bool
 BbLocalTarget_RestoreDeparted(bb_local_target_t *target, const char *id,
                               int64_t born_ms, int64_t departed_born_ms)
@@ -136,8 +144,7 @@
     if (!is_first && (!is_current || is_leaving)) {
         return false;
     }
-    target->is_ready_pending = false;
-    target->state = BB_LOCAL_GONE;
+    set_gone(target);
     return true;
 }
 
@@ -203,8 +210,7 @@
                  is_current ? target->born_ms : g_get_real_time() / 1000);
     if (is_state_changed) {
         g_strlcpy(target->id, id, sizeof(target->id));
-        target->state = BB_LOCAL_GONE;
-        target->is_ready_pending = false;
+        set_gone(target);
     }
     return is_state_changed;
 }
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -839,6 +839,25 @@
     BbLocalTarget_Free(target);
 }
 
+// Guards against a departure that is forgotten when the time of a restored
+// ready state ends: the target has left in the meantime.
+TEST(MeshLocalTarget, ALeaveOutlastsTheRestoredReadyState)
+{
+    bb_local_target_t *target = BbLocalTarget_New(&kTargetOptions);
+    EXPECT_TRUE(BbLocalTarget_RestoreReady(target, "i-1", 1000, 9));
+    EXPECT_TRUE(BbLocalTarget_Leave(target, "i-1"));
+    EXPECT_FALSE(BbLocalTarget_ExpireRestored(target));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
+    BbLocalTarget_Free(target);
+
+    target = BbLocalTarget_New(&kTargetOptions);
+    EXPECT_TRUE(BbLocalTarget_RestoreReady(target, "i-1", 1000, 9));
+    EXPECT_TRUE(BbLocalTarget_RestoreDeparted(target, "i-1", 1000, 1000));
+    EXPECT_FALSE(BbLocalTarget_ExpireRestored(target));
+    EXPECT_EQ(BbLocalTarget_State(target), BB_LOCAL_GONE);
+    BbLocalTarget_Free(target);
+}
+
 // Guards against a departure that is forgotten because the start time of the
 // target was not known when it left, and against a target that started before
 // the leave of another one arrived and is taken for departed.
