--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -29,30 +29,49 @@
 const bb_header_names_t kHeaderNames = {"Call-Id", "Left-Ms", "Want-Target",
                                         "Caller",  "Seal",    "Not-Run"};
 
+// Ports of tests, below those of the scripted tests and the ephemeral ports,
+// so that no outgoing connection takes a port before it is bound.
+const int kFirstPort = 10000, kPortsPerRange = 200, kPortRanges = 50;
+
+// Claims a range of ports for this process by listening on its first port.
+// Returns that port, or -1 if all ranges are claimed. Processes that run at
+// the same time would otherwise take each other's ports, which are not bound
+// while a node starts.
+inline int
+ClaimPortRange()
+{
+    for (int i = 0; i < kPortRanges; i++) {
+        int port = kFirstPort + (getpid() + i) % kPortRanges * kPortsPerRange;
+        std::string guard = "127.0.0.1:" + std::to_string(port);
+        if (BbH1_Listen(guard.c_str()) >= 0) {
+            return port; // the socket stays open until the process ends
+        }
+    }
+    return -1;
+}
+
 // Returns a loopback address with a free port, a different one at each call.
-// Each process uses a port range of its own, below the ephemeral ports, so
-// that neither outgoing connections nor tests that run at the same time take
-// the port before it is bound. A process that needs more goes on with ranges
-// that are not those of the processes started next to it.
 inline std::string
 FreeAddress()
 {
-    const int first = 10000, per_range = 200, ranges = 100, range_step = 37;
-    static int next = 0;
+    static int last = 0, end = 0;
 
-    while (next < per_range * ranges) {
-        int range = (getpid() + next / per_range * range_step) % ranges;
-        int port = first + range * per_range + next % per_range;
-        std::string address = "127.0.0.1:" + std::to_string(port);
+    for (;;) {
+        if (++last >= end) {
+            last = ClaimPortRange() + 1;
+            end = last - 1 + kPortsPerRange;
+        }
+        if (last <= 0) {
+            ADD_FAILURE() << "all port ranges are in use";
+            return "";
+        }
+        std::string address = "127.0.0.1:" + std::to_string(last);
         int fd = BbH1_Listen(address.c_str());
-        next++;
         if (fd >= 0) {
             close(fd);
             return address;
         }
     }
-    ADD_FAILURE() << "found no free port";
-    return "";
 }
 
 class Loop {
