--- a/lib/mesh/bb_sync_server.c
+++ b/lib/mesh/bb_sync_server.c
@@ -137,7 +137,7 @@
 
     return BbVersions_Newest(options->versions) > query->version ||
            options->revision(options->arg) > query->revision ||
-           (query->must_be_connected && !options->is_connected(options->arg));
+           (query->must_be_connected && options->is_store_lost(options->arg));
 }
 
 void
--- a/lib/mesh/bb_sync_server.h
+++ b/lib/mesh/bb_sync_server.h
@@ -46,6 +46,8 @@
     /* Returns the revision up to which this node knows all node records. */
     int64_t (*revision)(void *arg);
     bool (*is_connected)(void *arg);
+    /* Not connected for longer than a retry after a reset takes. */
+    bool (*is_store_lost)(void *arg);
     /* Returns the age of the configuration (see bb_freshness.h). */
     double (*config_age_s)(void *arg);
     /* The node at address holds a newer configuration version. */
@@ -66,7 +68,7 @@
 void BbSyncServer_DropQuery(bb_sync_server_t *server,
                             bb_h1_request_t *request);
 
-/* The configuration, the node records or is_connected() have changed: answers
+/* The configuration, the node records or is_store_lost() have changed: answers
  * the waiting queries that are due. */
 void BbSyncServer_NotifyChange(bb_sync_server_t *server);
 
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -338,6 +338,7 @@
     ev_timer_stop(loop, &sidecar->settings_timer);
     ev_timer_stop(loop, &sidecar->role_timer);
     ev_timer_stop(loop, &sidecar->shutdown_timer);
+    ev_timer_stop(loop, &sidecar->store_loss_timer);
     ev_timer_stop(loop, &sidecar->restored_timer);
     ev_timer_stop(loop, &sidecar->record_timer);
     ev_timer_stop(loop, &sidecar->ack_timer);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -56,6 +56,8 @@
     ev_timer settings_timer;
     ev_timer role_timer;
     ev_timer shutdown_timer;
+    ev_timer store_loss_timer; /* end of the grace after a loss */
+    double store_lost_at;      /* last loss or begin of reading */
     ev_timer restored_timer;
     ev_timer record_timer; /* end of the wait for the record of this node */
     ev_timer ack_timer;
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -28,6 +28,10 @@
 #define FALLBACK_DELAY_MAX_S 2.0
 #define FALLBACK_CALLS_PER_S 1500.0
 
+/* A reader whose first retry, up to 0.15 s after a loss, succeeds within this
+ * time does not report the loss. */
+#define STORE_LOSS_GRACE_S 0.2
+
 /* When the whole fleet starts for the first time, reading the node records is
  * delayed until every node has had time to write its own. */
 #define FIRST_START_DELAY_S 2.2
@@ -116,6 +120,28 @@
     (void)arg;
 }
 
+/* Nodes that ask this one are told of the loss only after a grace, so that a
+ * reset of all connections to the store, after which a retry succeeds, does
+ * not make every node read it. */
+static void
+begin_loss_grace(sidecar_t *sidecar)
+{
+    sidecar->store_lost_at = BbClock_Now(sidecar->loop);
+    ev_timer_stop(sidecar->loop, &sidecar->store_loss_timer);
+    ev_timer_set(&sidecar->store_loss_timer, STORE_LOSS_GRACE_S, 0.0);
+    ev_timer_start(sidecar->loop, &sidecar->store_loss_timer);
+}
+
+static void
+handle_loss_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    sidecar_t *sidecar = timer->data;
+
+    BbSyncServer_NotifyChange(sidecar->sync_server);
+}
+
 static void update_store_state(sidecar_t *sidecar);
 
 /* A fallback reader resumes the node table once the store has answered. The
@@ -129,7 +155,7 @@
 
     if (!is_connected) {
         BbFollower_Check(sidecar->node_follower);
-        BbSyncServer_NotifyChange(sidecar->sync_server);
+        begin_loss_grace(sidecar);
     }
     else if (!BbFollower_IsSuspended(sidecar->config_follower)) {
         BbFollower_Resume(sidecar->node_follower, 0.0);
@@ -309,6 +335,16 @@
            BbFollower_IsConnected(sidecar->node_follower);
 }
 
+static bool
+is_store_lost(void *arg)
+{
+    const sidecar_t *sidecar = arg;
+
+    return !is_connected(arg) &&
+           BbClock_Now(sidecar->loop) - sidecar->store_lost_at >=
+               STORE_LOSS_GRACE_S;
+}
+
 /* When readers answer but cannot reach the store, the fallback readers most
  * likely cannot reach it either, so their first calls are spread over time. */
 static double
@@ -343,6 +379,9 @@
 static void
 set_store_reading(sidecar_t *sidecar, bool is_reading)
 {
+    if (is_reading && BbFollower_IsSuspended(sidecar->config_follower)) {
+        begin_loss_grace(sidecar);
+    }
     if (is_reading) {
         double delay_s = fallback_delay(sidecar);
         set_backoff(sidecar, sidecar->config_follower);
@@ -466,6 +505,7 @@
         .versions = sidecar->versions,
         .revision = known_revision,
         .is_connected = is_connected,
+        .is_store_lost = is_store_lost,
         .config_age_s = config_age_s,
         .on_newer_version = Sidecar_HandlePeerVersion,
         .arg = sidecar,
@@ -497,6 +537,8 @@
     };
     sidecar->probe = BbProbe_New(&probe);
     sidecar->is_reader = true;
+    ev_init(&sidecar->store_loss_timer, handle_loss_timer);
+    sidecar->store_loss_timer.data = sidecar;
     ev_timer_init(&sidecar->role_timer, handle_role_timer, ROLE_CHECK_S,
                   ROLE_CHECK_S);
     sidecar->role_timer.data = sidecar;
