Client accounts: keys, 401, the account's name for targets; kind download

Cause: a configuration with client accounts was served as if it had none: keys went on to targets, no account was named, dropped keys worked on. Responses of kind "download" were taken for calls that must not run twice, so a sheet that was lost on the way was never repeated.

Ruled out: account names as keys of the table (a caller could name one); comparing keys one by one.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,9 @@
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lev -lhttp_parser -lsimdjson -lzstd -lm
 
 INCLUDES = -Ilib/common -Ilib/operator -Ilib/platform -Ilib/peer \
-           -Ilib/target -Ilib/caller -Ilib/http -Ilib/mesh -Iplatform -Itests/unit
+           -Ilib/target -Ilib/caller -Ilib/http -Ilib/mesh -Ilib/account \
+           -Ilib/admission -Ilib/link -Ilib/pace -Ilib/rollout -Iplatform \
+           -Itests/unit
 # libev's headers break strict aliasing rules by design.
 WARN = -Wall -Wextra -Werror -Wno-strict-aliasing
 CFLAGS ?= -O2 -g
@@ -37,7 +39,9 @@
                   bb_random \
                   bb_reason bb_sidecar_settings
 SIDECAR_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/bbsidecar/*.c \
-                  platform/*.c lib/mesh/*.c lib/http/*.c)) \
+                  platform/*.c lib/mesh/*.c lib/http/*.c lib/account/*.c \
+                  lib/admission/*.c lib/link/*.c lib/pace/*.c \
+                  lib/rollout/*.c)) \
                $(SIDECAR_COMMON:%=$(BUILD)/lib/common/%.o) \
                $(patsubst %.cc,$(BUILD)/%.o,$(wildcard platform/*.cc)) \
                $(BUILD)/lib/common/bb_toml.o
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -30,6 +30,8 @@
     const char *caller_service;  /* service of the VM that made the call */
     const char *seal;            /* set by a target on its own responses */
     const char *not_run;         /* set when the target did not run the call */
+    const char *account_key;     /* key of the caller's client account */
+    const char *account;         /* name of that account, for the target */
 } bb_header_names_t;
 
 /* Header names used between nodes. */
@@ -66,7 +68,7 @@
     const char *method;
     const char *target; /* request target, as in the request line */
     /* end-to-end fields, without those that a node sets for the target: the
-     * deadline, the expected target and the caller service */
+     * deadline, the expected target, the caller service and the account */
     const bb_h1_fields_t *fields;
     int64_t content_length;
     const bb_body_t *body;
@@ -75,6 +77,8 @@
     bool is_idempotent;
     const char *class_name; /* groups calls of similar duration */
     int rank;               /* 0 is the most urgent */
+    const char *account;    /* client account; NULL without one */
+    uint64_t key_digest;    /* of the account's key; 0 without account */
     double target_latency_s;
     double due_at; /* end of the target latency */
     double deadline_at;
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -51,18 +51,31 @@
     BbMeshCall_TimeOut(timer->data, BB_ATTEMPT_FAILED);
 }
 
+/* Whether a node removes the field or replaces it by its own. Fields of client
+ * accounts have a meaning only in a configuration that has accounts. */
+static bool
+is_replaced_field(const bb_mesh_call_t *call, const char *name)
+{
+    const bb_header_names_t *names = call->io->options.names;
+
+    if (BbMeshConfig_Accounts(call->config) != NULL &&
+        (strcasecmp(name, names->account_key) == 0 ||
+         strcasecmp(name, names->account) == 0)) {
+        return true;
+    }
+    return strcasecmp(name, names->deadline) == 0 ||
+           strcasecmp(name, names->expected_target) == 0 ||
+           strcasecmp(name, names->caller_service) == 0;
+}
+
 static void
 copy_call_fields(bb_mesh_call_t *call, const bb_h1_fields_t *fields)
 {
-    const bb_header_names_t *names = call->io->options.names;
     size_t cursor = 0;
     const char *name, *value;
 
     while (BbH1Fields_Next(fields, &cursor, &name, &value)) {
-        bool is_replaced = strcasecmp(name, names->deadline) == 0 ||
-                           strcasecmp(name, names->expected_target) == 0 ||
-                           strcasecmp(name, names->caller_service) == 0;
-        if (!is_replaced && BbAttempt_IsEndToEnd(name)) {
+        if (!is_replaced_field(call, name) && BbAttempt_IsEndToEnd(name)) {
             BbH1Fields_Add(&call->fields, name, value);
         }
     }
@@ -155,7 +168,10 @@
         .caller_service = call->io->service,
         .is_idempotent = call->route->is_idempotent,
         .class_name = call->route->name,
-        .rank = call->route->rank,
+        .rank =
+            call->account != NULL ? call->account->rank : call->route->rank,
+        .account = call->account != NULL ? call->account->name : NULL,
+        .key_digest = call->key_digest,
         .target_latency_s = call->route->target_latency_s,
         .due_at = call->arrived_at + call->route->target_latency_s -
                   call->earlier_tries_s,
@@ -166,10 +182,11 @@
     ev_timer_start(call->io->options.loop, &call->deadline_timer);
 }
 
-/* A caller does not retry after 404, so a node that knows of a newer version,
- * which may have the route, answers 503. */
+/* Denies a call that the version in force does not allow. A caller does not
+ * retry after such a status, so a node that knows of a newer version, which
+ * may allow the call, answers 503. */
 static void
-respond_without_route(bb_mesh_call_t *call)
+deny_call(bb_mesh_call_t *call, int status, bb_reason_t reason)
 {
     const bb_freshness_t *freshness = call->io->options.freshness;
     bool is_outdated =
@@ -180,10 +197,26 @@
         BbMeshCall_RespondError(call, 503, BB_REASON_CONFIG_OUTDATED);
     }
     else {
-        BbMeshCall_RespondError(call, 404, BB_REASON_NO_ROUTE);
+        BbMeshCall_RespondError(call, status, reason);
     }
 }
 
+/* Finds the client account of the call. Returns false if the call needs one
+ * and its key is unknown. */
+static bool
+identify_account(bb_mesh_call_t *call)
+{
+    const bb_account_table_t *accounts = BbMeshConfig_Accounts(call->config);
+
+    if (accounts == NULL || call->route->is_public) {
+        return true;
+    }
+    const char *key = BbH1Fields_Get(&call->request->fields,
+                                     call->io->options.names->account_key);
+    call->account = BbAccountTable_Find(accounts, key, &call->key_digest);
+    return call->account != NULL;
+}
+
 static void
 handle_head(bb_h1_request_t *request, void *arg)
 {
@@ -205,7 +238,11 @@
         request->target->str);
     call->route = route;
     if (route == NULL) {
-        respond_without_route(call);
+        deny_call(call, 404, BB_REASON_NO_ROUTE);
+        return;
+    }
+    if (!identify_account(call)) {
+        deny_call(call, 401, BB_REASON_ACCOUNT_UNKNOWN);
         return;
     }
     int64_t limit = BbMeshConfig_Limits(call->config)->body_bytes;
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -14,7 +14,8 @@
  *
  * ERRORS
  *   Responses of this node:
- *   404  no route matches; 503 if another node has reported a newer version
+ *   401  the key belongs to no client account, 404 no route matches; 503 if
+ *        another node has reported a newer version
  *   413  the body exceeds the configured limit
  *   502  the call failed and may have run
  *   503  the call has not run; with Retry-After
--- a/lib/mesh/bb_hop.h
+++ b/lib/mesh/bb_hop.h
@@ -2,7 +2,8 @@
  * bb_hop - metadata of a call that one node forwards to another
  *
  * One short header field, since traffic between data centres is costly:
- * "service,caller,class,deadline_ms,latency_ms,due_in_ms,rank,once,length".
+ * "service,caller,class,deadline_ms,latency_ms,due_in_ms,rank,once,length",
+ * and for the call of a client account ",digest,account" behind it.
  *
  * USE
  *   text = BbHop_Format(&hop); free with g_free()
@@ -37,6 +38,8 @@
     int rank;      /* 0 is the most urgent */
     bool is_at_most_once;   /* the call must not run twice */
     int64_t content_length; /* of the request body, as in bb_h1_message.h */
+    uint64_t key_digest;    /* see bb_account.h; 0 without account */
+    char *account;          /* name of the client account, or NULL */
 } bb_hop_call_t;
 
 char *BbHop_Format(const bb_hop_call_t *hop);
--- a/lib/mesh/bb_hop_client.c
+++ b/lib/mesh/bb_hop_client.c
@@ -329,6 +329,8 @@
         .rank = request->rank,
         .is_at_most_once = !request->is_idempotent,
         .content_length = request->content_length,
+        .key_digest = request->key_digest,
+        .account = (char *)request->account,
     };
     char *text = BbHop_Format(&call_header);
 
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -212,6 +212,8 @@
         .is_idempotent = !call->call_header.is_at_most_once,
         .class_name = call->call_header.class_name,
         .rank = call->call_header.rank,
+        .account = call->call_header.account,
+        .key_digest = call->call_header.key_digest,
         .target_latency_s = call->call_header.latency_ms / MS_PER_S,
         .due_at = now + call->call_header.due_in_ms / MS_PER_S,
         .deadline_at = now + call->call_header.deadline_ms / MS_PER_S,
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -27,6 +27,8 @@
     bb_mesh_config_t *config;
     const bb_mesh_route_t *route;
     const char *service; /* chosen from the route's parts; owned by config */
+    const bb_account_t *account; /* owned by config; NULL without one */
+    uint64_t key_digest;         /* see bb_account.h */
     char *call_id;
     bb_h1_fields_t fields;
     bb_body_t body;
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -35,7 +35,8 @@
 static void
 log_error_response(const bb_mesh_call_t *call, int status, bb_reason_t reason)
 {
-    bool is_refusal = status == 503 || status == 404;
+    bool is_refusal =
+        status == 503 || status == 404 || status == 401 || status == 429;
     bb_event_t event =
         is_refusal ? BB_EVENT_CALL_REFUSED : BB_EVENT_CALL_FAILED;
 
@@ -50,6 +51,10 @@
         BbMeshCall_Now(call) - call->arrived_at, "version",
         (json_int_t)(call->config != NULL ? BbMeshConfig_Version(call->config)
                                           : 0));
+    if (call->account != NULL) {
+        json_object_set_new(fields, "account",
+                            json_string(call->account->name));
+    }
     if (status == 503) {
         json_object_set_new(fields, "retry_after_s",
                             json_real(call->retry_after_s));
--- a/lib/mesh/bb_mesh_config.c
+++ b/lib/mesh/bb_mesh_config.c
@@ -14,8 +14,9 @@
     int references;
     int64_t version;
     bb_mesh_limits_t limits;
-    GHashTable *services;  /* name to its max_connections */
-    GHashTable *routes;    /* "host prefix" to bb_mesh_route_t */
+    bb_account_table_t *accounts; /* NULL: calls need no key */
+    GHashTable *services;         /* name to its max_connections */
+    GHashTable *routes;           /* "host prefix" to bb_mesh_route_t */
     GPtrArray *route_list; /* bb_mesh_route_t, owned, in order of addition */
     size_t longest_prefix; /* in bytes */
 };
@@ -66,6 +67,7 @@
     g_hash_table_destroy(config->services);
     g_hash_table_destroy(config->routes);
     g_ptr_array_unref(config->route_list);
+    BbAccountTable_Free(config->accounts);
     g_free(config);
 }
 
@@ -91,6 +93,7 @@
     route->target_latency_s = options->target_latency_s;
     route->rank = options->rank;
     route->max_targets = options->max_targets;
+    route->is_public = options->is_public;
     g_ptr_array_add(config->route_list, route);
     config->longest_prefix =
         MAX(config->longest_prefix, strlen(options->prefix));
@@ -118,6 +121,20 @@
     config->limits = *limits;
 }
 
+void
+BbMeshConfig_SetAccounts(bb_mesh_config_t *config,
+                         bb_account_table_t *accounts)
+{
+    BbAccountTable_Free(config->accounts);
+    config->accounts = accounts;
+}
+
+const bb_account_table_t *
+BbMeshConfig_Accounts(const bb_mesh_config_t *config)
+{
+    return config->accounts;
+}
+
 static void
 check_route(const bb_mesh_config_t *config, const bb_mesh_route_t *route,
             bb_findings_t *findings)
--- a/lib/mesh/bb_mesh_config.h
+++ b/lib/mesh/bb_mesh_config.h
@@ -1,5 +1,6 @@
 /*
- * bb_mesh_config - routes and services of one configuration version
+ * bb_mesh_config - routes, services and client accounts of one configuration
+ *                  version
  *
  * A configuration is reference counted, so that a call keeps the version that
  * it started with, and immutable once it is in force, except for the position
@@ -24,6 +25,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "bb_account.h"
 #include "bb_findings.h"
 #include "bb_random.h"
 
@@ -49,6 +51,7 @@
     int rank;                /* 0 is the most urgent */
     int max_targets;         /* most targets that one call is sent to; 0 for no
                                 limit */
+    bool is_public;          /* needs no key of a client account */
     bb_route_part_t *parts;
     size_t part_count;
 } bb_mesh_route_t;
@@ -62,6 +65,7 @@
     double target_latency_s;
     int rank;
     int max_targets;
+    bool is_public;
 } bb_mesh_route_options_t;
 
 /* Limits of the requests of callers; 0 for no limit. */
@@ -85,6 +89,11 @@
 void BbMeshConfig_SetLimits(bb_mesh_config_t *config,
                             const bb_mesh_limits_t *limits);
 
+/* Replaces the client accounts. The configuration takes ownership; NULL, the
+ * default, means that calls need no key. */
+void BbMeshConfig_SetAccounts(bb_mesh_config_t *config,
+                              bb_account_table_t *accounts);
+
 /* Returns 0 or BB_ERR_INVALID with findings. */
 int BbMeshConfig_Check(const bb_mesh_config_t *config,
                        bb_findings_t *findings);
@@ -93,6 +102,10 @@
 size_t BbMeshConfig_RouteCount(const bb_mesh_config_t *config);
 const bb_mesh_limits_t *BbMeshConfig_Limits(const bb_mesh_config_t *config);
 
+/* NULL if the configuration has no client accounts. */
+const bb_account_table_t *
+BbMeshConfig_Accounts(const bb_mesh_config_t *config);
+
 /* Connections that a target of the service accepts; 0 if unknown. */
 int BbMeshConfig_MaxConnections(const bb_mesh_config_t *config,
                                 const char *service);
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -288,6 +288,9 @@
                    BbLocalTarget_Id(io->target));
     BbH1Fields_Add(&fields, io->names->caller_service,
                    request->caller_service);
+    if (request->account != NULL) {
+        BbH1Fields_Add(&fields, io->names->account, request->account);
+    }
     bb_h1_exchange_options_t options = {
         .address = io->address,
         .method = request->method,
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,5 +13,6 @@
     --include=/usr/include/utlist.h --include=/usr/include/uthash.h \
     --suppress="*:/usr/include/*" --suppress=missingIncludeSystem --suppress=unknownMacro \
     -Ilib/common -Ilib/operator -Ilib/platform -Ilib/peer -Ilib/target \
-    -Ilib/caller -Ilib/http -Ilib/mesh -Iplatform "${sources[@]}" || exit 1
+    -Ilib/caller -Ilib/http -Ilib/mesh -Ilib/account -Ilib/admission \
+    -Ilib/link -Ilib/pace -Ilib/rollout -Iplatform "${sources[@]}" || exit 1
 echo "lint: ${#files[@]} files clean"
--- /dev/null
+++ b/tests/unit/account_test.cc
@@ -0,0 +1,195 @@
+// Client accounts: keys in a configuration version, and what targets get.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "bb_account.h"
+#include "bb_error.h"
+#include "bb_hop.h"
+#include "mesh_rig.h"
+#include "platform.h"
+
+using namespace mesh_rig;
+
+namespace {
+
+const char kConfig[] =
+    "{\"version\":\"r12\",\"services\":[{\"name\":\"s1\"}],\"tenants\":["
+    "{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":2,"
+    "\"rate_per_s\":7,\"burst\":9},{\"name\":\"t2\",\"api_keys\":[\"k3\"]}],"
+    "\"virtual_hosts\":[{\"host\":\"h\",\"path_rules\":["
+    "{\"name\":\"d\",\"prefix\":\"/d/\",\"kind\":\"download\",\"service\":"
+    "\"s1\",\"public\":false},{\"name\":\"p\",\"prefix\":\"/p/\",\"kind\":"
+    "\"safe\",\"service\":\"s1\",\"public\":true}]}]}";
+
+int
+Decode(const std::string &text, bb_mesh_config_t **config)
+{
+    bb_findings_t findings;
+    BbFindings_Init(&findings);
+    int error =
+        Platform_DecodeConfig(text.data(), text.size(), &findings, config);
+    BbFindings_Free(&findings);
+    return error;
+}
+
+std::string
+Replace(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+// A node whose configuration has the accounts "t1" with the key "k1" and "t2"
+// with the key "k2", and whose route /public/ needs no key.
+class AccountIo : public ::testing::Test {
+  protected:
+    AccountIo() : target(&loop), node(&loop, "n1", "a", &target)
+    {
+        SetAccounts(4, {{"t1", "k1"}, {"t2", "k2"}});
+    }
+    void SetAccounts(
+        int64_t version,
+        const std::vector<std::pair<std::string, std::string>> &accounts)
+    {
+        bb_mesh_config_t *config = BbMeshConfig_New(version);
+        bb_mesh_route_options_t keyed = {};
+        keyed.name = "keyed";
+        keyed.host = "h";
+        keyed.prefix = "/safe/";
+        keyed.is_idempotent = true;
+        keyed.target_latency_s = 0.5;
+        bb_mesh_route_options_t open = keyed;
+        open.name = "open";
+        open.prefix = "/public/";
+        open.is_public = true;
+        BbMeshConfig_AddService(config, "orders", 100);
+        BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &keyed), "orders",
+                            1);
+        BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &open), "orders", 1);
+        bb_account_table_t *table = BbAccountTable_New();
+        for (const auto &entry : accounts) {
+            bb_account_t account = {};
+            account.name = const_cast<char *>(entry.first.c_str());
+            BbAccountTable_AddKey(table, BbAccountTable_Add(table, &account),
+                                  entry.second.c_str());
+        }
+        BbMeshConfig_SetAccounts(config, table);
+        BbCallIo_SetConfig(node.calls, config);
+        BbMeshConfig_Unref(config);
+    }
+    static std::string Request(const std::string &path, const std::string &id,
+                               const std::string &fields)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\nCall-Id: " + id +
+               "\r\nLeft-Ms: 2000\r\n" + fields + "\r\n";
+    }
+    Loop loop;
+    Target target;
+    Node node;
+};
+
+} // namespace
+
+// Guards against accounts that are decoded wrongly, and against downloads that
+// are not repeated.
+TEST(AccountConfig, DecodesAccountsAndDownloads)
+{
+    bb_mesh_config_t *config = nullptr;
+    ASSERT_EQ(Decode(kConfig, &config), 0);
+    const bb_account_table_t *accounts = BbMeshConfig_Accounts(config);
+    ASSERT_NE(accounts, nullptr);
+    uint64_t first, second;
+    const bb_account_t *account = BbAccountTable_Find(accounts, "k2", &second);
+    ASSERT_NE(account, nullptr);
+    EXPECT_STREQ(account->name, "t1");
+    EXPECT_EQ(account->rank, 2);
+    EXPECT_DOUBLE_EQ(account->rate_per_s, 7);
+    EXPECT_DOUBLE_EQ(account->burst, 9);
+    EXPECT_EQ(BbAccountTable_Find(accounts, "k1", &first), account);
+    EXPECT_NE(first, second);
+    EXPECT_EQ(BbAccountTable_Find(accounts, "k", &first), nullptr);
+    EXPECT_EQ(BbAccountTable_Find(accounts, nullptr, &first), nullptr);
+    EXPECT_EQ(BbAccountTable_KeyCount(accounts), 3u);
+    EXPECT_TRUE(BbMeshConfig_FindRoute(config, "h", "/d/1")->is_idempotent);
+    EXPECT_FALSE(BbMeshConfig_FindRoute(config, "h", "/d/1")->is_public);
+    EXPECT_TRUE(BbMeshConfig_FindRoute(config, "h", "/p/1")->is_public);
+    BbMeshConfig_Unref(config);
+}
+
+// Guards against a version in which a key would name the wrong account.
+TEST(AccountConfig, RejectsAmbiguousAccounts)
+{
+    const std::string good = kConfig;
+    const std::string bad[] = {
+        Replace(good, "\"k3\"", "\"k1\""),
+        Replace(good, "\"k3\"", "\"\""),
+        Replace(good, "\"k3\"", "7"),
+        Replace(good, "\"name\":\"t2\"", "\"name\":\"t1\""),
+        Replace(good, "\"name\":\"t2\",", ""),
+        Replace(good, "\"rate_per_s\":7", "\"rate_per_s\":-7"),
+    };
+    for (const auto &text : bad) {
+        bb_mesh_config_t *config = nullptr;
+        EXPECT_EQ(Decode(text, &config), BB_ERR_INVALID) << text;
+    }
+}
+
+// Guards against keys that reach a target, and against accounts that a caller
+// has forged.
+TEST_F(AccountIo, TargetsGetTheAccountAndNoKey)
+{
+    Caller caller(&loop, node.caller_address);
+    caller.Call(Request("/safe/1", "c1", "Key: k1\r\nAccount: forged\r\n"));
+    caller.Call(Request("/public/1", "c2", "Key: k1\r\nAccount: forged\r\n"));
+    ASSERT_EQ(target.requests.size(), 2u);
+    EXPECT_EQ(HeaderField(target.requests[0].head, "Account"), "t1");
+    EXPECT_EQ(HeaderField(target.requests[0].head, "Key"), "");
+    EXPECT_EQ(HeaderField(target.requests[1].head, "Account"), "");
+    EXPECT_EQ(HeaderField(target.requests[1].head, "Key"), "");
+}
+
+// Guards against calls that run without a valid key, and against a connection
+// that is bound to the key of its first call.
+TEST_F(AccountIo, RefusesUnknownKeysCallByCall)
+{
+    Caller caller(&loop, node.caller_address);
+    EXPECT_EQ(Status(caller.Call(Request("/safe/1", "c1", "Key: k2\r\n"))),
+              "200");
+    EXPECT_EQ(Status(caller.Call(Request("/safe/1", "c2", "Key: x\r\n"))),
+              "401");
+    EXPECT_EQ(Status(caller.Call(Request("/safe/1", "c3", ""))), "401");
+    EXPECT_EQ(Status(caller.Call(Request("/safe/1", "c4", "Key: k1\r\n"))),
+              "200");
+    SetAccounts(5, {{"t2", "k2"}});
+    EXPECT_EQ(Status(caller.Call(Request("/safe/1", "c5", "Key: k1\r\n"))),
+              "401");
+    EXPECT_EQ(target.requests.size(), 2u);
+}
+
+// Guards against a final 401 for a key that a newer version may have.
+TEST_F(AccountIo, UnknownKeysAreNotDeniedWhileANewerVersionIsKnown)
+{
+    Caller caller(&loop, node.caller_address);
+    BbFreshness_Hear(&node.freshness, 5);
+    std::string response = caller.Call(Request("/safe/1", "c1", "Key: x\r\n"));
+    EXPECT_EQ(Status(response), "503");
+    EXPECT_EQ(target.requests.size(), 0u);
+}
+
+// Guards against an account that is lost between two nodes.
+TEST(AccountHop, CarriesTheAccount)
+{
+    bb_hop_call_t hop = {};
+    hop.service = const_cast<char *>("orders");
+    hop.caller_service = const_cast<char *>("catalogue");
+    hop.class_name = const_cast<char *>("r-1");
+    hop.key_digest = 0xfedcba9876543210u;
+    hop.account = const_cast<char *>("a, b");
+    char *text = BbHop_Format(&hop);
+    bb_hop_call_t read;
+    ASSERT_EQ(BbHop_Parse(text, &read), 0);
+    EXPECT_EQ(read.key_digest, hop.key_digest);
+    EXPECT_STREQ(read.account, "a, b");
+    BbHop_Clear(&read);
+    g_free(text);
+}
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -25,9 +25,10 @@
 namespace mesh_rig {
 
 // In the order of bb_header_names_t: call id, deadline, expected target,
-// caller service, seal and not run.
+// caller service, seal, not run, account key and account.
 const bb_header_names_t kHeaderNames = {"Call-Id", "Left-Ms", "Want-Target",
-                                        "Caller",  "Seal",    "Not-Run"};
+                                        "Caller",  "Seal",    "Not-Run",
+                                        "Key",     "Account"};
 
 // Ports of tests, below those of the scripted tests and the ephemeral ports,
 // so that no outgoing connection takes a port before it is bound.
@@ -281,9 +282,10 @@
 MakeConfig()
 {
     bb_mesh_config_t *config = BbMeshConfig_New(3);
-    bb_mesh_route_options_t safe = {"safe", "h", "/safe/", true, 3, 0.5, 1, 2};
-    bb_mesh_route_options_t once = {"once", "h", "/once/", false,
-                                    3,      0.5, 1,        2};
+    bb_mesh_route_options_t safe = {"safe", "h", "/safe/", true, 3,
+                                    0.5,    1,   2,        false};
+    bb_mesh_route_options_t once = {"once", "h", "/once/", false, 3,
+                                    0.5,    1,   2,        false};
     BbMeshConfig_AddService(config, "orders", 100);
     BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &safe), "orders", 1);
     BbMeshRoute_AddPart(BbMeshConfig_AddRoute(config, &once), "orders", 1);
