Accounts: calls whose key was removed meanwhile are not started

Cause: a call that waited for a slot, was forwarded, or was tried again went on with a key that a version in force had removed.

Such a call ends with 401 as not run.

--- a/lib/account/bb_account.c
+++ b/lib/account/bb_account.c
@@ -149,6 +149,29 @@
     return compute_digest(key).head;
 }
 
+size_t
+BbAccountTable_ForEachMissingKey(const bb_account_table_t *table,
+                                 const bb_account_table_t *other,
+                                 void (*visit)(uint64_t digest, void *arg),
+                                 void *arg)
+{
+    GHashTableIter iter;
+    gpointer key;
+    size_t count = 0;
+
+    if (table == NULL) {
+        return 0;
+    }
+    g_hash_table_iter_init(&iter, table->by_key);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (other == NULL || !g_hash_table_contains(other->by_key, key)) {
+            visit(((const key_digest_t *)key)->head, arg);
+            count++;
+        }
+    }
+    return count;
+}
+
 void
 BbAccountTable_ForEach(const bb_account_table_t *table,
                        void (*visit)(const bb_account_t *account, void *arg),
--- a/lib/account/bb_account.h
+++ b/lib/account/bb_account.h
@@ -63,6 +63,12 @@
 /* The first 8 bytes of the digest of a key: identifies it between nodes. */
 uint64_t BbAccount_KeyDigest(const char *key);
 
+/* Calls visit with the digest of each key that other lacks; returns how many.
+ * Either table may be NULL, which has no keys. */
+size_t BbAccountTable_ForEachMissingKey(
+    const bb_account_table_t *table, const bb_account_table_t *other,
+    void (*visit)(uint64_t digest, void *arg), void *arg);
+
 /* Calls visit for each account, in the order of addition. */
 void BbAccountTable_ForEach(const bb_account_table_t *table,
                             void (*visit)(const bb_account_t *account,
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -53,6 +53,8 @@
     bb_random_t *random;
     double spill_share;              /* see bb_placement.h */
     const bb_freshness_t *freshness; /* of the configuration; may be NULL */
+    /* Calls with these keys get no further attempt. Borrowed; may be NULL. */
+    const bb_dropped_keys_t *dropped_keys;
 } bb_call_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -107,6 +107,10 @@
  * it has certainly not run, else 504 on a timeout and 502 otherwise. */
 void BbMeshCall_Fail(bb_mesh_call_t *call, bb_reason_t reason);
 
+/* Ends a call whose key was removed while it was open: 401 if it has certainly
+ * not run. */
+void BbMeshCall_RespondRevoked(bb_mesh_call_t *call);
+
 /* Sends the complete response of the target, or ends the streamed one. */
 void BbMeshCall_RespondFromTarget(bb_mesh_call_t *call);
 
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -363,6 +363,11 @@
     bb_endpoint_t *endpoint = NULL;
     bool is_full = false;
 
+    if (BbDroppedKeys_Contains(call->io->options.dropped_keys,
+                               call->key_digest)) {
+        BbMeshCall_RespondRevoked(call);
+        return;
+    }
     if (call->tried_count < BB_PLACEMENT_MAX_TRIED) {
         endpoint = choose_endpoint(call, &is_full);
     }
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -118,6 +118,17 @@
     }
 }
 
+void
+BbMeshCall_RespondRevoked(bb_mesh_call_t *call)
+{
+    if (call->may_have_run) {
+        BbMeshCall_Fail(call, BB_REASON_ACCOUNT_REVOKED);
+    }
+    else {
+        BbMeshCall_RespondError(call, 401, BB_REASON_ACCOUNT_REVOKED);
+    }
+}
+
 void
 BbMeshCall_RespondFromTarget(bb_mesh_call_t *call)
 {
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -48,6 +48,7 @@
     char *service;
     const bb_header_names_t *names;
     bb_local_target_t *target;
+    const bb_dropped_keys_t *dropped_keys;
     bb_slot_queue_t *queue;
     bb_h1_client_t *client;
     target_call_t *calls;
@@ -336,6 +337,14 @@
     return io->is_node_draining ? BB_REASON_NODE_DRAINING : BB_REASON_NONE;
 }
 
+/* Whether the key of the call's account was removed after the call was sent.
+ */
+static bool
+has_dropped_key(const bb_target_io_t *io, const bb_attempt_request_t *request)
+{
+    return BbDroppedKeys_Contains(io->dropped_keys, request->key_digest);
+}
+
 static void
 run_queue(bb_target_io_t *io)
 {
@@ -344,11 +353,14 @@
     while ((ticket = BbSlotQueue_Next(io->queue, BbClock_Now(io->loop))) !=
            NULL) {
         target_call_t *call = ticket->arg;
-        if (ticket->state == BB_SLOT_RUNNING) {
-            start_call(call);
+        if (ticket->state != BB_SLOT_RUNNING) {
+            refuse(call, ticket->reason);
+        }
+        else if (has_dropped_key(io, &call->request)) {
+            refuse(call, BB_REASON_ACCOUNT_REVOKED);
         }
         else {
-            refuse(call, ticket->reason);
+            start_call(call);
         }
     }
     schedule_queue_timer(io);
@@ -455,9 +467,11 @@
 offer_refusal_reason(const bb_target_io_t *io,
                      const bb_attempt_request_t *request)
 {
-    return strcmp(request->service, io->service) != 0
-               ? BB_REASON_WRONG_SERVICE
-               : state_refusal_reason(io);
+    if (strcmp(request->service, io->service) != 0) {
+        return BB_REASON_WRONG_SERVICE;
+    }
+    return has_dropped_key(io, request) ? BB_REASON_ACCOUNT_REVOKED
+                                        : state_refusal_reason(io);
 }
 
 bb_reason_t
@@ -583,6 +597,7 @@
     io->service = g_strdup(options->service);
     io->names = options->names;
     io->target = options->target;
+    io->dropped_keys = options->dropped_keys;
     io->queue = BbSlotQueue_New();
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -19,6 +19,7 @@
 #include <ev.h>
 
 #include "bb_attempt.h"
+#include "bb_dropped_keys.h"
 #include "bb_local_target.h"
 
 #ifdef __cplusplus
@@ -33,6 +34,8 @@
     const char *service;
     const bb_header_names_t *names;
     bb_local_target_t *target; /* borrowed */
+    /* Calls with these keys are not started. Borrowed; may be NULL. */
+    const bb_dropped_keys_t *dropped_keys;
 } bb_target_io_options_t;
 
 bb_target_io_t *BbTargetIo_New(const bb_target_io_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -222,8 +222,10 @@
     sidecar->versions = BbVersions_New();
     sidecar->budget = BbRepeatBudget_New(&budget);
     sidecar->target = BbLocalTarget_New(&target);
+    sidecar->dropped_keys = BbDroppedKeys_New();
     bb_target_io_options_t options = target_io;
     options.target = sidecar->target;
+    options.dropped_keys = sidecar->dropped_keys;
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
@@ -265,6 +267,7 @@
         .random = sidecar->random,
         .spill_share = settings->spill_share,
         .freshness = &sidecar->freshness,
+        .dropped_keys = sidecar->dropped_keys,
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
 }
@@ -358,6 +361,7 @@
     BbHopClient_Free(sidecar->hop_client);
     BbTargetIo_Free(sidecar->target_io);
     BbLocalTarget_Free(sidecar->target);
+    BbDroppedKeys_Free(sidecar->dropped_keys);
     BbRepeatBudget_Free(sidecar->budget);
     BbMeshConfig_Unref(sidecar->config);
     BbVersions_Free(sidecar->versions);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -29,6 +29,7 @@
     bb_readers_t *readers;
     bb_mesh_config_t *config;
     bb_freshness_t freshness; /* of config */
+    bb_dropped_keys_t *dropped_keys;
     bb_local_target_t *target;
     bb_target_io_t *target_io;
     bb_hop_server_t *hop_server;
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -49,6 +49,28 @@
     return BbFreshness_AgeS(&sidecar->freshness, BbClock_Now(sidecar->loop));
 }
 
+/* Records the keys that a new version removes. */
+static void
+drop_keys(sidecar_t *sidecar, const bb_mesh_config_t *config)
+{
+    const bb_account_table_t *accounts = BbMeshConfig_Accounts(config);
+    size_t count = sidecar->config == NULL
+                       ? 0
+                       : BbDroppedKeys_Update(
+                             sidecar->dropped_keys,
+                             BbMeshConfig_Accounts(sidecar->config), accounts);
+
+    if (count > 0 && BbEvent_Allows(BB_EVENT_KEYS_DROPPED)) {
+        BbEvent_Write(BB_EVENT_KEYS_DROPPED,
+                      json_pack("{s:I, s:i, s:i}", "version",
+                                (json_int_t)BbMeshConfig_Version(config),
+                                "keys", (int)count, "accounts",
+                                accounts != NULL
+                                    ? (int)BbAccountTable_Count(accounts)
+                                    : 0));
+    }
+}
+
 static void
 apply_config(const char *text, size_t size, const char *source, void *arg)
 {
@@ -78,6 +100,7 @@
         return;
     }
     BbMeshConfig_ShuffleSplits(config, sidecar->random);
+    drop_keys(sidecar, config);
     BbMeshConfig_Unref(sidecar->config);
     sidecar->config = config;
     BbCallIo_SetConfig(sidecar->call_io, config);
--- a/tests/unit/account_test.cc
+++ b/tests/unit/account_test.cc
@@ -176,6 +176,75 @@
     EXPECT_EQ(target.requests.size(), 0u);
 }
 
+// Guards against keys that stay dropped after a version adds them again, and
+// against a set that grows without bound.
+TEST(DroppedKeys, KeepsTheLastRemovedKeys)
+{
+    const bb_account_t account = {const_cast<char *>("t1"), 0, 0, 0};
+    bb_account_table_t *some = BbAccountTable_New(),
+                       *none = BbAccountTable_New();
+    const bb_account_t *owner = BbAccountTable_Add(some, &account);
+    BbAccountTable_AddKey(some, owner, "k1");
+    uint64_t k1 = BbAccount_KeyDigest("k1");
+    bb_dropped_keys_t *dropped = BbDroppedKeys_New();
+    EXPECT_EQ(BbDroppedKeys_Update(dropped, some, none), 1u);
+    EXPECT_TRUE(BbDroppedKeys_Contains(dropped, k1));
+    EXPECT_FALSE(BbDroppedKeys_Contains(dropped, 0));
+    EXPECT_EQ(BbDroppedKeys_Update(dropped, none, some), 0u);
+    EXPECT_FALSE(BbDroppedKeys_Contains(dropped, k1));
+    BbDroppedKeys_Update(dropped, some, nullptr);
+    EXPECT_TRUE(BbDroppedKeys_Contains(dropped, k1));
+    bb_account_table_t *many = BbAccountTable_New();
+    owner = BbAccountTable_Add(many, &account);
+    for (int i = 0; i < BB_DROPPED_KEYS_MAX + 10; i++) {
+        BbAccountTable_AddKey(many, owner, ("m" + std::to_string(i)).c_str());
+    }
+    BbDroppedKeys_Update(dropped, many, none);
+    EXPECT_FALSE(BbDroppedKeys_Contains(dropped, k1));
+    int kept = 0;
+    for (int i = 0; i < BB_DROPPED_KEYS_MAX + 10; i++) {
+        kept += BbDroppedKeys_Contains(
+            dropped, BbAccount_KeyDigest(("m" + std::to_string(i)).c_str()));
+    }
+    EXPECT_EQ(kept, BB_DROPPED_KEYS_MAX);
+    BbDroppedKeys_Free(dropped);
+    BbAccountTable_Free(many);
+    BbAccountTable_Free(none);
+    BbAccountTable_Free(some);
+}
+
+// Guards against a call that waits for a slot and runs after its key was
+// removed.
+TEST_F(AccountIo, WaitingCallsAreNotRunOnceTheirKeyIsRemoved)
+{
+    std::vector<Target::Request> held;
+    target.on_request = [&](const Target::Request &request) {
+        held.push_back(request);
+    };
+    Caller running(&loop, node.caller_address);
+    Caller waiting(&loop, node.caller_address);
+    for (int i = 0; i < 4; i++) { // all slots of the target
+        running.connection.Send(
+            Request("/safe/1", "r" + std::to_string(i), "Key: k2\r\n"));
+    }
+    ASSERT_TRUE(loop.RunUntil([&] { return held.size() == 4; }));
+    waiting.connection.Send(Request("/safe/1", "w", "Key: k1\r\n"));
+    loop.RunFor(0.05);
+    ASSERT_EQ(waiting.ResponseCount(), 0u);
+    bb_account_table_t *old_accounts = BbAccountTable_New();
+    const bb_account_t account = {const_cast<char *>("t1"), 0, 0, 0};
+    BbAccountTable_AddKey(old_accounts,
+                          BbAccountTable_Add(old_accounts, &account), "k1");
+    BbDroppedKeys_Update(node.dropped_keys, old_accounts, nullptr);
+    BbAccountTable_Free(old_accounts);
+    for (const auto &request : held) {
+        request.connection->Send(Target::Response(request.id, "x"));
+    }
+    EXPECT_EQ(Status(waiting.Wait(1)), "401");
+    loop.RunFor(0.05);
+    EXPECT_EQ(target.requests.size(), 4u);
+}
+
 // Guards against an account that is lost between two nodes.
 TEST(AccountHop, CarriesTheAccount)
 {
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -304,8 +304,9 @@
                                            false};
         local_target = BbLocalTarget_New(&local);
         bb_target_io_options_t target_options = {
-            loop->loop, target->address.c_str(), "orders", &kHeaderNames,
-            local_target};
+            loop->loop,   target->address.c_str(),
+            "orders",     &kHeaderNames,
+            local_target, dropped_keys};
         target_io = BbTargetIo_New(&target_options);
         bb_hop_server_options_t server_options = {};
         server_options.loop = loop->loop;
@@ -336,6 +337,7 @@
         options.random = random;
         options.spill_share = 0.9;
         options.freshness = &freshness;
+        options.dropped_keys = dropped_keys;
         EXPECT_EQ(BbCallIo_New(&options, &calls), 0);
         config_ = MakeConfig();
         BbCallIo_SetConfig(calls, config_);
@@ -353,6 +355,7 @@
         BbRandom_Free(random);
         BbFleet_Free(fleet);
         BbMeshConfig_Unref(config_);
+        BbDroppedKeys_Free(dropped_keys);
     }
     void SendHeartbeat(int64_t sequence, bool is_draining)
     {
@@ -404,6 +407,7 @@
     bb_random_t *random;
     bb_repeat_budget_t *budget;
     bb_freshness_t freshness = {};
+    bb_dropped_keys_t *dropped_keys = BbDroppedKeys_New();
     bb_call_io_t *calls;
 };
 
