Pace large responses on the outbound link of a VM

A response above 16 KB waits in lib/link and is written in pieces of 20 ms of link time, just below link_mbps, in the order of rank and due time. Small responses are written at once and counted against the same rate. Before, all bytes were written at once and small responses waited behind them.

--- a/lib/http/bb_h1_response.c
+++ b/lib/http/bb_h1_response.c
@@ -1,9 +1,14 @@
 #include <assert.h>
 #include <errno.h>
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utlist.h>
 
+#include "bb_clock.h"
 #include "bb_h1_server_private.h"
 
 /* After the last response a connection stays open for reading for this long:
@@ -20,6 +25,7 @@
     struct ev_loop *loop = connection->server->loop;
 
     connection->is_broken = true;
+    BbLinkPacer_Remove(connection->server->pacer, &connection->transfer);
     ev_io_stop(loop, &connection->read_watcher);
     ev_io_stop(loop, &connection->write_watcher);
     ev_timer_stop(loop, &connection->end_timer);
@@ -41,32 +47,120 @@
     }
 }
 
+/* Whether the kernel holds bytes of earlier pieces that it could not send yet.
+ * More would only fill its queue, so the transfer yields its turn. The same
+ * limit keeps the write watcher from firing until there is room. */
+static bool
+is_socket_full(bb_h1_connection_t *connection)
+{
+    int unsent;
+
+    if (connection->unsent_limit == 0) {
+        const bb_link_queue_t *queue =
+            BbLinkPacer_Queue(connection->server->pacer);
+        connection->unsent_limit =
+            (int)MIN(BbLinkQueue_PieceBytes(queue), G_MAXINT);
+        setsockopt(connection->fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                   &connection->unsent_limit,
+                   sizeof(connection->unsent_limit));
+    }
+    return ioctl(connection->fd, SIOCOUTQNSD, &unsent) == 0 &&
+           unsent >= connection->unsent_limit;
+}
+
+/* Number of bytes that may be written now. If it is 0, the rest follows when
+ * the pacer resumes the transfer or when the socket has room. */
+static size_t
+allowed_bytes(bb_h1_connection_t *connection, size_t unsent)
+{
+    const bb_h1_server_t *server = connection->server;
+    bb_paced_transfer_t *transfer = &connection->transfer;
+
+    if (server->pacer == NULL || !connection->is_bulk) {
+        return unsent;
+    }
+    if (transfer->base.is_queued && is_socket_full(connection)) {
+        BbLinkPacer_Return(server->pacer, transfer, 0);
+        ev_io_start(server->loop, &connection->write_watcher);
+        return 0;
+    }
+    size_t allowed = BbLinkPacer_Take(server->pacer, transfer, unsent);
+    if (allowed == 0) {
+        ev_io_stop(server->loop, &connection->write_watcher);
+    }
+    return allowed;
+}
+
+/* Counts the bytes that were written of those that allowed_bytes() returned.
+ */
+static void
+count_written(bb_h1_connection_t *connection, size_t allowed, size_t written)
+{
+    bb_link_pacer_t *pacer = connection->server->pacer;
+
+    if (pacer == NULL) {
+        return;
+    }
+    if (!connection->is_bulk) {
+        BbLinkPacer_Charge(pacer, written);
+    }
+    else if (written < allowed) {
+        BbLinkPacer_Return(pacer, &connection->transfer, allowed - written);
+    }
+}
+
 bool
 BbH1Connection_WriteOut(bb_h1_connection_t *connection)
 {
     while (connection->out_offset < connection->out->len) {
-        ssize_t sent = send(
+        size_t allowed = allowed_bytes(connection, connection->out->len -
+                                                       connection->out_offset);
+        if (allowed == 0) {
+            return false;
+        }
+        ssize_t sent = TEMP_FAILURE_RETRY(send(
             connection->fd, connection->out->data + connection->out_offset,
-            connection->out->len - connection->out_offset, MSG_NOSIGNAL);
-        if (sent < 0) {
-            if (errno == EINTR) {
-                continue;
-            }
-            if (errno != EAGAIN && errno != EWOULDBLOCK) {
-                break_connection(connection);
-                return false;
-            }
+            allowed, MSG_NOSIGNAL));
+        if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+            break_connection(connection);
+            return false;
+        }
+        size_t written = (size_t)MAX(sent, 0);
+        count_written(connection, allowed, written);
+        connection->out_offset += written;
+        if (written < allowed) {
             ev_io_start(connection->server->loop, &connection->write_watcher);
             return false;
         }
-        connection->out_offset += (size_t)sent;
     }
     g_byte_array_set_size(connection->out, 0);
     connection->out_offset = 0;
+    connection->is_bulk = false;
     ev_io_stop(connection->server->loop, &connection->write_watcher);
     return true;
 }
 
+/* Orders the transfer of the connection by its most urgent response: those
+ * behind a large one must wait for it. */
+static void
+add_to_transfer(bb_h1_connection_t *connection, const bb_h1_request_t *request)
+{
+    bb_link_transfer_t *transfer = &connection->transfer.base;
+
+    if (!connection->is_bulk) {
+        transfer->rank = request->rank;
+        transfer->due_at = request->due_at;
+    }
+    else if (request->due_at > 0) {
+        bool is_late =
+            transfer->due_at < BbClock_Now(connection->server->loop);
+        transfer->rank = MIN(transfer->rank, request->rank);
+        transfer->due_at =
+            is_late ? request->due_at : MIN(transfer->due_at, request->due_at);
+    }
+    connection->is_bulk = connection->is_bulk || request->is_bulk;
+}
+
 /* Moves the bytes that may be sent next from the requests to the output of the
  * connection, in the order of the requests. *must_close: the connection is to
  * be closed after these bytes. */
@@ -78,6 +172,7 @@
     while (request != NULL) {
         bb_h1_request_t *next = request->next;
         if (request->out->len > 0) {
+            add_to_transfer(connection, request);
             g_byte_array_append(connection->out, request->out->data,
                                 request->out->len);
             g_byte_array_set_size(request->out, 0);
@@ -159,6 +254,7 @@
     assert(!request->is_response_started);
     request->is_response_started = true;
     request->is_chunked = content_length == BB_H1_CHUNKED;
+    request->body_size = MAX(content_length, 0);
     BbH1_AppendFormat(request->out, "HTTP/1.1 %d %s\r\n", status,
                       http_status_str((enum http_status)status));
     if (fields != NULL) {
@@ -208,10 +304,13 @@
     }
     if (request->is_chunked) {
         BbH1_WriteChunk(request->out, data, size);
+        request->body_size += (int64_t)size;
     }
     else {
         g_byte_array_append(request->out, data, (guint)size);
     }
+    request->is_bulk =
+        request->due_at > 0 && request->body_size > BB_LINK_BULK_BYTES;
 }
 
 void
@@ -268,6 +367,12 @@
     BbH1Connection_Flush(request->connection);
 }
 
+void
+BbH1Connection_Resume(bb_paced_transfer_t *transfer)
+{
+    BbH1Connection_Flush(transfer->base.arg);
+}
+
 bool
 BbH1Connection_HasUnsentBytes(const bb_h1_connection_t *connection)
 {
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -67,6 +67,7 @@
     ev_io_stop(server->loop, &connection->write_watcher);
     ev_timer_stop(server->loop, &connection->idle_timer);
     ev_timer_stop(server->loop, &connection->end_timer);
+    BbLinkPacer_Remove(server->pacer, &connection->transfer);
     close(connection->fd);
     while (connection->requests != NULL) {
         bb_h1_request_t *request = connection->requests;
@@ -393,6 +394,8 @@
     ev_init(&connection->idle_timer, handle_idle);
     ev_init(&connection->end_timer, check_end);
     connection->end_timer.repeat = END_CHECK_S;
+    connection->transfer.base.arg = connection;
+    connection->transfer.resume = BbH1Connection_Resume;
     connection->read_watcher.data = connection;
     connection->write_watcher.data = connection;
     connection->idle_timer.data = connection;
@@ -431,6 +434,7 @@
     server->fd = fd;
     server->handler = options->handler;
     server->arg = options->arg;
+    server->pacer = options->pacer;
     BbH1Server_SetLimits(server, options->max_head_bytes, options->idle_s,
                          options->head_s);
     ev_io_init(&server->accept_watcher, handle_accept, fd, EV_READ);
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -24,6 +24,11 @@
  *   At most BB_H1_MAX_PIPELINE requests of a connection are open at once.
  *
  *   While BbH1_PauseBody() is in force, nothing is read from the connection.
+ *
+ *   With a pacer, responses with bodies above BB_LINK_BULK_BYTES to requests
+ *   that have a due_at are written as the link allows, see bb_link_queue.h.
+ *   Their waiting bytes count as unsent. Other responses are written at once,
+ *   unless they are behind such a response on their connection.
  */
 #ifndef BB_H1_SERVER_H
 #define BB_H1_SERVER_H
@@ -31,6 +36,7 @@
 #include <ev.h>
 
 #include "bb_h1_message.h"
+#include "bb_link_pacer_io.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -48,12 +54,19 @@
     int64_t content_length; /* BB_H1_NO_BODY, BB_H1_CHUNKED or the length */
     bool is_read;           /* the whole request has been read */
     void *user_data;        /* for use by the handler */
+    /* Order among large responses, set by the handler before it responds: the
+     * rank, 0 is the most urgent, and the end of the target latency in seconds
+     * of BbClock_Now(). With 0 the response is never paced. */
+    int rank;
+    double due_at;
     /* private */
     bb_h1_connection_t *connection;
     GByteArray *out;
     bool is_head_request, is_response_started, is_chunked, is_response_ended,
         is_aborted;
     bool is_head_reported, is_awaiting_drain;
+    bool is_bulk;      /* more body bytes than BB_LINK_BULK_BYTES */
+    int64_t body_size; /* announced length, else the bytes given so far */
     struct bb_h1_request *prev, *next;
 } bb_h1_request_t;
 
@@ -74,9 +87,10 @@
     const char *address; /* "IP:PORT" */
     const bb_h1_handler_t *handler;
     void *arg;
-    size_t max_head_bytes; /* 0 means 64 KiB */
-    double idle_s;         /* timeout of idle connections; 0 means 60 */
-    double head_s;         /* time limit for reading a head; 0 means 60 */
+    size_t max_head_bytes;  /* 0 means 64 KiB */
+    double idle_s;          /* timeout of idle connections; 0 means 60 */
+    double head_s;          /* time limit for reading a head; 0 means 60 */
+    bb_link_pacer_t *pacer; /* borrowed; NULL writes all responses at once */
 } bb_h1_server_options_t;
 
 /* Returns 0, BB_ERR_ADDRESS_IN_USE, BB_ERR_ARGUMENT or BB_ERR_IO. */
--- a/lib/http/bb_h1_server_private.h
+++ b/lib/http/bb_h1_server_private.h
@@ -23,8 +23,11 @@
     int request_count;
     GByteArray *out;
     size_t out_offset;
-    int depth;             /* callbacks in progress */
-    bool is_paused;        /* by the handler */
+    bool is_bulk; /* out contains bytes of a large response */
+    bb_paced_transfer_t transfer;
+    int unsent_limit; /* bytes, see BbH1Connection_WriteOut(); 0: not set */
+    int depth;        /* callbacks in progress */
+    bool is_paused;   /* by the handler */
     bool is_close_pending; /* closed after the responses to open requests */
     bool is_lingering;     /* the last response was sent; input is dropped */
     bool is_broken;        /* a write failed; closed by the idle timer */
@@ -42,7 +45,8 @@
     size_t max_head_bytes;
     double idle_s;
     double head_s;
-    bool is_closing; /* see BbH1Server_SetClosing() */
+    bb_link_pacer_t *pacer; /* may be NULL */
+    bool is_closing;        /* see BbH1Server_SetClosing() */
     bb_h1_connection_t *connections;
 };
 
@@ -67,12 +71,15 @@
 /* ---- bb_h1_response ---- */
 
 /* Writes the output of the connection. Returns whether all of it was written;
- * the rest follows when the socket takes it. */
+ * the rest follows when the socket takes it and, with a pacer, the link. */
 bool BbH1Connection_WriteOut(bb_h1_connection_t *connection);
 
 /* Sends what may be sent next, in the order of the requests. */
 void BbH1Connection_Flush(bb_h1_connection_t *connection);
 
+/* Calls BbH1Connection_Flush() for the connection of a transfer. */
+void BbH1Connection_Resume(bb_paced_transfer_t *transfer);
+
 bool BbH1Connection_HasUnsentBytes(const bb_h1_connection_t *connection);
 
 #endif
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -177,6 +177,8 @@
                   call->earlier_tries_s,
         .deadline_at = call->arrived_at + allowed_s - BB_RESPONSE_MARGIN_S,
     };
+    request->rank = call->attempt_request.rank;
+    request->due_at = call->attempt_request.due_at;
     ev_timer_set(&call->deadline_timer,
                  MAX(allowed_s - BB_RESPONSE_MARGIN_S, 0.001), 0.0);
     ev_timer_start(call->io->options.loop, &call->deadline_timer);
@@ -335,6 +337,7 @@
         .address = options->address,
         .handler = &server_handler,
         .arg = io,
+        .pacer = options->pacer,
     };
     int error = BbH1Server_New(&server_options, &io->server);
 
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -53,6 +53,7 @@
     bb_random_t *random;
     double spill_share;              /* see bb_placement.h */
     const bb_freshness_t *freshness; /* of the configuration; may be NULL */
+    bb_link_pacer_t *pacer;          /* of the outbound link; may be NULL */
 } bb_call_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -218,6 +218,8 @@
         .due_at = now + call->call_header.due_in_ms / MS_PER_S,
         .deadline_at = now + call->call_header.deadline_ms / MS_PER_S,
     };
+    request->rank = call->attempt_request.rank;
+    request->due_at = call->attempt_request.due_at;
     return call;
 }
 
@@ -452,6 +454,7 @@
         .arg = server,
         .idle_s = SERVER_IDLE_S,
         .head_s = SERVER_IDLE_S,
+        .pacer = options->pacer,
     };
     int error = BbH1Server_New(&server_options, &server->http_server);
 
--- a/lib/mesh/bb_hop_server.h
+++ b/lib/mesh/bb_hop_server.h
@@ -27,8 +27,9 @@
 
 typedef struct {
     struct ev_loop *loop;
-    const char *address; /* listening address for other nodes */
-    double link_mbps;    /* bandwidth of this VM's link in Mbit/s */
+    const char *address;    /* listening address for other nodes */
+    double link_mbps;       /* bandwidth of this VM's link in Mbit/s */
+    bb_link_pacer_t *pacer; /* of the outbound link; may be NULL */
     bb_target_io_t *target;
     const bb_header_names_t *names;
     /* Returns the configuration version that this node uses, 0 for none. */
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -231,10 +231,12 @@
 start_call_io(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
+    sidecar->pacer = BbLinkPacer_New(sidecar->loop, settings->link_mbps);
     const bb_hop_server_options_t server = {
         .loop = sidecar->loop,
         .address = settings->forward_address,
         .link_mbps = settings->link_mbps,
+        .pacer = sidecar->pacer,
         .target = sidecar->target_io,
         .names = Platform_HeaderNames(),
         .config_version = Sidecar_OwnVersion,
@@ -265,6 +267,7 @@
         .random = sidecar->random,
         .spill_share = settings->spill_share,
         .freshness = &sidecar->freshness,
+        .pacer = sidecar->pacer,
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
 }
@@ -356,6 +359,7 @@
     BbCallIo_Free(sidecar->call_io);
     BbHopServer_Free(sidecar->hop_server);
     BbHopClient_Free(sidecar->hop_client);
+    BbLinkPacer_Free(sidecar->pacer);
     BbTargetIo_Free(sidecar->target_io);
     BbLocalTarget_Free(sidecar->target);
     BbRepeatBudget_Free(sidecar->budget);
