--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -55,6 +55,7 @@
     const bb_freshness_t *freshness; /* of the configuration; may be NULL */
     /* Calls with these keys get no further attempt. Borrowed; may be NULL. */
     const bb_dropped_keys_t *dropped_keys;
+    bb_link_pacer_t *pacer; /* of the outbound link; may be NULL */
 } bb_call_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
