Admit calls by the bytes of their responses; report and use the wait at the link

The node beside a target learns the response size of each class and refuses a call whose response could not be out in time behind the waiting and reserved bytes (link_full). The load report carries link_ms, and placement adds it and the transmission time for classes with large responses.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -350,6 +350,7 @@
     io->service = g_strdup(options->service);
     io->longest_deadlines =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    io->sizes = BbLinkSizes_New();
     *out = io;
     return 0;
 }
@@ -361,6 +362,7 @@
         BbH1Server_Free(io->server);
         BbMeshConfig_Unref(io->config);
         g_hash_table_destroy(io->longest_deadlines);
+        BbLinkSizes_Free(io->sizes);
         g_free(io->data_centre);
         g_free(io->service);
         g_free(io);
--- a/lib/mesh/bb_candidates.c
+++ b/lib/mesh/bb_candidates.c
@@ -40,6 +40,17 @@
     group->capacity = 0;
 }
 
+const bb_candidate_t *
+BbCandidates_FindLocal(const bb_candidates_t *group)
+{
+    for (guint i = 0; i < BbCandidates_Count(group); i++) {
+        if (candidate_at(group, i)->endpoint->is_local) {
+            return candidate_at(group, i);
+        }
+    }
+    return NULL;
+}
+
 const bb_candidate_t *
 BbCandidates_Draw(const bb_candidates_t *group, bb_random_t *random)
 {
--- a/lib/mesh/bb_candidates.h
+++ b/lib/mesh/bb_candidates.h
@@ -38,6 +38,9 @@
 void BbCandidates_Clear(bb_candidates_t *group);
 guint BbCandidates_Count(const bb_candidates_t *group);
 
+/* Returns the candidate that is this node itself, or NULL. */
+const bb_candidate_t *BbCandidates_FindLocal(const bb_candidates_t *group);
+
 /* Draws one at random, weighted by capacity; the group must not be empty. */
 const bb_candidate_t *BbCandidates_Draw(const bb_candidates_t *group,
                                         bb_random_t *random);
--- a/lib/mesh/bb_load.c
+++ b/lib/mesh/bb_load.c
@@ -8,24 +8,33 @@
 void
 BbLoad_Format(const bb_load_t *load, char *out, size_t size)
 {
-    snprintf(out, size, "%d,%d,%d,%d,%d,%d,%" PRId64, load->running,
-             load->waiting, load->slots, load->service_ms, load->fail_permille,
-             load->transfer_ms, load->version);
+    int length =
+        snprintf(out, size, "%d,%d,%d,%d,%d,%d,%" PRId64, load->running,
+                 load->waiting, load->slots, load->service_ms,
+                 load->fail_permille, load->transfer_ms, load->version);
+
+    if (load->link_ms > 0 && length > 0 && (size_t)length < size) {
+        snprintf(out + length, size - (size_t)length, ",%d", load->link_ms);
+    }
 }
 
 int
 BbLoad_Parse(const char *text, bb_load_t *out)
 {
-    int end = 0;
+    int end = 0, link_end = 0;
 
     if (text == NULL ||
         sscanf(text, "%9d,%9d,%9d,%9d,%9d,%9d,%18" SCNd64 "%n", &out->running,
                &out->waiting, &out->slots, &out->service_ms,
                &out->fail_permille, &out->transfer_ms, &out->version,
                &end) != 7 ||
-        text[end] != '\0' || out->running < 0 || out->waiting < 0 ||
-        out->slots < 0 || out->service_ms < 0) {
+        out->running < 0 || out->waiting < 0 || out->slots < 0 ||
+        out->service_ms < 0) {
         return BB_ERR_PARSE;
     }
-    return 0;
+    out->link_ms = 0;
+    if (sscanf(text + end, ",%9d%n", &out->link_ms, &link_end) == 1) {
+        end += link_end;
+    }
+    return text[end] == '\0' && out->link_ms >= 0 ? 0 : BB_ERR_PARSE;
 }
--- a/lib/mesh/bb_load.h
+++ b/lib/mesh/bb_load.h
@@ -18,7 +18,7 @@
 extern "C" {
 #endif
 
-#define BB_LOAD_TEXT 96 /* buffer size for the longest text */
+#define BB_LOAD_TEXT 112 /* buffer size for the longest text */
 
 typedef struct {
     int running;       /* calls at the target */
@@ -28,11 +28,14 @@
     int fail_permille; /* of recent calls, refused or failed by the target */
     int transfer_ms;   /* until the node could receive a large body */
     int64_t version;   /* of the configuration in use there */
+    int link_ms;       /* wait of a large response at the outbound link */
 } bb_load_t;
 
+/* A link_ms of 0 is left out, because earlier releases do not know it. */
 void BbLoad_Format(const bb_load_t *load, char *out, size_t size);
 
-/* Returns 0 or BB_ERR_PARSE, also when text is NULL. */
+/* Returns 0 or BB_ERR_PARSE, also when text is NULL. A report without link_ms
+ * has 0 for it. */
 int BbLoad_Parse(const char *text, bb_load_t *out);
 
 #ifdef __cplusplus
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -54,7 +54,8 @@
     bb_h1_fields_t response_fields;
     GByteArray *response_body;
     int64_t response_length;
-    bool is_streaming; /* head already sent, body not buffered */
+    size_t response_bytes; /* received so far */
+    bool is_streaming;     /* head already sent, body not buffered */
     struct bb_mesh_call *prev, *next;
 } bb_mesh_call_t;
 
@@ -69,6 +70,7 @@
     double last_call_at;
     bool is_refusing;
     GHashTable *longest_deadlines; /* by route name, in seconds */
+    bb_link_sizes_t *sizes;        /* of responses, by route name */
 };
 
 /* ---- bb_call_io ---- */
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -153,11 +153,13 @@
         BbPlacement_Avoid(endpoint, DRAINING_AVOID_S, BbMeshCall_Now(call));
     }
     call->targets_reached += refused_by_target;
-    if (reason == BB_REASON_QUEUE_FULL || reason == BB_REASON_QUEUE_EXPIRED ||
+    bool is_full =
+        reason == BB_REASON_QUEUE_FULL || reason == BB_REASON_LINK_FULL;
+    if (is_full || reason == BB_REASON_QUEUE_EXPIRED ||
         reason == BB_REASON_TOO_LATE) {
         call->full_refusals++;
     }
-    if (reason == BB_REASON_QUEUE_FULL) {
+    if (is_full) {
         BbPlacement_SetFull(endpoint, call->route->name, BbMeshCall_Now(call));
     }
     if (retry_after_s > 0 &&
@@ -225,6 +227,7 @@
 
     call->status = status;
     call->response_length = content_length;
+    call->response_bytes = 0;
     BbH1Fields_Clear(&call->response_fields);
     BbH1Fields_CopyEndToEnd(&call->response_fields, fields);
 }
@@ -234,6 +237,7 @@
 {
     bb_mesh_call_t *call = arg;
 
+    call->response_bytes += size;
     if (call->is_streaming) {
         BbAttempt_ForwardData(call->attempt, call->request, data, size);
         return;
@@ -295,6 +299,8 @@
         .service = call->service,
         .class_name = call->route->name,
         .data_centre = call->io->data_centre,
+        .response_bytes = BbLinkSizes_Bulk(call->io->sizes, call->route->name,
+                                           BbMeshCall_Now(call)),
         .has_large_body =
             call->request->content_length == BB_H1_CHUNKED ||
             call->request->content_length >= BB_TRANSFER_SMALL_BYTES,
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -134,6 +134,10 @@
                                 call->attempts, "took_s",
                                 BbMeshCall_Now(call) - call->arrived_at));
     }
+    if (call->status / 100 == 2) {
+        BbLinkSizes_Add(call->io->sizes, call->route->name,
+                        call->response_bytes, BbMeshCall_Now(call));
+    }
     if (call->is_streaming) {
         BbH1_RespondEnd(request);
     }
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -43,6 +43,12 @@
  * its data centre: moving it costs as many bytes as many other calls. */
 #define LARGE_SPILL_SHARE 0.9
 
+/* The own target gets a call with a large response first while the response
+ * would wait for the link for at most this share of the target latency. */
+#define LOCAL_LINK_WAIT_SHARE 0.1
+
+#define BYTES_PER_MBIT (1e6 / 8.0)
+
 /* Time for which a node counts as full after a refusal for lack of capacity,
  * and the number of classes for which that is kept. */
 #define FULL_S 0.08
@@ -264,6 +270,24 @@
            exp(-MAX(age, 0.0) / LOAD_DECAY_S);
 }
 
+/* Time until a response of this size would have left the VM of the target; the
+ * reported wait decays with its age. Between VMs only, so the own target adds
+ * just the wait. */
+static double
+response_time(const bb_endpoint_t *endpoint, double bytes, double now)
+{
+    double wait_s = 0;
+    double bytes_per_s = endpoint->record.link_mbps * BYTES_PER_MBIT;
+
+    if (endpoint->load_at > 0) {
+        double age = MAX(now - endpoint->load_at - LOAD_FRESH_S, 0.0);
+        wait_s = endpoint->load.link_ms / 1000.0 * exp(-age / LOAD_DECAY_S);
+    }
+    return endpoint->is_local || bytes_per_s <= 0
+               ? wait_s
+               : wait_s + bytes / bytes_per_s;
+}
+
 static bool
 is_tried(const bb_placement_request_t *request, const bb_endpoint_t *endpoint)
 {
@@ -369,6 +393,10 @@
         const prediction_t predicted = predict(endpoint, stats);
         double transfer_s =
             request->has_large_body ? transfer_time(endpoint, stats->now) : 0;
+        if (request->response_bytes > 0) {
+            transfer_s +=
+                response_time(endpoint, request->response_bytes, stats->now);
+        }
         const bb_candidate_t candidate = {
             .endpoint = endpoint,
             .cost_s = predicted.total_s + transfer_s,
@@ -404,6 +432,26 @@
     return request->target_latency_s * share * locality_factor(request);
 }
 
+/* The own target, if it should get a call with a large response: it has a free
+ * slot and its link is free. */
+static const bb_candidate_t *
+choose_own(const bb_candidates_t groups[GROUP_COUNT],
+           const bb_placement_request_t *request, double now)
+{
+    const bb_candidate_t *own =
+        request->response_bytes > 0
+            ? BbCandidates_FindLocal(&groups[REACHABLE_NEAR])
+            : NULL;
+
+    if (own == NULL || own->calls_per_slot >= 1.0 ||
+        own->cost_s > near_limit_s(request)) {
+        return NULL;
+    }
+    double wait_s = response_time(own->endpoint, request->response_bytes, now);
+    return wait_s <= request->target_latency_s * LOCAL_LINK_WAIT_SHARE ? own
+                                                                       : NULL;
+}
+
 static const bb_candidate_t *
 choose_reachable(const bb_candidates_t groups[GROUP_COUNT],
                  const bb_placement_request_t *request, bb_random_t *random)
@@ -481,7 +529,10 @@
     if (!is_any_full) {
         merge_unverified(groups);
     }
-    const bb_candidate_t *chosen = choose_reachable(groups, request, random);
+    const bb_candidate_t *chosen = choose_own(groups, request, now);
+    if (chosen == NULL) {
+        chosen = choose_reachable(groups, request, random);
+    }
     bool is_spilling =
         chosen == NULL || chosen->cost_s > near_limit_s(request) ||
         !is_in_data_centre(chosen->endpoint, request->data_centre);
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -20,6 +20,11 @@
  * next ones too, and asking all nodes again for each call costs bytes and
  * serves none.
  *
+ * A large response waits for the outbound link of the VM that it comes from,
+ * and takes time on it. Both are added to the predicted time, for other nodes:
+ * the response of the target on the own VM has to pass the own link only once,
+ * so that target comes first while it has a free slot and its link is free.
+ *
  * Failing targets are detected by their responses: a high share of failed
  * calls adds to the predicted time. An unreachable node gets calls as a last
  * resort only, until a probe (bb_probe) or a response shows that it is
@@ -50,6 +55,7 @@
     const char *class_name;  /* class of the call; may be NULL */
     const char *data_centre; /* of this node */
     bool has_large_body;
+    double response_bytes;   /* expected size if it is large, else 0 */
     double target_latency_s; /* 0 when the route has none */
     double spill_share;      /* share of target_latency_s, see above */
     int refusals;            /* of this call so far, for lack of capacity */
@@ -70,7 +76,7 @@
                          double now);
 
 /* Predicted seconds until the end of an attempt that starts now, without the
- * transfer time of a large body. */
+ * transfer time of a large body or response. */
 double BbPlacement_Predict(const bb_endpoint_t *endpoint, double now);
 
 typedef enum {
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -24,6 +24,9 @@
 
 #define MAX_IDLE_CONNECTIONS 64
 
+/* Longer waits at the link are reported as this: no call is placed there. */
+#define MAX_REPORTED_LINK_S 60.0
+
 /* Weight of the newest call in the moving average of the failure rate. */
 #define FAIL_RATE_WEIGHT 0.05
 
@@ -34,6 +37,9 @@
     const bb_attempt_handler_t *handler;
     void *arg;
     bb_slot_ticket_t ticket;
+    bb_link_reservation_t reservation;
+    int status; /* of the response; 0 before its head */
+    size_t response_bytes;
     ev_timer deadline_timer;
     bb_h1_exchange_t *exchange;
     size_t sent;
@@ -48,6 +54,7 @@
     char *service;
     const bb_header_names_t *names;
     bb_local_target_t *target;
+    bb_link_admission_t *link; /* may be NULL */
     bb_slot_queue_t *queue;
     bb_h1_client_t *client;
     target_call_t *calls;
@@ -67,6 +74,7 @@
     bb_target_io_t *io = call->io;
 
     ev_timer_stop(io->loop, &call->deadline_timer);
+    BbLinkAdmission_End(io->link, &call->reservation);
     DL_DELETE(io->calls, call);
     io->call_count--;
     g_free(call);
@@ -196,6 +204,7 @@
     BbH1Fields_Init(&forwarded_fields);
     BbH1Fields_CopyEndToEnd(&forwarded_fields, fields);
     call->is_head_forwarded = true;
+    call->status = status;
     record_result(call->io, status >= 500);
     call->handler->on_head(status, &forwarded_fields,
                            BbAttempt_ContentLength(fields), call->arg);
@@ -208,6 +217,7 @@
     target_call_t *call = arg;
 
     if (call->is_head_forwarded) {
+        call->response_bytes += size;
         call->handler->on_data(data, size, call->arg);
     }
 }
@@ -229,6 +239,10 @@
         refuse(call, call->refusal);
         return;
     }
+    if (call->status / 100 == 2) {
+        BbLinkAdmission_Measure(io->link, call->request.class_name,
+                                call->response_bytes, BbClock_Now(io->loop));
+    }
     release_ticket(call, true);
     free_call(call);
     handler->on_end(owner);
@@ -460,6 +474,30 @@
                : state_refusal_reason(io);
 }
 
+/* Whether the link can take the response of the call in time. */
+static bool
+is_link_available(const bb_target_io_t *io,
+                  const bb_attempt_request_t *request, double *retry_after_s)
+{
+    if (io->link == NULL) {
+        return true;
+    }
+    double now = BbClock_Now(io->loop);
+    const bb_link_call_t call = {
+        .class_name = request->class_name,
+        .rank = request->rank,
+        .target_latency_s = request->target_latency_s,
+        .due_at = request->due_at,
+        .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
+    };
+    double ready_s =
+        BbSlotQueue_PredictWait(io->queue, now) +
+        BbSlotQueue_ClassTime(io->queue, request->class_name, now);
+
+    return BbLinkAdmission_Accepts(io->link, &call, ready_s, now,
+                                   retry_after_s);
+}
+
 bb_reason_t
 BbTargetIo_RefusalReason(const bb_target_io_t *io,
                          const bb_attempt_request_t *request,
@@ -475,6 +513,10 @@
             BbSlotQueue_PredictWait(io->queue, BbClock_Now(io->loop));
         reason = BB_REASON_QUEUE_FULL;
     }
+    else if (reason == BB_REASON_NONE &&
+             !is_link_available(io, request, retry_after_s)) {
+        reason = BB_REASON_LINK_FULL;
+    }
     return reason != BB_REASON_NONE ? report_refusal(io, request, reason)
                                     : reason;
 }
@@ -491,6 +533,9 @@
     if (reason != BB_REASON_NONE) {
         return report_refusal(io, request, reason);
     }
+    if (!is_link_available(io, request, retry_after_s)) {
+        return report_refusal(io, request, BB_REASON_LINK_FULL);
+    }
     target_call_t *call = g_new0(target_call_t, 1);
     call->base.ops = &attempt_ops;
     call->io = io;
@@ -506,6 +551,8 @@
         g_free(call);
         return report_refusal(io, request, reason);
     }
+    BbLinkAdmission_Begin(io->link, &call->reservation, request->class_name,
+                          now);
     DL_APPEND(io->calls, call);
     io->call_count++;
     ev_timer_init(&call->deadline_timer, handle_deadline,
@@ -554,6 +601,10 @@
     load->service_ms = (int)lrint(
         BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop)) * 1000);
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
+    /* Bytes that are sent while the next call runs do not delay it. */
+    double link_s = BbLinkAdmission_Wait(io->link, BbClock_Now(io->loop)) -
+                    load->service_ms / 1000.0;
+    load->link_ms = (int)lrint(CLAMP(link_s, 0.0, MAX_REPORTED_LINK_S) * 1000);
 }
 
 double
@@ -583,6 +634,7 @@
     io->service = g_strdup(options->service);
     io->names = options->names;
     io->target = options->target;
+    io->link = options->link;
     io->queue = BbSlotQueue_New();
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -19,6 +19,7 @@
 #include <ev.h>
 
 #include "bb_attempt.h"
+#include "bb_link_admission.h"
 #include "bb_local_target.h"
 
 #ifdef __cplusplus
@@ -33,6 +34,8 @@
     const char *service;
     const bb_header_names_t *names;
     bb_local_target_t *target; /* borrowed */
+    /* Admission by response bytes; borrowed, NULL admits all calls. */
+    bb_link_admission_t *link;
 } bb_target_io_options_t;
 
 bb_target_io_t *BbTargetIo_New(const bb_target_io_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -224,6 +224,10 @@
     sidecar->target = BbLocalTarget_New(&target);
     bb_target_io_options_t options = target_io;
     options.target = sidecar->target;
+    sidecar->pacer = BbLinkPacer_New(sidecar->loop, settings->link_mbps);
+    sidecar->link_admission =
+        BbLinkAdmission_New(BbLinkPacer_Queue(sidecar->pacer));
+    options.link = sidecar->link_admission;
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
@@ -231,7 +235,6 @@
 start_call_io(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
-    sidecar->pacer = BbLinkPacer_New(sidecar->loop, settings->link_mbps);
     const bb_hop_server_options_t server = {
         .loop = sidecar->loop,
         .address = settings->forward_address,
@@ -359,8 +362,9 @@
     BbCallIo_Free(sidecar->call_io);
     BbHopServer_Free(sidecar->hop_server);
     BbHopClient_Free(sidecar->hop_client);
-    BbLinkPacer_Free(sidecar->pacer);
     BbTargetIo_Free(sidecar->target_io);
+    BbLinkAdmission_Free(sidecar->link_admission);
+    BbLinkPacer_Free(sidecar->pacer);
     BbLocalTarget_Free(sidecar->target);
     BbRepeatBudget_Free(sidecar->budget);
     BbMeshConfig_Unref(sidecar->config);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -32,6 +32,7 @@
     bb_local_target_t *target;
     bb_target_io_t *target_io;
     bb_link_pacer_t *pacer;
+    bb_link_admission_t *link_admission;
     bb_hop_server_t *hop_server;
     bb_hop_client_t *hop_client;
     bb_call_io_t *call_io;
--- a/tests/unit/link_test.cc
+++ b/tests/unit/link_test.cc
@@ -6,6 +6,8 @@
 #include <random>
 
 #include "bb_clock.h"
+#include "bb_counters.h"
+#include "bb_link_admission.h"
 #include "bb_link_queue.h"
 #include "mesh_rig.h"
 
@@ -20,11 +22,13 @@
   public:
     LinkSimulation(double settings_mbps, double real_mbps, double seconds)
         : rate(real_mbps * 1e6 / 8), length_s(seconds),
-          queue_(BbLinkQueue_New(settings_mbps, 1000))
+          queue_(BbLinkQueue_New(settings_mbps, 1000)),
+          admission_(BbLinkAdmission_New(queue_))
     {
     }
     ~LinkSimulation()
     {
+        BbLinkAdmission_Free(admission_);
         BbLinkQueue_Free(queue_);
     }
     // Adds bodies of one size, as Poisson arrivals that use a share of the
@@ -60,6 +64,8 @@
         return queue_;
     }
     double rate, length_s;
+    double service_s = 0; // of the calls with bulk; 0: no admission
+    int refused = 0, late = 0, in_time = 0;
     size_t socket_bytes = SIZE_MAX; // bound of the link's queue, for bulk
     size_t bulk_sent = 0;
     std::vector<double> small_waits;
@@ -70,6 +76,8 @@
         double at;
         size_t bytes;
         double target_latency_s;
+        bool is_admitted = false;
+        bb_link_reservation_t reservation = {};
         bool operator<(const Body &other) const
         {
             return at > other.at;
@@ -96,13 +104,42 @@
             Write(body.bytes);
             return;
         }
+        if (service_s > 0 && !body.is_admitted) {
+            Admit(body);
+            return;
+        }
         bulk_.push_back(std::make_unique<Bulk>());
         Bulk *bulk = bulk_.back().get();
         bulk->left = body.bytes;
         bulk->transfer.due_at = body.at + body.target_latency_s;
         bulk->transfer.arg = bulk;
+        if (body.is_admitted) {
+            bulk->transfer.due_at -= service_s;
+            bb_link_reservation_t reservation = body.reservation;
+            BbLinkAdmission_End(admission_, &reservation);
+            BbLinkAdmission_Measure(admission_, "bulk", body.bytes, now_);
+        }
         TakePiece(bulk);
     }
+    // The call runs for service_s, then its body arrives.
+    void Admit(Body body)
+    {
+        bb_link_call_t call = {"bulk", 0, body.target_latency_s,
+                               now_ + body.target_latency_s,
+                               now_ + 2 * body.target_latency_s};
+        double retry_after_s;
+        if (!BbLinkAdmission_Accepts(admission_, &call, service_s, now_,
+                                     &retry_after_s)) {
+            refused++;
+            EXPECT_GT(retry_after_s, 0);
+            EXPECT_LT(retry_after_s, 1);
+            return;
+        }
+        BbLinkAdmission_Begin(admission_, &body.reservation, "bulk", now_);
+        body.is_admitted = true;
+        body.at = now_ + service_s;
+        arrivals_.push(body);
+    }
     void TakePiece(Bulk *bulk)
     {
         size_t taken =
@@ -115,6 +152,9 @@
         bulk->left -= written;
         bulk_sent += written;
         Write(written);
+        if (bulk->left == 0) {
+            (link_free_at_ <= bulk->transfer.due_at ? in_time : late)++;
+        }
         if (written < taken) {
             BbLinkQueue_Return(queue_, &bulk->transfer, taken - written, now_);
             held_.push_back(bulk);
@@ -136,6 +176,7 @@
     }
 
     bb_link_queue_t *queue_;
+    bb_link_admission_t *admission_;
     std::mt19937 engine_{7};
     std::priority_queue<Body> arrivals_;
     std::deque<std::unique_ptr<Bulk>> bulk_;
@@ -250,6 +291,135 @@
     EXPECT_GE(link.bulk_sent, 0.04 * link.rate * link.length_s);
 }
 
+// Guards against calls that run although their responses cannot be out in
+// time, and against a link that stays idle because too many are refused.
+TEST(LinkAdmission, WhatIsAdmittedUnderOverloadEndsInTime)
+{
+    for (double mbps : {13.0, 200.0}) {
+        LinkSimulation link(mbps, mbps, 30);
+        link.service_s = 0.14;
+        link.AddLoad(0.05, 1000, 0.25);
+        link.AddLoad(1.5, 90000, 0.8);
+        link.Run();
+        SCOPED_TRACE(testing::Message() << mbps);
+        // The first calls are admitted before their size is known.
+        EXPECT_LE(link.late, 0.01 * link.in_time);
+        EXPECT_GE(link.bulk_sent, 0.85 * link.rate * link.length_s);
+        EXPECT_GT(link.refused, 0);
+        EXPECT_LE(link.Percentile(link.small_waits, 0.99), 0.025);
+    }
+}
+
+// Guards against refusals for bytes of small and unknown classes, and of late
+// calls while the link is free.
+TEST(LinkAdmission, RefusesOnlyLargeResponsesBehindOthers)
+{
+    bb_link_queue_t *queue = BbLinkQueue_New(13, 1000);
+    bb_link_admission_t *admission = BbLinkAdmission_New(queue);
+    double retry_after_s;
+    for (int i = 0; i < 5; i++) {
+        BbLinkAdmission_Measure(admission, "small", 4000, 1000);
+        BbLinkAdmission_Measure(admission, "large", 90000, 1000);
+    }
+    bb_link_call_t late = {"large", 2, 0.8, 1000.1, 1001.3};
+    EXPECT_TRUE(
+        BbLinkAdmission_Accepts(admission, &late, 0.14, 1000, &retry_after_s));
+    bb_link_transfer_t waiting = {};
+    waiting.due_at = 1000.8;
+    BbLinkQueue_Take(queue, &waiting, 1200000, 1000);
+    EXPECT_NEAR(BbLinkAdmission_Wait(admission, 1000), 0.75, 0.05);
+    EXPECT_FALSE(
+        BbLinkAdmission_Accepts(admission, &late, 0.14, 1000, &retry_after_s));
+    for (const char *name : {"large", "small", "unknown"}) {
+        bb_link_call_t call = {name, 2, 0.8, 1000.8, 1002};
+        EXPECT_EQ(BbLinkAdmission_Accepts(admission, &call, 0.14, 1000,
+                                          &retry_after_s),
+                  strcmp(name, "large") != 0)
+            << name;
+    }
+    BbLinkQueue_Remove(queue, &waiting, 1000);
+    EXPECT_EQ(BbLinkAdmission_Wait(admission, 1000), 0);
+    BbLinkAdmission_Free(admission);
+    BbLinkQueue_Free(queue);
+}
+
+// Guards against reports that one release writes and the other cannot read.
+TEST(LinkPlacement, LoadReportsCarryTheWaitAtTheLink)
+{
+    bb_load_t load = {}, read = {};
+    char text[BB_LOAD_TEXT];
+    load.version = 7;
+    BbLoad_Format(&load, text, sizeof(text));
+    EXPECT_STREQ(text, "0,0,0,0,0,0,7");
+    load.link_ms = 250;
+    BbLoad_Format(&load, text, sizeof(text));
+    ASSERT_EQ(BbLoad_Parse(text, &read), 0);
+    EXPECT_EQ(read.link_ms, 250);
+    ASSERT_EQ(BbLoad_Parse("1,2,18,160,30,40,7", &read), 0);
+    EXPECT_EQ(read.link_ms, 0);
+    for (const char *bad : {"1,2,18,160,30,40,7,", "1,2,18,160,30,40,7,-1",
+                            "1,2,18,160,30,40,7,1,2"}) {
+        EXPECT_EQ(BbLoad_Parse(bad, &read), BB_ERR_PARSE) << bad;
+    }
+}
+
+// Guards against large responses from a node whose link is busy, or over the
+// network while the own target is free; small ones are placed as before.
+TEST(LinkPlacement, LargeResponsesAvoidBusyLinks)
+{
+    bb_fleet_t *fleet = BbFleet_New("own");
+    bb_random_t *random = BbRandom_New(5);
+    std::map<std::string, bb_endpoint_t *> nodes;
+    for (const char *name : {"own", "busy", "free"}) {
+        bb_node_record_t record = {};
+        record.address = const_cast<char *>(name);
+        record.data_centre = const_cast<char *>("a");
+        record.service = const_cast<char *>("orders");
+        record.target_id = const_cast<char *>(name);
+        record.slots = 9;
+        record.is_ready = true;
+        record.link_mbps = 13;
+        if (strcmp(name, "own") == 0) {
+            BbFleet_SetOwn(fleet, &record, 0);
+        }
+        else {
+            BbFleet_Merge(fleet, name, &record, 1, 0);
+        }
+        nodes[name] = BbFleet_Find(fleet, name);
+        BbPlacement_SetReachable(nodes[name]);
+    }
+    auto report = [&](const char *name, int running, int link_ms) {
+        bb_load_t load = {};
+        load.running = running;
+        load.slots = 9;
+        load.service_ms = 140;
+        load.link_ms = link_ms;
+        BbPlacement_BeginAttempt(nodes[name]);
+        BbPlacement_EndAttempt(nodes[name], BB_ATTEMPT_SERVED, &load, 1.0);
+    };
+    auto choose = [&](double bytes) {
+        bb_placement_request_t request = {};
+        request.service = "orders";
+        request.class_name = "c";
+        request.data_centre = "a";
+        request.target_latency_s = 0.8;
+        request.spill_share = 0.9;
+        request.response_bytes = bytes;
+        return BbPlacement_Choose(fleet, &request, random, 1.0, nullptr);
+    };
+    report("own", 5, 0);
+    report("busy", 0, 300);
+    report("free", 2, 0);
+    EXPECT_EQ(choose(0), nodes["busy"]);
+    EXPECT_EQ(choose(90000), nodes["own"]);
+    report("own", 12, 0);
+    EXPECT_EQ(choose(90000), nodes["free"]);
+    report("own", 2, 300);
+    EXPECT_EQ(choose(90000), nodes["free"]);
+    BbFleet_Free(fleet);
+    BbRandom_Free(random);
+}
+
 // A server with a pacer whose handler responds with the size in the path.
 class PacedServer {
   public:
@@ -386,4 +556,63 @@
     EXPECT_TRUE(stalled.connection.received == server.Response(900000));
 }
 
+// Guards against a response between nodes that waits behind the bulk of the
+// same node, against damaged bodies, and against calls that run although the
+// link is full: those are refused with a reason and a Retry-After.
+TEST(LinkPacer, NodesPaceForwardedCalls)
+{
+    Loop loop;
+    Target target(&loop), unused(&loop);
+    const std::string body = PacedServer::Body(90000);
+    target.on_request = [&](const Target::Request &request) {
+        bool is_small = request.id[0] == 's';
+        request.connection->Send(
+            Target::Response(request.id, is_small ? "ok" : body));
+    };
+    Node near(&loop, "near", "a", &unused, 4);
+    Node node(&loop, "node", "a", &target, 9, 5);
+    near.MarkOwnTargetNotReady();
+    near.AddNodeRecord(&node, 1);
+    std::vector<std::unique_ptr<Caller>> callers;
+    auto start = [&](const std::string &path, const std::string &id) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, near.caller_address));
+        callers.back()->connection.Send(
+            Caller::Request("POST", path, id, "x"));
+        return callers.back().get();
+    };
+    Caller *first = start("/safe/1", "b0");
+    EXPECT_TRUE(loop.RunUntil([&] {
+        return first->connection.received.find(body) != std::string::npos;
+    }));
+    std::vector<Caller *> large;
+    for (int i = 1; i <= 3; i++) {
+        large.push_back(start("/safe/1", "b" + std::to_string(i)));
+    }
+    loop.RunUntil([&] { return target.requests.size() >= 3; });
+    Caller *small = start("/once/1", "s1");
+    EXPECT_NE(small->Wait(1).find("\r\n\r\nok"), std::string::npos);
+    EXPECT_GT(BbLinkQueue_WaitingBytes(BbLinkPacer_Queue(node.pacer)), 30000u);
+    // 90 KB take 0.15 s at 5 Mbit/s; the target latency is 0.5 s.
+    for (int i = 4; i <= 8; i++) {
+        large.push_back(start("/safe/1", "b" + std::to_string(i)));
+    }
+    int served = 0, refused = 0;
+    for (Caller *caller : large) {
+        std::string response = caller->Wait(1);
+        if (response.find("503") == 9) {
+            refused++;
+            EXPECT_NE(HeaderField(response, "Retry-After"), "");
+            continue;
+        }
+        loop.RunUntil(
+            [&] { return caller->connection.received.size() >= body.size(); });
+        served += caller->connection.received.find(body) != std::string::npos;
+    }
+    EXPECT_EQ(served + refused, 8);
+    EXPECT_GE(served, 2);
+    EXPECT_GE(refused, 3);
+    EXPECT_GT(BbCounters_Get(BB_COUNTER_REFUSED_LINK_FULL), 0);
+}
+
 } // namespace
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -296,21 +296,28 @@
 class Node {
   public:
     Node(Loop *loop, const std::string &name, const std::string &data_centre,
-         Target *target, int slots = 4)
+         Target *target, int slots = 4, double link_mbps = 0)
         : target(target), slots_(slots), caller_address(FreeAddress()),
           forward_address(FreeAddress()), name(name), data_centre(data_centre)
     {
         bb_local_target_options_t local = {target->address.c_str(), "orders",
                                            false};
         local_target = BbLocalTarget_New(&local);
-        bb_target_io_options_t target_options = {
-            loop->loop, target->address.c_str(), "orders", &kHeaderNames,
-            local_target};
+        pacer = BbLinkPacer_New(loop->loop, link_mbps);
+        link_admission = BbLinkAdmission_New(BbLinkPacer_Queue(pacer));
+        bb_target_io_options_t target_options = {};
+        target_options.loop = loop->loop;
+        target_options.address = target->address.c_str();
+        target_options.service = "orders";
+        target_options.names = &kHeaderNames;
+        target_options.target = local_target;
+        target_options.link = link_admission;
         target_io = BbTargetIo_New(&target_options);
         bb_hop_server_options_t server_options = {};
         server_options.loop = loop->loop;
         server_options.address = forward_address.c_str();
         server_options.link_mbps = 1000;
+        server_options.pacer = pacer;
         server_options.target = target_io;
         server_options.names = &kHeaderNames;
         server_options.config_version = [](void *) -> int64_t { return 3; };
@@ -336,6 +343,7 @@
         options.random = random;
         options.spill_share = 0.9;
         options.freshness = &freshness;
+        options.pacer = pacer;
         EXPECT_EQ(BbCallIo_New(&options, &calls), 0);
         config_ = MakeConfig();
         BbCallIo_SetConfig(calls, config_);
@@ -348,6 +356,8 @@
         BbHopServer_Free(hop_server);
         BbHopClient_Free(hop_client);
         BbTargetIo_Free(target_io);
+        BbLinkAdmission_Free(link_admission);
+        BbLinkPacer_Free(pacer);
         BbLocalTarget_Free(local_target);
         BbRepeatBudget_Free(budget);
         BbRandom_Free(random);
@@ -396,6 +406,8 @@
 
   public:
     std::string caller_address, forward_address, name, data_centre;
+    bb_link_pacer_t *pacer; // NULL without link_mbps
+    bb_link_admission_t *link_admission;
     bb_local_target_t *local_target;
     bb_target_io_t *target_io;
     bb_hop_server_t *hop_server;
