Count sent requests on the link; bound what a connection holds

The rate of the link is reduced only after two windows in which full sockets still took bytes, so that receivers that stop reading do not slow the others. No new request is read from a connection with 1 MiB of unsent responses, and written bytes are removed from the output of pipelined connections.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -78,7 +78,8 @@
     double connect_timeout_s;
     int max_idle_connections;
     double idle_timeout_s;
-    GHashTable *peers; /* address to bb_h1_peer_t */
+    bb_link_pacer_t *pacer; /* may be NULL */
+    GHashTable *peers;      /* address to bb_h1_peer_t */
 };
 
 /* ---- opening and closing of connections ---- */
@@ -408,6 +409,7 @@
         }
         connection->exchange->is_sent = true;
         connection->out_offset += (size_t)sent;
+        BbLinkPacer_Charge(connection->client->pacer, (size_t)sent);
     }
     g_byte_array_set_size(connection->out, 0);
     connection->out_offset = 0;
@@ -681,6 +683,7 @@
     client->idle_timeout_s = options->idle_timeout_s > 0
                                  ? options->idle_timeout_s
                                  : DEFAULT_IDLE_TIMEOUT_S;
+    client->pacer = options->pacer;
     client->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
     return client;
--- a/lib/http/bb_h1_client.h
+++ b/lib/http/bb_h1_client.h
@@ -27,6 +27,7 @@
 #include <ev.h>
 
 #include "bb_h1_message.h"
+#include "bb_link_pacer_io.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -69,6 +70,8 @@
     double connect_timeout_s; /* connect timeout; 0 means 1 s */
     int max_idle_connections; /* idle connections per address; 0 means 64 */
     double idle_timeout_s;    /* timeout of idle connections; 0 means 10 s */
+    /* Borrowed; counts the written bytes, which do not wait. May be NULL. */
+    bb_link_pacer_t *pacer;
 } bb_h1_client_options_t;
 
 bb_h1_client_t *BbH1Client_New(const bb_h1_client_options_t *options);
--- a/lib/http/bb_h1_response.c
+++ b/lib/http/bb_h1_response.c
@@ -16,6 +16,11 @@
  * response. */
 #define LINGER_S 1.0
 
+/* Written bytes at the start of the output are removed when they are more than
+ * this and more than half of it: with a pacer, a connection with pipelined
+ * requests may never have written all. */
+#define COMPACT_BYTES 65536
+
 /* Closes the connection from the event loop. A handler that has just passed
  * data of a response would not expect on_connection_lost, and the end of its
  * request, before that call returns. */
@@ -161,6 +166,17 @@
     connection->is_bulk = connection->is_bulk || request->is_bulk;
 }
 
+static void
+remove_written(bb_h1_connection_t *connection)
+{
+    if (connection->out_offset > COMPACT_BYTES &&
+        connection->out_offset > connection->out->len / 2) {
+        g_byte_array_remove_range(connection->out, 0,
+                                  (guint)connection->out_offset);
+        connection->out_offset = 0;
+    }
+}
+
 /* Moves the bytes that may be sent next from the requests to the output of the
  * connection, in the order of the requests. *must_close: the connection is to
  * be closed after these bytes. */
@@ -173,6 +189,7 @@
         bb_h1_request_t *next = request->next;
         if (request->out->len > 0) {
             add_to_transfer(connection, request);
+            remove_written(connection);
             g_byte_array_append(connection->out, request->out->data,
                                 request->out->len);
             g_byte_array_set_size(request->out, 0);
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -93,8 +93,12 @@
 BbH1Connection_UpdateReading(bb_h1_connection_t *connection)
 {
     struct ev_loop *loop = connection->server->loop;
+    bool is_reading_request = connection->current_request != NULL;
+    bool has_room =
+        connection->out->len - connection->out_offset < BB_H1_MAX_UNSENT_BYTES;
     bool can_read = !connection->is_broken && !connection->is_paused &&
-                    connection->request_count < BB_H1_MAX_PIPELINE;
+                    connection->request_count < BB_H1_MAX_PIPELINE &&
+                    (is_reading_request || has_room);
 
     if (connection->is_closed) {
         return;
@@ -151,6 +155,12 @@
         connection->request_count > (connection->has_partial_head ? 1 : 0)) {
         return; /* started again when no request is open */
     }
+    bool is_waiting_for_link = connection->transfer.base.is_queued &&
+                               !connection->transfer.base.is_held;
+    if (is_waiting_for_link && !connection->is_broken) {
+        BbH1Connection_RestartIdleTimer(connection);
+        return;
+    }
     connection->depth++;
     BbH1Connection_Close(connection);
     BbH1Connection_Release(connection);
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -23,6 +23,10 @@
  * LIMITS
  *   At most BB_H1_MAX_PIPELINE requests of a connection are open at once.
  *
+ *   No new request is read from a connection that has BB_H1_MAX_UNSENT_BYTES
+ * of unsent responses, so that a receiver that reads slowly holds little
+ * memory.
+ *
  *   While BbH1_PauseBody() is in force, nothing is read from the connection.
  *
  *   With a pacer, responses with bodies above BB_LINK_BULK_BYTES to requests
@@ -43,6 +47,7 @@
 #endif
 
 #define BB_H1_MAX_PIPELINE 64
+#define BB_H1_MAX_UNSENT_BYTES (1024 * 1024)
 
 typedef struct bb_h1_server bb_h1_server_t;
 typedef struct bb_h1_connection bb_h1_connection_t;
--- a/lib/link/bb_link_queue.c
+++ b/lib/link/bb_link_queue.c
@@ -41,10 +41,18 @@
  * share of it. */
 #define HELD_SHARE 0.3
 
+/* Number of such windows in a row that reduce the rate: receivers that have
+ * just stopped reading show one. */
+#define HELD_WINDOWS 2
+
+/* A transfer that is held for longer has a receiver that does not read. */
+#define STALLED_S 1.0
+
 /* Growth of a reduced rate in a window without held transfers, and its lower
- * limit as a share of the configured rate. */
-#define RATE_GROWTH 1.05
-#define MIN_RATE_SHARE 0.05
+ * limit as a share of the configured rate. Two receivers that read slowly look
+ * like a slow link; with these values the others get the rate back in 2 s. */
+#define RATE_GROWTH 1.2
+#define MIN_RATE_SHARE 0.25
 
 struct bb_link_queue {
     double max_rate; /* bytes/s, from the settings */
@@ -59,6 +67,7 @@
     double window_start;
     double window_bytes;
     double held_s;
+    int held_windows; /* in a row, up to the present one */
 };
 
 bb_link_queue_t *
@@ -99,9 +108,10 @@
     return queue->rate;
 }
 
-/* Whether at least two transfers wait and the sockets of all are full. */
+/* Whether at least two transfers wait and the sockets of all are full, those
+ * of stalled receivers aside. */
 static bool
-are_all_held(const bb_link_queue_t *queue)
+are_all_held(const bb_link_queue_t *queue, double now)
 {
     const bb_link_transfer_t *transfer;
     int count = 0;
@@ -110,7 +120,7 @@
         if (!transfer->is_held) {
             return false;
         }
-        count++;
+        count += now - transfer->held_since < STALLED_S;
     }
     return count >= 2;
 }
@@ -122,10 +132,14 @@
     double length_s = now - queue->window_start;
     double taken = queue->window_bytes / length_s;
 
-    if (queue->held_s > length_s * HELD_SHARE && taken < queue->rate) {
+    bool is_held = queue->held_s > length_s * HELD_SHARE && taken > 0 &&
+                   taken < queue->rate;
+
+    queue->held_windows = is_held ? queue->held_windows + 1 : 0;
+    if (queue->held_windows >= HELD_WINDOWS) {
         queue->rate = MAX(taken, queue->max_rate * MIN_RATE_SHARE);
     }
-    else {
+    else if (!is_held) {
         double windows = length_s / WINDOW_S;
         queue->rate =
             MIN(queue->rate * pow(RATE_GROWTH, windows), queue->max_rate);
@@ -147,7 +161,7 @@
         MIN(queue->tokens + elapsed_s * queue->rate * PACE_SHARE,
             MAX(burst_bytes(queue), (double)BbLinkQueue_PieceBytes(queue)));
     queue->small_bytes *= exp(-elapsed_s / SMALL_RATE_DECAY_S);
-    if (queue->transfers != NULL && are_all_held(queue)) {
+    if (queue->transfers != NULL && are_all_held(queue, now)) {
         queue->held_s += elapsed_s;
     }
     queue->updated_at = now;
@@ -256,7 +270,10 @@
     queue->tokens += (double)bytes;
     queue->window_bytes = MAX(queue->window_bytes - (double)bytes, 0);
     set_waiting(queue, transfer, transfer->waiting_bytes + bytes, now);
-    transfer->is_held = true;
+    if (!transfer->is_held) {
+        transfer->is_held = true;
+        transfer->held_since = now;
+    }
 }
 
 void
--- a/lib/link/bb_link_queue.h
+++ b/lib/link/bb_link_queue.h
@@ -10,8 +10,8 @@
  * transfer whose socket is full yields its turn to the next.
  *
  * link_mbps is the upper bound of the rate. A link that takes less is detected
- * by two or more sockets that are full at the same time; one full socket is a
- * slow receiver.
+ * by two or more sockets that are full most of the time although bytes still
+ * leave them; one full socket, or some that take nothing, are slow receivers.
  *
  * Designed for links of 5 to 200 Mbit/s that are loaded to more than half by
  * responses of 50 to 500 KB, beside many small ones with tight deadlines.
@@ -51,6 +51,7 @@
     double waiting_since;
     bool is_queued;
     bool is_held; /* its socket is full */
+    double held_since;
     struct bb_link_transfer *prev, *next;
 } bb_link_transfer_t;
 
--- a/lib/mesh/bb_hop_client.c
+++ b/lib/mesh/bb_hop_client.c
@@ -402,6 +402,7 @@
         .loop = options->loop,
         .connect_timeout_s = CONNECT_TIMEOUT_S,
         .idle_timeout_s = BB_HOP_CLIENT_IDLE_S,
+        .pacer = options->pacer,
     };
 
     client->options = *options;
--- a/lib/mesh/bb_hop_client.h
+++ b/lib/mesh/bb_hop_client.h
@@ -28,6 +28,7 @@
     /* Called with the configuration version that the node at address uses. */
     void (*on_version)(int64_t version, const char *address, void *arg);
     void *arg;
+    bb_link_pacer_t *pacer; /* of the outbound link; may be NULL */
 } bb_hop_client_options_t;
 
 bb_hop_client_t *BbHopClient_New(const bb_hop_client_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -255,6 +255,7 @@
         .loop = sidecar->loop,
         .on_version = Sidecar_HandlePeerVersion,
         .arg = sidecar,
+        .pacer = sidecar->pacer,
     };
     sidecar->hop_client = BbHopClient_New(&client);
     const bb_call_io_options_t calls = {
--- a/tests/unit/endless_response_test.cc
+++ b/tests/unit/endless_response_test.cc
@@ -245,7 +245,7 @@
     }();
     Loop loop;
     Target target(&loop);
-    bb_h1_client_options_t client_options = {loop.loop, 0, 0, 0};
+    bb_h1_client_options_t client_options = {loop.loop, 0, 0, 0, nullptr};
     bb_h1_client_t *client = BbH1Client_New(&client_options);
     bb_h1_fields_t fields;
     BbH1Fields_Init(&fields);
--- a/tests/unit/link_test.cc
+++ b/tests/unit/link_test.cc
@@ -242,8 +242,14 @@
     }
     EXPECT_LT(now, 1000.1);
     EXPECT_EQ(BbLinkQueue_Delay(queue, now), -1.0);
+    // A second receiver that stops reading does not make the link slow.
+    BbLinkQueue_Return(queue, &fast, 90000, now);
+    for (; now < 1004; now += 0.01) {
+        BbLinkQueue_Charge(queue, 100, now);
+    }
     EXPECT_DOUBLE_EQ(BbLinkQueue_Rate(queue), 13e6 / 8);
     BbLinkQueue_Remove(queue, &slow, now);
+    BbLinkQueue_Remove(queue, &fast, now);
     EXPECT_EQ(BbLinkQueue_WaitingBytes(queue), 0u);
     BbLinkQueue_Free(queue);
 }
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -534,7 +534,7 @@
         listen.handler = &kHandler;
         listen.arg = this;
         EXPECT_EQ(BbH1Server_New(&listen, &http), 0);
-        bb_h1_client_options_t http_options = {loop->loop, 0, 0, 0};
+        bb_h1_client_options_t http_options = {loop->loop, 0, 0, 0, nullptr};
         http_client = BbH1Client_New(&http_options);
         bb_sync_client_options_t options = {};
         options.loop = loop->loop;
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -325,6 +325,7 @@
         bb_hop_client_options_t client_options = {};
         client_options.loop = loop->loop;
         client_options.on_version = [](int64_t, const char *, void *) {};
+        client_options.pacer = pacer;
         hop_client = BbHopClient_New(&client_options);
         fleet = BbFleet_New(name.c_str());
         random = BbRandom_New(1);
