--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -20,6 +20,7 @@
 
 #include "bb_attempt.h"
 #include "bb_dropped_keys.h"
+#include "bb_link_admission.h"
 #include "bb_local_target.h"
 
 #ifdef __cplusplus
@@ -36,6 +37,8 @@
     bb_local_target_t *target; /* borrowed */
     /* Calls with these keys are not started. Borrowed; may be NULL. */
     const bb_dropped_keys_t *dropped_keys;
+    /* Admission by response bytes; borrowed, NULL admits all calls. */
+    bb_link_admission_t *link;
 } bb_target_io_options_t;
 
 bb_target_io_t *BbTargetIo_New(const bb_target_io_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -226,6 +226,10 @@
     bb_target_io_options_t options = target_io;
     options.target = sidecar->target;
     options.dropped_keys = sidecar->dropped_keys;
+    sidecar->pacer = BbLinkPacer_New(sidecar->loop, settings->link_mbps);
+    sidecar->link_admission =
+        BbLinkAdmission_New(BbLinkPacer_Queue(sidecar->pacer));
+    options.link = sidecar->link_admission;
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
@@ -233,7 +237,6 @@
 start_call_io(sidecar_t *sidecar)
 {
     const bb_sidecar_settings_t *settings = sidecar->settings;
-    sidecar->pacer = BbLinkPacer_New(sidecar->loop, settings->link_mbps);
     const bb_hop_server_options_t server = {
         .loop = sidecar->loop,
         .address = settings->forward_address,
@@ -254,6 +257,7 @@
         .loop = sidecar->loop,
         .on_version = Sidecar_HandlePeerVersion,
         .arg = sidecar,
+        .pacer = sidecar->pacer,
     };
     sidecar->hop_client = BbHopClient_New(&client);
     const bb_call_io_options_t calls = {
@@ -362,8 +366,9 @@
     BbCallIo_Free(sidecar->call_io);
     BbHopServer_Free(sidecar->hop_server);
     BbHopClient_Free(sidecar->hop_client);
-    BbLinkPacer_Free(sidecar->pacer);
     BbTargetIo_Free(sidecar->target_io);
+    BbLinkAdmission_Free(sidecar->link_admission);
+    BbLinkPacer_Free(sidecar->pacer);
     BbLocalTarget_Free(sidecar->target);
     BbDroppedKeys_Free(sidecar->dropped_keys);
     BbRepeatBudget_Free(sidecar->budget);
