--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -21,11 +21,25 @@
     return BbClock_Now(call->io->options.loop);
 }
 
+/* Gives back what the call has taken from its account's quota if it has
+ * certainly not run. */
+static void
+return_quota(const bb_mesh_call_t *call)
+{
+    const bb_call_quota_t *quota = &call->io->quota;
+
+    if (call->has_quota_ticket && call->targets_reached == 0 &&
+        !call->may_have_run) {
+        quota->give_back(call->account->name, call->quota_ticket, quota->arg);
+    }
+}
+
 void
 BbMeshCall_Free(bb_mesh_call_t *call)
 {
     bb_call_io_t *io = call->io;
 
+    return_quota(call);
     ev_timer_stop(io->options.loop, &call->deadline_timer);
     DL_DELETE(io->calls, call);
     io->call_count--;
@@ -217,6 +231,21 @@
     return call->account != NULL;
 }
 
+/* Asks for admission to the quota of the call's account. */
+static bool
+admit_to_quota(bb_mesh_call_t *call)
+{
+    const bb_call_quota_t *quota = &call->io->quota;
+
+    if (call->account == NULL || quota->admit == NULL) {
+        return true;
+    }
+    call->has_quota_ticket =
+        quota->admit(call->account->name, &call->quota_ticket,
+                     &call->retry_after_s, quota->arg);
+    return call->has_quota_ticket;
+}
+
 static void
 handle_head(bb_h1_request_t *request, void *arg)
 {
@@ -250,6 +279,10 @@
         BbMeshCall_RespondError(call, 413, BB_REASON_BODY_TOO_LARGE);
         return;
     }
+    if (!admit_to_quota(call)) {
+        BbMeshCall_RespondError(call, 429, BB_REASON_QUOTA_EXCEEDED);
+        return;
+    }
     call->service = BbMeshRoute_NextService(route);
     BbRepeatBudget_OnCall(io->options.budget, call->service);
     fill_request(call);
@@ -299,6 +332,7 @@
     }
     if (call->attempt != NULL) {
         bb_attempt_t *attempt = call->attempt;
+        call->may_have_run = true;
         BbMeshCall_EndAttempt(call, BB_ATTEMPT_DROPPED);
         attempt->ops->cancel(attempt);
     }
@@ -343,6 +377,9 @@
         return error;
     }
     io->options = *options;
+    if (options->quota != NULL) {
+        io->quota = *options->quota;
+    }
     io->data_centre = g_strdup(options->data_centre);
     io->service = g_strdup(options->service);
     io->longest_deadlines =
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -17,6 +17,7 @@
  *   401  the key belongs to no client account, 404 no route matches; 503 if
  *        another node has reported a newer version
  *   413  the body exceeds the configured limit
+ *   429  the call exceeds the quota of its client account; with Retry-After
  *   502  the call failed and may have run
  *   503  the call has not run; with Retry-After
  *   504  the deadline has passed and the call may have run
@@ -24,6 +25,7 @@
 #ifndef BB_CALL_IO_H
 #define BB_CALL_IO_H
 
+#include "bb_call_quota.h"
 #include "bb_fleet.h"
 #include "bb_freshness.h"
 #include "bb_h1_server.h"
@@ -53,6 +55,7 @@
     bb_random_t *random;
     double spill_share;              /* see bb_placement.h */
     const bb_freshness_t *freshness; /* of the configuration; may be NULL */
+    const bb_call_quota_t *quota;    /* copied; NULL for no quotas */
 } bb_call_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -34,11 +34,16 @@
  * its call waits for a slot. */
 #define MAX_BUFFERED_BODY_BYTES (1024 * 1024)
 
+/* Largest body of a request that is not a forwarded call: a report on some
+ * thousand accounts or targets. */
+#define MAX_PEER_MESSAGE_BYTES (256 * 1024)
+
 struct bb_hop_server {
     bb_hop_server_options_t options;
     bb_h1_server_t *http_server;
     bb_transfer_gate_t *gate;
     ev_timer gate_timer;
+    GHashTable *peer_bodies; /* request to GByteArray, while it is read */
 };
 
 /* ---- responses ---- */
@@ -326,6 +331,53 @@
     }
 }
 
+static void
+handle_peer_head(bb_hop_server_t *server, bb_h1_request_t *request)
+{
+    bool has_body = request->content_length == BB_H1_CHUNKED ||
+                    request->content_length > 0;
+
+    if (!has_body || server->options.on_peer_message == NULL) {
+        server->options.on_peer_request(request, server->options.arg);
+    }
+    else if (request->content_length > MAX_PEER_MESSAGE_BYTES) {
+        BbH1_Respond(request, 413, NULL, NULL, 0);
+    }
+    else {
+        g_hash_table_insert(server->peer_bodies, request, g_byte_array_new());
+    }
+}
+
+static void
+append_peer_body(bb_hop_server_t *server, bb_h1_request_t *request,
+                 const char *data, size_t size)
+{
+    GByteArray *body = g_hash_table_lookup(server->peer_bodies, request);
+
+    if (body == NULL) {
+        return;
+    }
+    if (body->len + size > MAX_PEER_MESSAGE_BYTES) {
+        g_hash_table_remove(server->peer_bodies, request);
+        BbH1_Respond(request, 413, NULL, NULL, 0);
+        return;
+    }
+    g_byte_array_append(body, (const guint8 *)data, (guint)size);
+}
+
+static void
+end_peer_body(bb_hop_server_t *server, bb_h1_request_t *request)
+{
+    GByteArray *body = g_hash_table_lookup(server->peer_bodies, request);
+
+    if (body != NULL) {
+        g_hash_table_steal(server->peer_bodies, request);
+        server->options.on_peer_message(request, (const char *)body->data,
+                                        body->len, server->options.arg);
+        g_byte_array_unref(body);
+    }
+}
+
 static void
 server_head(bb_h1_request_t *request, void *arg)
 {
@@ -335,7 +387,7 @@
     if (strncmp(request->target->str, PEER_REQUEST_PREFIX,
                 strlen(PEER_REQUEST_PREFIX)) == 0 &&
         BbH1Fields_Get(&request->fields, BB_HOP_CALL) == NULL) {
-        server->options.on_peer_request(request, server->options.arg);
+        handle_peer_head(server, request);
         return;
     }
     int error;
@@ -367,10 +419,10 @@
 static void
 server_body(bb_h1_request_t *request, const char *data, size_t size, void *arg)
 {
-    (void)arg;
     hop_call_t *call = request->user_data;
 
     if (call == NULL) {
+        append_peer_body(arg, request, data, size);
         return;
     }
     BbBody_Append(&call->body, data, size);
@@ -388,10 +440,10 @@
 static void
 server_end(bb_h1_request_t *request, void *arg)
 {
-    (void)arg;
     hop_call_t *call = request->user_data;
 
     if (call == NULL) {
+        end_peer_body(arg, request);
         return;
     }
     call->body.is_complete = true;
@@ -411,6 +463,9 @@
     hop_call_t *call = request->user_data;
 
     if (call == NULL) {
+        if (g_hash_table_remove(server->peer_bodies, request)) {
+            return;
+        }
         server->options.on_peer_request_lost(request, server->options.arg);
         return;
     }
@@ -441,6 +496,12 @@
 
 /* ---- create and free ---- */
 
+static void
+unref_bytes(gpointer bytes)
+{
+    g_byte_array_unref(bytes);
+}
+
 int
 BbHopServer_New(const bb_hop_server_options_t *options, bb_hop_server_t **out)
 {
@@ -459,6 +520,7 @@
         g_free(server);
         return error;
     }
+    server->peer_bodies = g_hash_table_new_full(NULL, NULL, NULL, unref_bytes);
     server->options = *options;
     server->gate = BbTransferGate_New(options->link_mbps);
     ev_timer_init(&server->gate_timer, handle_gate_timer,
@@ -474,6 +536,7 @@
     if (server != NULL) {
         ev_timer_stop(server->options.loop, &server->gate_timer);
         BbH1Server_Free(server->http_server);
+        g_hash_table_destroy(server->peer_bodies);
         BbTransferGate_Free(server->gate);
         g_free(server);
     }
--- a/lib/mesh/bb_hop_server.h
+++ b/lib/mesh/bb_hop_server.h
@@ -36,6 +36,10 @@
     /* Handles a request of another node that is not a forwarded call: its path
      * starts with "/burdockbarrow/". */
     void (*on_peer_request)(bb_h1_request_t *request, void *arg);
+    /* The same for a request with a body, once it is read completely. May be
+     * NULL: then on_peer_request is called for it. */
+    void (*on_peer_message)(bb_h1_request_t *request, const char *body,
+                            size_t size, void *arg);
     /* The client of such a request has disconnected before the response. */
     void (*on_peer_request_lost)(bb_h1_request_t *request, void *arg);
     void *arg;
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -29,6 +29,8 @@
     const char *service; /* chosen from the route's parts; owned by config */
     const bb_account_t *account; /* owned by config; NULL without one */
     uint64_t key_digest;         /* see bb_account.h */
+    uint32_t quota_ticket;       /* see bb_call_quota.h */
+    bool has_quota_ticket;
     char *call_id;
     bb_h1_fields_t fields;
     bb_body_t body;
@@ -60,6 +62,7 @@
 
 struct bb_call_io {
     bb_call_io_options_t options;
+    bb_call_quota_t quota; /* admit is NULL without quotas */
     char *data_centre;
     char *service;
     bb_h1_server_t *server;
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -55,7 +55,7 @@
         json_object_set_new(fields, "account",
                             json_string(call->account->name));
     }
-    if (status == 503) {
+    if (status == 503 || status == 429) {
         json_object_set_new(fields, "retry_after_s",
                             json_real(call->retry_after_s));
     }
@@ -70,8 +70,8 @@
                      bb_reason_t reason)
 {
     BbReason_Count(reason);
-    BbHistogram_Add(status == 503 ? BB_HISTOGRAM_CALL_REFUSED
-                                  : BB_HISTOGRAM_CALL_FAILED,
+    BbHistogram_Add(status == 503 || status == 429 ? BB_HISTOGRAM_CALL_REFUSED
+                                                   : BB_HISTOGRAM_CALL_FAILED,
                     BbMeshCall_Now(call) - call->arrived_at);
 }
 
@@ -89,7 +89,7 @@
         BbH1Fields_Add(&fields, call->io->options.names->call_id,
                        call->call_id);
     }
-    if (status == 503) {
+    if (status == 503 || status == 429) {
         double wait_s = call->retry_after_s > 0 ? call->retry_after_s
                                                 : DEFAULT_RETRY_AFTER_S;
         g_ascii_formatd(seconds, sizeof(seconds), "%.3f",
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -239,6 +239,7 @@
         .names = Platform_HeaderNames(),
         .config_version = Sidecar_OwnVersion,
         .on_peer_request = Sidecar_HandlePeerRequest,
+        .on_peer_message = Sidecar_HandlePeerMessage,
         .on_peer_request_lost = Sidecar_DropPeerRequest,
         .arg = sidecar,
     };
@@ -252,6 +253,15 @@
         .arg = sidecar,
     };
     sidecar->hop_client = BbHopClient_New(&client);
+    const bb_quota_io_options_t quota = {
+        .loop = sidecar->loop,
+        .client = BbHopClient_GetHttpClient(sidecar->hop_client),
+        .fleet = sidecar->fleet,
+        .random = sidecar->random,
+        .node = settings->name,
+    };
+    sidecar->quota_io = BbQuotaIo_New(&quota);
+    const bb_call_quota_t call_quota = BbQuotaIo_Calls(sidecar->quota_io);
     const bb_call_io_options_t calls = {
         .loop = sidecar->loop,
         .address = settings->caller_address,
@@ -265,6 +275,7 @@
         .random = sidecar->random,
         .spill_share = settings->spill_share,
         .freshness = &sidecar->freshness,
+        .quota = &call_quota,
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
 }
@@ -354,6 +365,7 @@
     BbH1Server_Free(sidecar->announcements);
     g_clear_pointer(&sidecar->pending_leaves, g_ptr_array_unref);
     BbCallIo_Free(sidecar->call_io);
+    BbQuotaIo_Free(sidecar->quota_io);
     BbHopServer_Free(sidecar->hop_server);
     BbHopClient_Free(sidecar->hop_client);
     BbTargetIo_Free(sidecar->target_io);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -13,6 +13,7 @@
 #include "bb_hop_server.h"
 #include "bb_local_target.h"
 #include "bb_probe.h"
+#include "bb_quota_io.h"
 #include "bb_row_writer.h"
 #include "bb_sync_client.h"
 #include "bb_sync_server.h"
@@ -33,6 +34,7 @@
     bb_target_io_t *target_io;
     bb_hop_server_t *hop_server;
     bb_hop_client_t *hop_client;
+    bb_quota_io_t *quota_io;
     bb_call_io_t *call_io;
     bb_repeat_budget_t *budget;
     bb_table_store_t *store;
@@ -100,6 +102,8 @@
 void Sidecar_HandlePeerVersion(int64_t version, const char *address,
                                void *arg);
 void Sidecar_HandlePeerRequest(bb_h1_request_t *request, void *arg);
+void Sidecar_HandlePeerMessage(bb_h1_request_t *request, const char *body,
+                               size_t size, void *arg);
 void Sidecar_DropPeerRequest(bb_h1_request_t *request, void *arg);
 
 /* ---- sidecar_endpoints.c: target announcements and admin endpoints ---- */
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -3,6 +3,7 @@
 #include "bb_clock.h"
 #include "bb_error.h"
 #include "bb_event.h"
+#include "bb_quota_wire.h"
 #include "bb_readers.h"
 #include "bb_reaper.h"
 #include "sidecar_internal.h"
@@ -81,6 +82,7 @@
     BbMeshConfig_Unref(sidecar->config);
     sidecar->config = config;
     BbCallIo_SetConfig(sidecar->call_io, config);
+    BbQuotaIo_SetConfig(sidecar->quota_io, config);
     BbVersions_Add(sidecar->versions, BbMeshConfig_Version(config), text,
                    size);
     BbSyncServer_NotifyChange(sidecar->sync_server);
@@ -285,6 +287,20 @@
     }
 }
 
+void
+Sidecar_HandlePeerMessage(bb_h1_request_t *request, const char *body,
+                          size_t size, void *arg)
+{
+    sidecar_t *sidecar = arg;
+
+    if (strcmp(request->target->str, BB_QUOTA_PATH) == 0) {
+        BbQuotaIo_HandleReport(sidecar->quota_io, request, body, size);
+    }
+    else {
+        BbH1_Respond(request, 404, NULL, NULL, 0);
+    }
+}
+
 void
 Sidecar_DropPeerRequest(bb_h1_request_t *request, void *arg)
 {
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -21,6 +21,7 @@
 #include "bb_error.h"
 #include "bb_h1_message.h"
 #include "bb_hop_server.h"
+#include "bb_quota_io.h"
 
 namespace mesh_rig {
 
@@ -314,6 +315,15 @@
         server_options.target = target_io;
         server_options.names = &kHeaderNames;
         server_options.config_version = [](void *) -> int64_t { return 3; };
+        server_options.on_peer_message = [](bb_h1_request_t *request,
+                                            const char *body, size_t size,
+                                            void *arg) {
+            Node *node = static_cast<Node *>(arg);
+            node->peer_messages.push_back(std::string(body, size));
+            BbQuotaIo_HandleReport(node->quota, request, body, size);
+        };
+        server_options.on_peer_request_lost = [](bb_h1_request_t *, void *) {};
+        server_options.arg = this;
         EXPECT_EQ(BbHopServer_New(&server_options, &hop_server), 0);
         bb_hop_client_options_t client_options = {};
         client_options.loop = loop->loop;
@@ -321,6 +331,11 @@
         hop_client = BbHopClient_New(&client_options);
         fleet = BbFleet_New(name.c_str());
         random = BbRandom_New(1);
+        bb_quota_io_options_t quota_options = {
+            loop->loop, BbHopClient_GetHttpClient(hop_client), fleet, random,
+            name.c_str()};
+        quota = BbQuotaIo_New(&quota_options);
+        bb_call_quota_t call_quota = BbQuotaIo_Calls(quota);
         bb_repeat_budget_options_t budget_options = {1.0, 100};
         budget = BbRepeatBudget_New(&budget_options);
         bb_call_io_options_t options = {};
@@ -336,6 +351,7 @@
         options.random = random;
         options.spill_share = 0.9;
         options.freshness = &freshness;
+        options.quota = &call_quota;
         EXPECT_EQ(BbCallIo_New(&options, &calls), 0);
         config_ = MakeConfig();
         BbCallIo_SetConfig(calls, config_);
@@ -345,6 +361,7 @@
     ~Node()
     {
         BbCallIo_Free(calls);
+        BbQuotaIo_Free(quota);
         BbHopServer_Free(hop_server);
         BbHopClient_Free(hop_client);
         BbTargetIo_Free(target_io);
@@ -383,6 +400,12 @@
             BbFleet_Merge(fleet, other->name.c_str(), &record, revision, 0);
         }
     }
+    // Puts a configuration in force that has client accounts.
+    void SetConfig(bb_mesh_config_t *config)
+    {
+        BbCallIo_SetConfig(calls, config);
+        BbQuotaIo_SetConfig(quota, config);
+    }
     // Marks the own target as not ready, so that calls go to other nodes only.
     void MarkOwnTargetNotReady()
     {
@@ -403,6 +426,8 @@
     bb_fleet_t *fleet;
     bb_random_t *random;
     bb_repeat_budget_t *budget;
+    bb_quota_io_t *quota;
+    std::vector<std::string> peer_messages;
     bb_freshness_t freshness = {};
     bb_call_io_t *calls;
 };
--- /dev/null
+++ b/tests/unit/quota_test.cc
@@ -0,0 +1,569 @@
+// Tests of lib/account/bb_quota, bb_quota_owner and bb_quota_wire: a fleet of
+// nodes in virtual time whose messages are late.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bb_quota.h"
+#include "bb_quota_owner.h"
+
+namespace {
+
+const char kAccount[] = "bakery 12", kOthers[] = "others";
+
+struct SimNode {
+    std::string name;
+    bb_random_t *random = nullptr;
+    bb_quota_t *quota = nullptr;
+    bb_quota_owner_t *owner = nullptr;
+    double next_tick = 0;
+    bool is_dead = false;
+    double frozen_until = 0;
+    int part = 0; // nodes of different parts do not reach each other
+};
+
+// A fleet in virtual time. Calls of one account arrive at random times, at
+// nodes chosen by their weights.
+class Fleet {
+  public:
+    Fleet(int count, double rate, uint32_t seed)
+        : generator_(seed), nodes(static_cast<size_t>(count)), rate_(rate)
+    {
+        for (size_t i = 0; i < nodes.size(); i++) {
+            nodes[i].name = "n" + std::to_string(i);
+            weights.push_back(1.0 / std::pow(i + 1.0, 0.9));
+            Start(i);
+        }
+        std::shuffle(weights.begin(), weights.end(), generator_);
+    }
+    ~Fleet()
+    {
+        for (SimNode &node : nodes) {
+            Free(node);
+        }
+    }
+    // Starts a node as a new process without state.
+    void Start(size_t index)
+    {
+        SimNode &node = nodes[index];
+        Free(node);
+        node.random = BbRandom_New(generator_() | 1);
+        bb_quota_options_t options = {};
+        options.node = node.name.c_str();
+        options.incarnation = static_cast<int64_t>(generator_());
+        options.random = node.random;
+        node.quota = BbQuota_New(&options);
+        bb_quota_owner_options_t owner = {};
+        owner.random = node.random;
+        node.owner = BbQuotaOwner_New(&owner);
+        node.next_tick = now + Unit() * BB_QUOTA_TICK_S;
+        node.is_dead = false;
+        BbQuota_SetFleet(node.quota, nodes.size(), 1);
+        BbQuotaOwner_SetNodeCount(node.owner, nodes.size());
+        SetOwners(index, nodes.size() < 4 ? std::vector<size_t>{0, 1}
+                                          : std::vector<size_t>{0, 1, 2, 3});
+        SetLimit(node, rate_);
+    }
+    void SetOwners(size_t index, const std::vector<size_t> &order)
+    {
+        std::vector<const char *> names;
+        for (size_t i : order) {
+            names.push_back(nodes[i].name.c_str());
+        }
+        owners_[index] = order;
+        BbQuota_SetOwners(nodes[index].quota, 0, names.data(), names.size(),
+                          now);
+    }
+    static void SetLimit(SimNode &node, double rate)
+    {
+        bb_account_table_t *table = BbAccountTable_New();
+        bb_account_t account = {const_cast<char *>(kAccount), 1, rate, rate};
+        BbAccountTable_Add(table, &account);
+        bb_account_t others = {const_cast<char *>(kOthers), 1, 5000, 5000};
+        BbAccountTable_Add(table, &others);
+        BbQuota_SetAccounts(node.quota, table);
+        BbQuotaOwner_SetAccounts(node.owner, table);
+        BbAccountTable_Free(table);
+    }
+    void Run(double duration_s, double calls_per_s)
+    {
+        Run(duration_s, [=](double) { return calls_per_s; });
+    }
+    // calls_per_s gets the time since the begin of this run.
+    void Run(double duration_s, std::function<double(double)> calls_per_s)
+    {
+        const double kStep = 0.001;
+        double begin = now;
+        while (now < begin + duration_s) {
+            now += kStep;
+            Deliver();
+            for (size_t i = 0; i < nodes.size(); i++) {
+                if (IsRunning(nodes[i]) && nodes[i].next_tick <= now) {
+                    Tick(i);
+                }
+            }
+            Arrive(calls_per_s(now - begin) * kStep);
+            ArriveOthers(others_per_s * kStep);
+        }
+    }
+    double Unit()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(generator_);
+    }
+    // Most calls admitted in any 5 s from a time on.
+    size_t WorstWindow(double from = 0) const
+    {
+        size_t first = static_cast<size_t>(
+            std::lower_bound(admitted.begin(), admitted.end(), from) -
+            admitted.begin());
+        size_t worst = 0;
+        for (size_t i = first; i < admitted.size(); i++) {
+            while (admitted[first] < admitted[i] - 5.0) {
+                first++;
+            }
+            worst = std::max(worst, i - first + 1);
+        }
+        return worst;
+    }
+    static size_t Bound(double rate)
+    {
+        return static_cast<size_t>((rate * 5 + rate) * 1.1 + 20);
+    }
+    static size_t CountFrom(const std::vector<double> &times, double from)
+    {
+        return static_cast<size_t>(
+            times.end() - std::lower_bound(times.begin(), times.end(), from));
+    }
+
+  private:
+    struct Message {
+        size_t from, to, candidate;
+        bool is_response;
+        int64_t sent; // number of the request
+        std::string text;
+    };
+    static void Free(SimNode &node)
+    {
+        BbQuota_Free(node.quota);
+        BbQuotaOwner_Free(node.owner);
+        BbRandom_Free(node.random);
+    }
+    bool IsRunning(const SimNode &node) const
+    {
+        return !node.is_dead && node.frozen_until <= now;
+    }
+    // Messages take 1 to 20 ms and are processed up to 30 ms late.
+    double Delay()
+    {
+        return 0.001 + Unit() * 0.019 + Unit() * Unit() * 0.03;
+    }
+    void Send(Message message, bool is_local)
+    {
+        events_.emplace(now + (is_local ? 0.0 : Delay()), std::move(message));
+    }
+    void Tick(size_t index)
+    {
+        SimNode &node = nodes[index];
+        node.next_tick = now + BB_QUOTA_TICK_S;
+        for (auto open = open_.begin(); open != open_.end();) {
+            if (open->second.from == index &&
+                open->second.at + BB_QUOTA_TIMEOUT_S <= now) {
+                BbQuota_HandleFailure(node.quota, 0, open->second.candidate,
+                                      now);
+                open = open_.erase(open);
+            }
+            else {
+                ++open;
+            }
+        }
+        GString *text = g_string_new(NULL);
+        size_t candidate;
+        while (BbQuota_NextMessage(node.quota, 0, now, text, &candidate)) {
+            size_t to = owners_[index][candidate];
+            messages++;
+            open_[++sent_] = {index, candidate, now};
+            Send({index, to, candidate, false, sent_, text->str}, to == index);
+        }
+        g_string_free(text, TRUE);
+    }
+    void Deliver()
+    {
+        while (!events_.empty() && events_.begin()->first <= now) {
+            Message message = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
+            SimNode &to = nodes[message.to];
+            if (to.is_dead || nodes[message.from].part != to.part) {
+                continue;
+            }
+            if (to.frozen_until > now) {
+                double at = to.frozen_until;
+                events_.emplace(at, std::move(message));
+                continue;
+            }
+            if (message.is_response) {
+                if (open_.erase(message.sent) > 0) {
+                    BbQuota_HandleResponse(to.quota, 0, message.candidate,
+                                           message.text.data(), now);
+                }
+                continue;
+            }
+            GString *response = g_string_new(NULL);
+            EXPECT_TRUE(BbQuotaOwner_HandleReport(
+                to.owner, message.text.data(), now, response));
+            Send({message.to, message.from, message.candidate, true,
+                  message.sent, response->str},
+                 message.to == message.from);
+            g_string_free(response, TRUE);
+        }
+    }
+    void Arrive(double expected)
+    {
+        int calls = std::poisson_distribution<int>(expected)(generator_);
+        if (calls == 0) {
+            return;
+        }
+        std::discrete_distribution<size_t> choose(weights.begin(),
+                                                  weights.end());
+        for (int i = 0; i < calls; i++) {
+            SimNode &node = nodes[choose(generator_)];
+            if (!IsRunning(node)) {
+                continue;
+            }
+            bool is_admitted = Admit(node, kAccount);
+            (is_admitted ? admitted : refused).push_back(now);
+            if (on_call) {
+                on_call(static_cast<size_t>(&node - nodes.data()),
+                        is_admitted);
+            }
+        }
+    }
+    // Calls of another account, so that no node is idle.
+    void ArriveOthers(double expected)
+    {
+        int calls = std::poisson_distribution<int>(expected)(generator_);
+        for (int i = 0; i < calls; i++) {
+            SimNode &node = nodes[generator_() % nodes.size()];
+            if (IsRunning(node)) {
+                Admit(node, kOthers);
+            }
+        }
+    }
+    bool Admit(SimNode &node, const char *account)
+    {
+        bb_quota_ticket_t ticket;
+        double retry_after_s = 0;
+        bool is_admitted =
+            BbQuota_Admit(node.quota, account, now, &ticket, &retry_after_s);
+        EXPECT_TRUE(is_admitted || retry_after_s > 0);
+        if (is_admitted && gives_back) {
+            BbQuota_Return(node.quota, account, ticket, now);
+        }
+        return is_admitted;
+    }
+    struct Open {
+        size_t from, candidate;
+        double at;
+    };
+    std::mt19937 generator_;
+    std::multimap<double, Message> events_;
+    std::map<int64_t, Open> open_;
+    std::map<size_t, std::vector<size_t>> owners_;
+    int64_t sent_ = 0;
+
+  public:
+    double now = 100;
+    std::vector<SimNode> nodes;
+    std::vector<double> weights, admitted, refused;
+    size_t messages = 0;
+    double others_per_s = 0, measured_from = 104;
+    bool gives_back = false; // no call reaches a target
+    std::function<void(size_t node, bool is_admitted)> on_call;
+
+  private:
+    double rate_;
+};
+
+const double kCalm = 1 / 1.6; // usual demand as a share of the limit
+const double kHot = 4.7;      // demand of a hot account
+const int kNodes = 78;
+
+// Runs each case with several seeds, so that few calls give a share too.
+class QuotaTest : public ::testing::TestWithParam<double> {
+  protected:
+    using Case = std::function<void(Fleet &)>;
+
+    void ExpectBound(Case run, int seeds = 2)
+    {
+        for (int seed = 1; seed <= seeds; seed++) {
+            Fleet fleet(kNodes, GetParam(), seed);
+            run(fleet);
+            EXPECT_LE(fleet.WorstWindow(), Fleet::Bound(GetParam()))
+                << "seed " << seed;
+        }
+    }
+    // From 4 s after the start on, at most a share of the calls is refused.
+    void ExpectFewRefused(Case run, double share = 0.01)
+    {
+        size_t refused = 0, calls = 0;
+        for (int seed = 1; calls < 2000; seed++) {
+            Fleet fleet(kNodes, GetParam(), seed);
+            run(fleet);
+            refused += Fleet::CountFrom(fleet.refused, fleet.measured_from);
+            calls += Fleet::CountFrom(fleet.refused, fleet.measured_from) +
+                     Fleet::CountFrom(fleet.admitted, fleet.measured_from);
+        }
+        EXPECT_LT(static_cast<double>(refused), share * calls);
+    }
+    double Usual() const
+    {
+        return GetParam() * kCalm;
+    }
+    double Hot() const
+    {
+        return GetParam() * kHot;
+    }
+    // Runs calmly until the bucket is full, then demand jumps.
+    void RunIntoSurge(Fleet &fleet, double surge_s)
+    {
+        fleet.Run(8, Usual());
+        fleet.Run(surge_s, Hot());
+    }
+};
+
+INSTANTIATE_TEST_SUITE_P(Rates, QuotaTest,
+                         ::testing::Values(6.0, 40.0, 566.0));
+
+// Guards against credit or tokens that are granted beyond the limit when
+// demand jumps, and against a limit that is not used up.
+TEST_P(QuotaTest, HoldsTheBoundInASurge)
+{
+    ExpectBound([&](Fleet &fleet) {
+        RunIntoSurge(fleet, 8);
+        EXPECT_GT(fleet.WorstWindow(fleet.now - 6), GetParam() * 5 * 0.8);
+        fleet.Run(4, Usual());
+        fleet.Run(6, Hot());
+    });
+}
+
+// Guards against a bucket that is full when another node becomes the owner.
+TEST_P(QuotaTest, HoldsTheBoundWhenTheOwnerDies)
+{
+    for (double after_s : {0.0, 0.2, 1.0}) {
+        ExpectBound([&](Fleet &fleet) {
+            RunIntoSurge(fleet, after_s);
+            fleet.nodes[0].is_dead = true;
+            fleet.Run(6, Hot());
+            fleet.Start(0);
+            fleet.Run(6, Hot());
+        });
+    }
+}
+
+// Guards against an owner that resumes with the bucket of the time before it
+// was paused.
+TEST_P(QuotaTest, HoldsTheBoundWhenTheOwnerFreezes)
+{
+    for (double frozen_s : {0.4, 1.5, 4.0}) {
+        ExpectBound([&](Fleet &fleet) {
+            RunIntoSurge(fleet, 0.1);
+            fleet.nodes[0].frozen_until = fleet.now + frozen_s;
+            fleet.Run(10, Hot());
+        });
+    }
+}
+
+// Guards against parts of a divided fleet that each grant the whole limit.
+TEST_P(QuotaTest, HoldsTheBoundInAPartition)
+{
+    for (int parts : {2, 3}) {
+        for (double after_s : {0.0, 0.3, 2.0}) {
+            ExpectBound([&](Fleet &fleet) {
+                RunIntoSurge(fleet, after_s);
+                for (size_t i = 0; i < fleet.nodes.size(); i++) {
+                    fleet.nodes[i].part = static_cast<int>(i) % parts;
+                }
+                fleet.Run(6, Hot());
+                for (SimNode &node : fleet.nodes) {
+                    node.part = 0;
+                }
+                fleet.Run(6, Hot());
+            });
+        }
+    }
+}
+
+// Guards against a second burst after a restart of all nodes.
+TEST_P(QuotaTest, HoldsTheBoundWhenAllNodesRestart)
+{
+    ExpectBound([&](Fleet &fleet) {
+        RunIntoSurge(fleet, 0.8);
+        for (size_t i = 0; i < fleet.nodes.size(); i++) {
+            fleet.Start(i);
+        }
+        fleet.Run(7, Hot());
+    });
+}
+
+// Guards against two owners, while node records differ, that each grant the
+// whole limit.
+TEST_P(QuotaTest, HoldsTheBoundWithTwoOwners)
+{
+    ExpectBound([&](Fleet &fleet) {
+        RunIntoSurge(fleet, 1.0);
+        for (size_t first : {5, 0}) {
+            for (size_t i = 0; i < fleet.nodes.size(); i += 2) {
+                fleet.SetOwners(i, {first, 1, 2, 3});
+            }
+            fleet.Run(6, Hot());
+        }
+    });
+}
+
+// Guards against tokens and credit of the old limit after it was lowered.
+TEST_P(QuotaTest, AppliesALoweredLimit)
+{
+    Fleet fleet(kNodes, GetParam() * 5, 8);
+    fleet.Run(8, Usual() * 5);
+    // Nodes get the version within 2.5 s.
+    for (SimNode &node : fleet.nodes) {
+        Fleet::SetLimit(node, GetParam());
+        fleet.Run(2.5 / kNodes, Usual() * 5);
+    }
+    double applied_at = fleet.now;
+    fleet.Run(8, Hot());
+    EXPECT_LE(fleet.WorstWindow(applied_at), Fleet::Bound(GetParam()));
+}
+
+// Guards against refusals below the limit, and against messages that grow with
+// the calls.
+TEST_P(QuotaTest, ServesUsualDemand)
+{
+    ExpectFewRefused([&](Fleet &fleet) {
+        fleet.Run(20, Usual());
+        EXPECT_LT(fleet.messages, 20 * kNodes * 4.5);
+    });
+}
+
+// Guards against messages for accounts well under their limit.
+TEST_P(QuotaTest, SendsLittleForLowDemand)
+{
+    Fleet fleet(kNodes, GetParam(), 1);
+    fleet.Run(4, Usual() * 0.3);
+    fleet.messages = 0;
+    fleet.Run(10, Usual() * 0.3);
+    EXPECT_LT(fleet.messages, 10 * kNodes * 2.6);
+    EXPECT_EQ(Fleet::CountFrom(fleet.refused, fleet.measured_from), 0U);
+}
+
+// Guards against refusals below the limit when demand is concentrated.
+TEST_P(QuotaTest, ServesDemandAtTwoNodes)
+{
+    ExpectFewRefused([&](Fleet &fleet) {
+        fleet.weights.assign(kNodes, 0.2 / (kNodes - 2));
+        fleet.weights[10] = fleet.weights[60] = 0.4;
+        fleet.Run(20, Usual());
+    });
+}
+
+// Guards against credit that stays at the nodes where the demand was.
+TEST_P(QuotaTest, ServesDemandThatMoves)
+{
+    ExpectFewRefused([&](Fleet &fleet) {
+        for (int step = 0; step < 200; step++) {
+            // Within one second out of two, from one third to the next.
+            double moved = std::min(step % 20 / 10.0, 1.0);
+            size_t from = step / 20 % 3;
+            for (size_t i = 0; i < fleet.weights.size(); i++) {
+                fleet.weights[i] = i % 3 == from             ? 1 - moved
+                                   : i % 3 == (from + 1) % 3 ? moved
+                                                             : 0.0;
+            }
+            fleet.Run(0.1, Usual());
+        }
+    });
+}
+
+// Guards against refusals in bursts within the limit.
+TEST_P(QuotaTest, ServesBursts)
+{
+    ExpectFewRefused([&](Fleet &fleet) {
+        fleet.Run(20, [&](double at) {
+            return GetParam() * (std::fmod(at, 2.0) < 0.4 ? 1.6 : 0.38);
+        });
+    });
+}
+
+// Guards against refusing the calls of all accounts of an owner that died.
+TEST_P(QuotaTest, ServesMostCallsWhenTheOwnerDies)
+{
+    ExpectFewRefused(
+        [&](Fleet &fleet) {
+            fleet.others_per_s = 5 * kNodes;
+            fleet.Run(8, Usual());
+            fleet.nodes[0].is_dead = true;
+            fleet.measured_from = fleet.now;
+            fleet.Run(3, Usual());
+        },
+        0.06);
+}
+
+// Guards against serving small shares of a tight account less than large ones.
+TEST_P(QuotaTest, ServesSmallSharesAsFullyAsLargeOnes)
+{
+    double admitted[2] = {}, calls[2] = {};
+    for (int seed = 1; calls[0] < 2000; seed++) {
+        Fleet fleet(kNodes, GetParam(), seed);
+        fleet.weights.assign(kNodes, 0.4 / (kNodes - 2));
+        fleet.weights[10] = fleet.weights[60] = 0.3;
+        fleet.Run(4, GetParam() * 2);
+        fleet.on_call = [&](size_t node, bool is_admitted) {
+            bool is_large = node == 10 || node == 60;
+            calls[is_large]++;
+            admitted[is_large] += is_admitted;
+        };
+        fleet.Run(8, GetParam() * 2);
+    }
+    double small = admitted[0] / calls[0], large = admitted[1] / calls[1];
+    EXPECT_GT(small, 0.8 * large);
+    EXPECT_GT(large, 0.8 * small);
+}
+
+// Guards against credit that is lost when calls reach no target: they would be
+// refused as soon as the bucket is empty, although none has run.
+TEST(QuotaReturn, RefillsTheBucket)
+{
+    Fleet fleet(2, 50, 1);
+    fleet.gives_back = true;
+    fleet.Run(10, 100);
+    EXPECT_LT(static_cast<double>(fleet.refused.size()),
+              0.02 * static_cast<double>(fleet.admitted.size()));
+}
+
+// Guards against a crash or an endless loop on a message of another release.
+TEST(QuotaWire, SkipsMalformedLines)
+{
+    std::string text = "1 5 2 1 250 0 1 n 1\n"
+                       "1 2 3\n\nx y\n3 4 0 -1 500 100 bakery 12\n1 1";
+    char *cursor = text.data();
+    bb_quota_report_head_t head;
+    bb_quota_report_t report;
+
+    ASSERT_TRUE(BbQuotaWire_ParseReportHead(&cursor, &head));
+    EXPECT_STREQ(head.node, "n 1");
+    EXPECT_TRUE(head.is_new);
+    ASSERT_TRUE(BbQuotaWire_NextReport(&cursor, &report));
+    EXPECT_STREQ(report.name, kAccount);
+    EXPECT_EQ(report.held, -1);
+    EXPECT_FALSE(BbQuotaWire_NextReport(&cursor, &report));
+    std::string other = "2 5 2 1 250 0 1 n\n";
+    cursor = other.data();
+    EXPECT_FALSE(BbQuotaWire_ParseReportHead(&cursor, &head));
+}
+
+} // namespace
