--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -246,6 +246,7 @@
         .names = Platform_HeaderNames(),
         .config_version = Sidecar_OwnVersion,
         .on_peer_request = Sidecar_HandlePeerRequest,
+        .on_peer_message = Sidecar_HandlePeerMessage,
         .on_peer_request_lost = Sidecar_DropPeerRequest,
         .arg = sidecar,
     };
@@ -260,6 +261,15 @@
         .pacer = sidecar->pacer,
     };
     sidecar->hop_client = BbHopClient_New(&client);
+    const bb_quota_io_options_t quota = {
+        .loop = sidecar->loop,
+        .client = BbHopClient_GetHttpClient(sidecar->hop_client),
+        .fleet = sidecar->fleet,
+        .random = sidecar->random,
+        .node = settings->name,
+    };
+    sidecar->quota_io = BbQuotaIo_New(&quota);
+    const bb_call_quota_t call_quota = BbQuotaIo_Calls(sidecar->quota_io);
     const bb_call_io_options_t calls = {
         .loop = sidecar->loop,
         .address = settings->caller_address,
@@ -275,6 +285,7 @@
         .freshness = &sidecar->freshness,
         .dropped_keys = sidecar->dropped_keys,
         .pacer = sidecar->pacer,
+        .quota = &call_quota,
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
 }
@@ -364,6 +375,7 @@
     BbH1Server_Free(sidecar->announcements);
     g_clear_pointer(&sidecar->pending_leaves, g_ptr_array_unref);
     BbCallIo_Free(sidecar->call_io);
+    BbQuotaIo_Free(sidecar->quota_io);
     BbHopServer_Free(sidecar->hop_server);
     BbHopClient_Free(sidecar->hop_client);
     BbTargetIo_Free(sidecar->target_io);
