Roll-outs of a target version: canary, verdict, shift, completion

The node records and heartbeats carry the target's version. One reader of the store decides on each order, from reports of the nodes beside the targets; rows reach all nodes through pushes to the readers and the sync between nodes. Enabled by [rollout] expose_share.

--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -64,6 +64,13 @@
      10,
      "share of a route's target latency up to which calls stay in the "
      "data centre"},
+    {"rollout", "expose_share", TYPE_NUMBER, FIELD(expose_share), true, 0, 0,
+     0.5,
+     "largest share of a service's calls for a bad version; 0: no roll-outs"},
+    {"rollout", "expose_extra", TYPE_NUMBER, FIELD(expose_extra), true, 0, 0,
+     1e6, "calls for a bad version besides"},
+    {"rollout", "rollback_s", TYPE_NUMBER, FIELD(rollback_s), true, 5, 0.5,
+     600, "seconds within which a bad version gets no more calls"},
 };
 
 static const setting_t *
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -45,6 +45,10 @@
     double repeat_ratio; /* retries per call of a service, over all nodes */
     double repeat_extra; /* further retries in a time window, over all nodes */
     double spill_share;  /* see bb_placement.h */
+    /* [rollout] */
+    double expose_share; /* of all calls, for a bad version; 0: no roll-outs */
+    double expose_extra; /* further calls */
+    double rollback_s;   /* from its first bad responses to its last call */
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -40,6 +40,17 @@
 
 typedef struct bb_call_io bb_call_io_t;
 
+/* What a roll-out decides on the placement of calls. */
+typedef struct {
+    /* Whether the next call of the route is part of the share of the new
+     * version; counts the call. */
+    bool (*is_new_turn)(const char *service, const char *route, void *arg);
+    /* Whether a call may go to this node. */
+    bool (*may_place)(const bb_endpoint_t *endpoint, const char *service,
+                      bool is_new_turn, void *arg);
+    void *arg;
+} bb_call_rollout_t;
+
 typedef struct {
     struct ev_loop *loop;
     const char *address;     /* listening address for callers */
@@ -51,8 +62,9 @@
     bb_hop_client_t *hop;
     bb_repeat_budget_t *budget;
     bb_random_t *random;
-    double spill_share;              /* see bb_placement.h */
-    const bb_freshness_t *freshness; /* of the configuration; may be NULL */
+    double spill_share;               /* see bb_placement.h */
+    const bb_freshness_t *freshness;  /* of the configuration; may be NULL */
+    const bb_call_rollout_t *rollout; /* borrowed; NULL without roll-outs */
 } bb_call_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -35,6 +35,10 @@
         json_object_set_new(object, "left_born_ms",
                             json_integer(record->departed_born_ms));
     }
+    if (record->target_version != NULL) {
+        json_object_set_new(object, "target_version",
+                            json_string(record->target_version));
+    }
     if (record->is_stopped) {
         json_object_set_new(object, "stopped", json_true());
     }
@@ -84,6 +88,8 @@
             json_integer_value(json_object_get(object, "born_ms"));
         parse_departed_born(object, out);
         out->is_stopped = json_is_true(json_object_get(object, "stopped"));
+        out->target_version = g_strdup(
+            json_string_value(json_object_get(object, "target_version")));
     }
     json_decref(object);
     return error == 0 ? 0 : BB_ERR_PARSE;
@@ -96,6 +102,7 @@
     g_free(record->data_centre);
     g_free(record->service);
     g_free(record->target_id);
+    g_free(record->target_version);
     memset(record, 0, sizeof(*record));
 }
 
@@ -107,6 +114,7 @@
     to->data_centre = g_strdup(from->data_centre);
     to->service = g_strdup(from->service);
     to->target_id = g_strdup(from->target_id);
+    to->target_version = g_strdup(from->target_version);
 }
 
 /* ---- endpoints ---- */
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -44,6 +44,7 @@
     bool is_stopped; /* the node shuts down; the record only tells its next
                         process that the target has departed */
     int link_mbps;   /* bandwidth of the VM's link */
+    char *target_version; /* of the target's software; NULL if unknown */
 } bb_node_record_t;
 
 /* A node as this node sees it; times are seconds. */
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -53,6 +53,8 @@
     bb_body_t body;
     bb_attempt_t *attempt; /* NULL until the call starts */
     bb_transfer_ticket_t transfer;
+    GByteArray *message; /* body of a request that is not a forwarded call;
+                            else NULL, and so are all fields but server */
 } hop_call_t;
 
 static void process_gate(bb_hop_server_t *server);
@@ -326,6 +328,46 @@
     }
 }
 
+/* ---- messages of other nodes ---- */
+
+static bool
+begin_message(bb_hop_server_t *server, bb_h1_request_t *request)
+{
+    if (server->options.on_peer_message == NULL ||
+        request->content_length <= 0) {
+        return false;
+    }
+    if (request->content_length > BB_HOP_PEER_BODY_MAX) {
+        BbH1_Respond(request, 413, NULL, NULL, 0);
+        return true;
+    }
+    hop_call_t *call = g_new0(hop_call_t, 1);
+    call->server = server;
+    call->message = g_byte_array_new();
+    request->user_data = call;
+    return true;
+}
+
+static void
+free_message(hop_call_t *call)
+{
+    g_byte_array_unref(call->message);
+    g_free(call);
+}
+
+static void
+end_message(hop_call_t *call, bb_h1_request_t *request)
+{
+    const bb_hop_server_options_t *options = &call->server->options;
+
+    request->user_data = NULL;
+    options->on_peer_message(request, (const char *)call->message->data,
+                             call->message->len, options->arg);
+    free_message(call);
+}
+
+/* ---- requests ---- */
+
 static void
 server_head(bb_h1_request_t *request, void *arg)
 {
@@ -335,7 +377,9 @@
     if (strncmp(request->target->str, PEER_REQUEST_PREFIX,
                 strlen(PEER_REQUEST_PREFIX)) == 0 &&
         BbH1Fields_Get(&request->fields, BB_HOP_CALL) == NULL) {
-        server->options.on_peer_request(request, server->options.arg);
+        if (!begin_message(server, request)) {
+            server->options.on_peer_request(request, server->options.arg);
+        }
         return;
     }
     int error;
@@ -373,6 +417,10 @@
     if (call == NULL) {
         return;
     }
+    if (call->message != NULL) {
+        g_byte_array_append(call->message, (const guint8 *)data, (guint)size);
+        return;
+    }
     BbBody_Append(&call->body, data, size);
     if (call->body.bytes->len > MAX_BUFFERED_BODY_BYTES) {
         BbH1_PauseBody(request, true);
@@ -394,6 +442,10 @@
     if (call == NULL) {
         return;
     }
+    if (call->message != NULL) {
+        end_message(call, request);
+        return;
+    }
     call->body.is_complete = true;
     finish_transfer(call);
     if (call->attempt != NULL) {
@@ -414,6 +466,10 @@
         server->options.on_peer_request_lost(request, server->options.arg);
         return;
     }
+    if (call->message != NULL) {
+        free_message(call);
+        return;
+    }
     if (call->attempt != NULL) {
         call->attempt->ops->cancel(call->attempt);
     }
@@ -426,7 +482,7 @@
     (void)arg;
     hop_call_t *call = request->user_data;
 
-    if (call != NULL && call->attempt != NULL) {
+    if (call != NULL && call->message == NULL && call->attempt != NULL) {
         call->attempt->ops->pause(call->attempt, false);
     }
 }
--- a/lib/mesh/bb_hop_server.h
+++ b/lib/mesh/bb_hop_server.h
@@ -23,6 +23,9 @@
 extern "C" {
 #endif
 
+/* Longest body of a request of another node that is not a forwarded call. */
+#define BB_HOP_PEER_BODY_MAX 65536
+
 typedef struct bb_hop_server bb_hop_server_t;
 
 typedef struct {
@@ -36,6 +39,11 @@
     /* Handles a request of another node that is not a forwarded call: its path
      * starts with "/burdockbarrow/". */
     void (*on_peer_request)(bb_h1_request_t *request, void *arg);
+    /* The same for a request with a body, once that is read; a body above
+     * BB_HOP_PEER_BODY_MAX gets status 413. NULL: bodies are dropped, and
+     * on_peer_request is called at the head. */
+    void (*on_peer_message)(bb_h1_request_t *request, const char *body,
+                            size_t size, void *arg);
     /* The client of such a request has disconnected before the response. */
     void (*on_peer_request_lost)(bb_h1_request_t *request, void *arg);
     void *arg;
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -13,6 +13,7 @@
     int64_t born_ms;
     int64_t sequence;
     int slots;
+    char *version; /* NULL while unknown */
     bb_local_state_t state;
     bool is_restored; /* ready only by the record of an earlier process */
     bool waits_for_record;
@@ -40,6 +41,7 @@
         g_hash_table_destroy(target->departed);
         g_free(target->address);
         g_free(target->service);
+        g_free(target->version);
         g_free(target);
     }
 }
@@ -93,13 +95,15 @@
         state = BB_LOCAL_UNKNOWN;
     }
     bool is_changed = !is_same || state != target->state ||
-                      heartbeat->slots != target->slots;
+                      heartbeat->slots != target->slots ||
+                      g_strcmp0(heartbeat->version, target->version) != 0;
 
     g_strlcpy(target->id, heartbeat->id, sizeof(target->id));
     target->born_ms = heartbeat->born_ms;
     target->sequence = heartbeat->sequence;
     target->is_restored = false;
     target->slots = heartbeat->slots;
+    BbLocalTarget_RestoreVersion(target, heartbeat->version);
     target->state = state;
     return is_changed ? BB_HEARTBEAT_CHANGED : BB_HEARTBEAT_UNCHANGED;
 }
@@ -187,6 +191,21 @@
     return true;
 }
 
+void
+BbLocalTarget_RestoreVersion(bb_local_target_t *target, const char *version)
+{
+    if (g_strcmp0(target->version, version) != 0) {
+        g_free(target->version);
+        target->version = g_strdup(version);
+    }
+}
+
+const char *
+BbLocalTarget_Version(const bb_local_target_t *target)
+{
+    return target->version;
+}
+
 bool
 BbLocalTarget_ExpireRestored(bb_local_target_t *target)
 {
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -42,9 +42,10 @@
     const char *service;
     int slots;
     bool is_draining;
-    double cold_left_s; /* time until warmed up; slower until then */
-    int64_t sequence;   /* increases within an incarnation */
-    int64_t born_ms;    /* wall clock time of its start; 0 if unknown */
+    double cold_left_s;  /* time until warmed up; slower until then */
+    int64_t sequence;    /* increases within an incarnation */
+    int64_t born_ms;     /* wall clock time of its start; 0 if unknown */
+    const char *version; /* of its software; NULL if unknown */
 } bb_heartbeat_t;
 
 typedef struct {
@@ -59,9 +60,9 @@
 void BbLocalTarget_Free(bb_local_target_t *target);
 
 typedef enum {
-    BB_HEARTBEAT_CHANGED,      /* state, incarnation or slots changed */
-    BB_HEARTBEAT_UNCHANGED,    /* accepted, no change */
-    BB_HEARTBEAT_STALE,        /* older incarnation or sequence; ignored */
+    BB_HEARTBEAT_CHANGED,   /* state, incarnation, version or slots changed */
+    BB_HEARTBEAT_UNCHANGED, /* accepted, no change */
+    BB_HEARTBEAT_STALE,     /* older incarnation or sequence; ignored */
     BB_HEARTBEAT_OTHER_TARGET, /* another address or service; ignored */
 } bb_heartbeat_result_t;
 
@@ -113,6 +114,14 @@
 int64_t BbLocalTarget_DepartedBornMs(const bb_local_target_t *target);
 int BbLocalTarget_Slots(const bb_local_target_t *target);
 
+/* Version of the target's software; NULL if unknown. */
+const char *BbLocalTarget_Version(const bb_local_target_t *target);
+
+/* Restores the version from the record that BbLocalTarget_RestoreReady() was
+ * given; NULL if it has none. */
+void BbLocalTarget_RestoreVersion(bb_local_target_t *target,
+                                  const char *version);
+
 /* "unknown", "ready", "draining" or "gone". */
 const char *BbLocalState_Name(bb_local_state_t state);
 
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -46,6 +46,7 @@
     int draining_refusals; /* attempts refused by a draining node or target */
     int full_refusals;     /* attempts refused because no slot was free */
     int targets_reached;   /* attempts that a target may have received */
+    bool is_new_turn;      /* part of a roll-out's share of the new version */
     bool may_have_run;
     bb_reason_t last_reason;
     double retry_after_s;
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -23,6 +23,10 @@
  * the same incarnation, and the record of the next one ends the avoidance. */
 #define DRAINING_AVOID_S 5.0
 
+/* How long a node is avoided whose target's version takes no calls now. The
+ * row that says so reaches this node within that time. */
+#define VERSION_AVOID_S 0.3
+
 /* How long a node is avoided that has not acknowledged a call in time. */
 #define UNRESPONSIVE_AVOID_S 0.5
 
@@ -85,6 +89,7 @@
 static bool
 can_finish_in_time(bb_mesh_call_t *call)
 {
+    call->is_new_turn = false;
     bb_endpoint_t *endpoint = choose_endpoint(call, NULL);
     double now = BbMeshCall_Now(call);
 
@@ -152,6 +157,11 @@
         call->draining_refusals++;
         BbPlacement_Avoid(endpoint, DRAINING_AVOID_S, BbMeshCall_Now(call));
     }
+    /* A node whose version takes no calls now says nothing on its load. */
+    if (reason == BB_REASON_VERSION_INACTIVE) {
+        call->draining_refusals++;
+        BbPlacement_Avoid(endpoint, VERSION_AVOID_S, BbMeshCall_Now(call));
+    }
     call->targets_reached += refused_by_target;
     if (reason == BB_REASON_QUEUE_FULL || reason == BB_REASON_QUEUE_EXPIRED ||
         reason == BB_REASON_TOO_LATE) {
@@ -192,6 +202,7 @@
 
     call->may_have_run = may_have_run_before || may_have_run;
     call->targets_reached += may_have_run;
+    call->is_new_turn = false;
     if (choose_endpoint(call, NULL) == NULL ||
         !may_retry(call, may_have_run)) {
         call->may_have_run = may_have_run_before;
@@ -287,6 +298,17 @@
 
 /* ---- placement ---- */
 
+static bool
+may_place(const bb_endpoint_t *endpoint, const char *route, void *arg)
+{
+    (void)route;
+    const bb_mesh_call_t *call = arg;
+    const bb_call_rollout_t *rollout = call->io->options.rollout;
+
+    return rollout->may_place(endpoint, call->service, call->is_new_turn,
+                              rollout->arg);
+}
+
 static bb_endpoint_t *
 choose_endpoint(bb_mesh_call_t *call, bool *is_full)
 {
@@ -302,6 +324,8 @@
         .spill_share = options->spill_share,
         .refusals = call->full_refusals,
         .tried_count = call->tried_count,
+        .may_place = options->rollout != NULL ? may_place : NULL,
+        .may_place_arg = call,
     };
 
     for (size_t i = 0; i < call->tried_count; i++) {
@@ -311,6 +335,18 @@
                               BbMeshCall_Now(call), is_full);
 }
 
+/* Only the first attempt of a call may be part of the share of a new version:
+ * what fails there is repeated at the old one. */
+static void
+choose_version(bb_mesh_call_t *call)
+{
+    const bb_call_rollout_t *rollout = call->io->options.rollout;
+
+    call->is_new_turn =
+        rollout != NULL && call->attempts == 0 &&
+        rollout->is_new_turn(call->service, call->route->name, rollout->arg);
+}
+
 static void
 log_placed(const bb_mesh_call_t *call)
 {
@@ -364,6 +400,11 @@
     bool is_full = false;
 
     if (call->tried_count < BB_PLACEMENT_MAX_TRIED) {
+        choose_version(call);
+        endpoint = choose_endpoint(call, &is_full);
+    }
+    if (endpoint == NULL && call->is_new_turn) {
+        call->is_new_turn = false;
         endpoint = choose_endpoint(call, &is_full);
     }
     if (endpoint == NULL) {
--- a/lib/mesh/bb_mesh_config.c
+++ b/lib/mesh/bb_mesh_config.c
@@ -184,6 +184,19 @@
     return config->route_list->len;
 }
 
+double
+BbMeshConfig_LongestTimeout(const bb_mesh_config_t *config)
+{
+    double longest_s = 0;
+
+    for (guint i = 0; i < config->route_list->len; i++) {
+        const bb_mesh_route_t *route =
+            g_ptr_array_index(config->route_list, i);
+        longest_s = MAX(longest_s, route->timeout_s);
+    }
+    return longest_s;
+}
+
 const bb_mesh_limits_t *
 BbMeshConfig_Limits(const bb_mesh_config_t *config)
 {
--- a/lib/mesh/bb_mesh_config.h
+++ b/lib/mesh/bb_mesh_config.h
@@ -106,6 +106,9 @@
 const bb_account_table_t *
 BbMeshConfig_Accounts(const bb_mesh_config_t *config);
 
+/* Longest timeout_s of the routes that have one; 0 without such a route. */
+double BbMeshConfig_LongestTimeout(const bb_mesh_config_t *config);
+
 /* Connections that a target of the service accepts; 0 if unknown. */
 int BbMeshConfig_MaxConnections(const bb_mesh_config_t *config,
                                 const char *service);
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -359,6 +359,11 @@
         if (!endpoint->record.is_ready) {
             continue;
         }
+        if (request->may_place != NULL &&
+            !request->may_place(endpoint, request->class_name,
+                                request->may_place_arg)) {
+            continue;
+        }
         if (is_full_for(endpoint, request->class_name, stats->now)) {
             is_any_full = true;
             continue;
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -55,6 +55,11 @@
     int refusals;            /* of this call so far, for lack of capacity */
     const bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
+    /* Whether a roll-out lets the call go to this node; NULL without one.
+     * route is class_name. */
+    bool (*may_place)(const bb_endpoint_t *endpoint, const char *route,
+                      void *arg);
+    void *may_place_arg;
 } bb_placement_request_t;
 
 /* Returns NULL when no node is left that may get the call. Sets *is_full when
--- a/lib/mesh/bb_sync_client.c
+++ b/lib/mesh/bb_sync_client.c
@@ -100,6 +100,24 @@
                          options->arg);
 }
 
+static void
+apply_rows(bb_sync_client_t *client, const json_t *root)
+{
+    const bb_sync_client_options_t *options = &client->options;
+    size_t index;
+    json_t *row;
+
+    if (options->on_row == NULL) {
+        return;
+    }
+    json_array_foreach (json_object_get(root, "rows"), index, row) {
+        if (json_is_string(row)) {
+            options->on_row(json_string_value(row), json_string_length(row),
+                            options->arg);
+        }
+    }
+}
+
 static void
 apply_config(bb_sync_client_t *client, const json_t *root)
 {
@@ -204,6 +222,7 @@
     close_query(query);
     if (root != NULL) {
         apply_nodes(client, root);
+        apply_rows(client, root);
         apply_config(client, root);
         report_confirmed(client, root);
     }
@@ -243,14 +262,20 @@
 {
     bb_sync_client_t *client = query->owner;
     const bb_sync_client_options_t *options = &client->options;
-    char target[200];
+    int64_t rows = options->rows_revision != NULL
+                       ? options->rows_revision(options->arg)
+                       : 0;
+    char target[240], known_rows[32] = "";
 
+    if (rows > 0) {
+        g_snprintf(known_rows, sizeof(known_rows), "&rows=%" PRId64, rows);
+    }
     g_snprintf(target, sizeof(target),
                BB_SYNC_PATH "?version=%" PRId64 "&revision=%" PRId64
-                            "&wait_ms=%d&connected=%d&from=%s",
+                            "&wait_ms=%d&connected=%d%s&from=%s",
                BbVersions_Newest(options->versions),
                options->revision(options->arg), (int)(wait_s * 1000),
-               expects_connected_readers(client), client->address);
+               expects_connected_readers(client), known_rows, client->address);
     query->address = g_strdup(address);
     const bb_h1_fetch_options_t fetch = {
         .loop = options->loop,
--- a/lib/mesh/bb_sync_client.h
+++ b/lib/mesh/bb_sync_client.h
@@ -69,6 +69,11 @@
                     int64_t revision, void *arg);
     /* All node records up to this revision have been passed to on_node. */
     void (*on_revision)(int64_t revision, void *arg);
+    /* A shared row of another node (see bb_sync_server.h), passed before its
+     * configuration. May be NULL. */
+    void (*on_row)(const char *text, size_t size, void *arg);
+    /* Returns the revision of the shared rows; NULL without on_row. */
+    int64_t (*rows_revision)(void *arg);
     /* Another node has responded. Its version, which was passed to on_config
      * if this node lacked it, was the newest one age_s ago; age_s is
      * BB_FRESHNESS_UNKNOWN if that node does not know. May be NULL. */
--- a/lib/mesh/bb_sync_server.c
+++ b/lib/mesh/bb_sync_server.c
@@ -13,6 +13,7 @@
     bb_h1_request_t *request;
     int64_t version;
     int64_t revision;
+    int64_t rows;           /* revision of the shared rows */
     bool must_be_connected; /* answered at once without the store */
     ev_timer timer;
     struct query *prev, *next;
@@ -69,25 +70,62 @@
     g_free(encoded);
 }
 
+static int64_t
+rows_revision(const bb_sync_server_t *server)
+{
+    const bb_sync_rows_t *rows = server->options.rows;
+
+    return rows != NULL ? rows->revision(rows->arg) : 0;
+}
+
+typedef struct {
+    json_t *texts;
+    size_t size;
+} row_collector_t;
+
+static void
+add_row(const char *text, void *to)
+{
+    row_collector_t *collector = to;
+
+    collector->size += strlen(text);
+    if (collector->size <= BB_SYNC_ROWS_MAX_BYTES) {
+        json_array_append_new(collector->texts, json_string(text));
+    }
+}
+
+static void
+add_rows(const bb_sync_server_t *server, int64_t known, json_t *root)
+{
+    const bb_sync_rows_t *rows = server->options.rows;
+    row_collector_t collector = {0};
+
+    if (rows_revision(server) > known) {
+        collector.texts = json_array();
+        rows->list(add_row, &collector, rows->arg);
+        json_object_set_new(root, "rows", collector.texts);
+    }
+}
+
 static void
-respond(bb_sync_server_t *server, bb_h1_request_t *request, int64_t version,
-        int64_t revision)
+respond(bb_sync_server_t *server, const query_t *query)
 {
     const bb_sync_server_options_t *options = &server->options;
     int64_t own_revision = options->revision(options->arg);
-    node_collector_t collector = {json_array(), revision};
+    node_collector_t collector = {json_array(), query->revision};
     json_t *root = json_pack("{s:I, s:f, s:b, s:I}", "version",
                              (json_int_t)BbVersions_Newest(options->versions),
                              "age_s", options->config_age_s(options->arg),
                              "connected", options->is_connected(options->arg),
                              "revision", (json_int_t)own_revision);
 
-    add_config(server, version, root);
+    add_config(server, query->version, root);
+    add_rows(server, query->rows, root);
     BbFleet_ForEach(options->fleet, add_node, &collector);
     json_object_set_new(root, "nodes", collector.nodes);
     char *text = json_dumps(root, JSON_COMPACT | JSON_REAL_PRECISION(4));
     json_decref(root);
-    BbH1_Respond(request, 200, NULL, text, strlen(text));
+    BbH1_Respond(query->request, 200, NULL, text, strlen(text));
     free(text);
 }
 
@@ -98,7 +136,7 @@
 
     ev_timer_stop(server->options.loop, &query->timer);
     DL_DELETE(server->waiting, query);
-    respond(server, query->request, query->version, query->revision);
+    respond(server, query);
     g_free(query);
 }
 
@@ -137,6 +175,7 @@
 
     return BbVersions_Newest(options->versions) > query->version ||
            options->revision(options->arg) > query->revision ||
+           rows_revision(server) > query->rows ||
            (query->must_be_connected && options->is_store_lost(options->arg));
 }
 
@@ -150,12 +189,13 @@
         .request = request,
         .version = parse_query_number(target, "version="),
         .revision = parse_query_number(target, "revision="),
+        .rows = parse_query_number(target, "rows="),
         .must_be_connected = parse_query_number(target, "connected=") != 0,
     };
 
     report_newer_version(server, &parsed);
     if (wait_s <= 0 || is_answer_due(server, &parsed)) {
-        respond(server, request, parsed.version, parsed.revision);
+        respond(server, &parsed);
         return;
     }
     query_t *query = g_memdup2(&parsed, sizeof(parsed));
--- a/lib/mesh/bb_sync_server.h
+++ b/lib/mesh/bb_sync_server.h
@@ -2,11 +2,12 @@
  * bb_sync_server - sends the configuration and node records to other nodes
  *
  * Serves long-polling queries of the form
- * GET BB_SYNC_PATH?version=V&revision=R&wait_ms=W&connected=C&from=ADDRESS:
- * answers at once when this node has a configuration newer than V or node
- * records newer than R, or if C is 1 when it does not reach the store, else as
- * soon as that is so, at the latest after W milliseconds (at most 10 s).
- * ADDRESS must come last. When the querying node has a newer version,
+ * GET BB_SYNC_PATH?version=V&revision=R&wait_ms=W&connected=C&rows=S&from=
+ * ADDRESS: answers at once when this node has a configuration newer than V,
+ * node records newer than R or shared rows newer than S, or if C is 1 when it
+ * does not reach the store, else as soon as that is so, at the latest after W
+ * milliseconds (at most 10 s). "rows" is left out for 0. ADDRESS must come
+ * last. When the querying node has a newer version,
  * on_newer_version passes its address to the owner, which may query it in
  * turn; in this way a node that knows no others learns of them.
  *
@@ -19,6 +20,8 @@
  *   "base", "size", "delta"
  *                only when "version" is newer than V; the delta is base64
  *                (see bb_versions.h)
+ *   "rows"       only when newer than S: the shared rows, a list of texts of
+ *                at most BB_SYNC_ROWS_MAX_BYTES together
  *   "nodes"      the records changed since R, each with "node", "revision" and
  *                "record" (a text; absent for a removed node)
  */
@@ -37,14 +40,27 @@
 
 #define BB_SYNC_PATH "/burdockbarrow/news"
 
+/* Shared rows beyond this size are left out of a response. */
+#define BB_SYNC_ROWS_MAX_BYTES 65536
+
 typedef struct bb_sync_server bb_sync_server_t;
 
+/* Small rows that all nodes share, besides the node records. */
+typedef struct {
+    /* Returns a number that is higher where rows are newer; 0 for none. */
+    int64_t (*revision)(void *arg);
+    /* Calls add with the text of each row. */
+    void (*list)(void (*add)(const char *text, void *to), void *to, void *arg);
+    void *arg;
+} bb_sync_rows_t;
+
 typedef struct {
     struct ev_loop *loop;
     bb_fleet_t *fleet;       /* borrowed */
     bb_versions_t *versions; /* borrowed */
     /* Returns the revision up to which this node knows all node records. */
     int64_t (*revision)(void *arg);
+    const bb_sync_rows_t *rows; /* borrowed; may be NULL */
     bool (*is_connected)(void *arg);
     /* Not connected for longer than a retry after a reset takes. */
     bool (*is_store_lost)(void *arg);
@@ -68,8 +84,8 @@
 void BbSyncServer_DropQuery(bb_sync_server_t *server,
                             bb_h1_request_t *request);
 
-/* The configuration, the node records or is_store_lost() have changed: answers
- * the waiting queries that are due. */
+/* The configuration, records, shared rows or is_store_lost() have changed:
+ * answers the waiting queries that are due. */
 void BbSyncServer_NotifyChange(bb_sync_server_t *server);
 
 #ifdef __cplusplus
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -39,6 +39,7 @@
     size_t sent;
     bb_reason_t refusal; /* from the response head, or BB_REASON_NONE */
     bool is_head_forwarded;
+    int status; /* of the response; 0 before its head */
     struct target_call *prev, *next;
 } target_call_t;
 
@@ -48,6 +49,7 @@
     char *service;
     const bb_header_names_t *names;
     bb_local_target_t *target;
+    const bb_target_rollout_t *rollout; /* may be NULL */
     bb_slot_queue_t *queue;
     bb_h1_client_t *client;
     target_call_t *calls;
@@ -99,6 +101,20 @@
         FAIL_RATE_WEIGHT * ((is_failed ? 1.0 : 0.0) - io->fail_rate);
 }
 
+/* Reports a call that was sent to the target. */
+static void
+report_run(const target_call_t *call, bool is_failed)
+{
+    const bb_target_rollout_t *rollout = call->io->rollout;
+
+    if (rollout != NULL && call->request.class_name != NULL) {
+        rollout->on_run_ended(call->request.class_name, is_failed,
+                              BbClock_Now(call->io->loop) -
+                                  call->ticket.started_at,
+                              rollout->arg);
+    }
+}
+
 static void
 record_refusal(const target_call_t *call, bb_reason_t reason)
 {
@@ -152,6 +168,7 @@
                                 error != 0 ? BbError_Name(error) : ""));
     }
     record_result(io, true);
+    report_run(call, true);
     release_ticket(call, reason == BB_REASON_CALL_TIMEOUT);
     free_call(call);
     handler->on_lost(reason, arg);
@@ -196,6 +213,7 @@
     BbH1Fields_Init(&forwarded_fields);
     BbH1Fields_CopyEndToEnd(&forwarded_fields, fields);
     call->is_head_forwarded = true;
+    call->status = status;
     record_result(call->io, status >= 500);
     call->handler->on_head(status, &forwarded_fields,
                            BbAttempt_ContentLength(fields), call->arg);
@@ -229,6 +247,7 @@
         refuse(call, call->refusal);
         return;
     }
+    report_run(call, call->status >= 500);
     release_ticket(call, true);
     free_call(call);
     handler->on_end(owner);
@@ -333,6 +352,9 @@
     case BB_LOCAL_READY:
         break;
     }
+    if (io->rollout != NULL && !io->rollout->accepts_calls(io->rollout->arg)) {
+        return BB_REASON_VERSION_INACTIVE;
+    }
     return io->is_node_draining ? BB_REASON_NODE_DRAINING : BB_REASON_NONE;
 }
 
@@ -401,6 +423,11 @@
     bb_target_io_t *io = call->io;
 
     if (call->exchange != NULL) {
+        /* A caller that gives up on a slow call is evidence of its duration,
+         * not of a failure. */
+        if (BbH1_IsSent(call->exchange)) {
+            report_run(call, false);
+        }
         BbH1_Cancel(call->exchange);
         call->exchange = NULL;
     }
@@ -583,6 +610,7 @@
     io->service = g_strdup(options->service);
     io->names = options->names;
     io->target = options->target;
+    io->rollout = options->rollout;
     io->queue = BbSlotQueue_New();
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -27,12 +27,25 @@
 
 typedef struct bb_target_io bb_target_io_t;
 
+/* What a roll-out of the target's version decides and counts. */
+typedef struct {
+    /* Whether the target may take new calls. When the result changes, call
+     * BbTargetIo_TargetChanged(). */
+    bool (*accepts_calls)(void *arg);
+    /* A call that was sent to the target has ended. It may have been cancelled
+     * by its caller after duration_s. */
+    void (*on_run_ended)(const char *class_name, bool is_failed,
+                         double duration_s, void *arg);
+    void *arg;
+} bb_target_rollout_t;
+
 typedef struct {
     struct ev_loop *loop;
     const char *address; /* of the target */
     const char *service;
     const bb_header_names_t *names;
-    bb_local_target_t *target; /* borrowed */
+    bb_local_target_t *target;          /* borrowed */
+    const bb_target_rollout_t *rollout; /* borrowed; NULL without roll-outs */
 } bb_target_io_options_t;
 
 bb_target_io_t *BbTargetIo_New(const bb_target_io_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -216,6 +216,9 @@
         .names = Platform_HeaderNames(),
     };
 
+    if (settings->expose_share > 0) {
+        sidecar->rollouts = SidecarRollouts_New(sidecar);
+    }
     sidecar->random = BbRandom_New(0);
     sidecar->fleet = BbFleet_New(settings->name);
     sidecar->readers = BbReaders_New(sidecar->fleet);
@@ -224,6 +227,7 @@
     sidecar->target = BbLocalTarget_New(&target);
     bb_target_io_options_t options = target_io;
     options.target = sidecar->target;
+    options.rollout = SidecarRollouts_TargetHooks(sidecar->rollouts);
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
@@ -239,6 +243,7 @@
         .names = Platform_HeaderNames(),
         .config_version = Sidecar_OwnVersion,
         .on_peer_request = Sidecar_HandlePeerRequest,
+        .on_peer_message = Sidecar_HandlePeerMessage,
         .on_peer_request_lost = Sidecar_DropPeerRequest,
         .arg = sidecar,
     };
@@ -265,6 +270,7 @@
         .random = sidecar->random,
         .spill_share = settings->spill_share,
         .freshness = &sidecar->freshness,
+        .rollout = SidecarRollouts_CallHooks(sidecar->rollouts),
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
 }
@@ -342,6 +348,7 @@
     ev_timer_stop(loop, &sidecar->restored_timer);
     ev_timer_stop(loop, &sidecar->record_timer);
     ev_timer_stop(loop, &sidecar->ack_timer);
+    SidecarRollouts_Free(sidecar->rollouts);
     BbSyncClient_Free(sidecar->sync_client);
     BbProbe_Free(sidecar->probe);
     BbSyncServer_Free(sidecar->sync_server);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -18,6 +18,7 @@
 #include "bb_sync_server.h"
 #include "platform.h"
 #include "sidecar.h"
+#include "sidecar_rollout.h"
 
 struct sidecar {
     struct ev_loop *loop;
@@ -43,6 +44,7 @@
     bb_sync_server_t *sync_server;
     bb_sync_client_t *sync_client;
     bb_probe_t *probe;
+    sidecar_rollouts_t *rollouts; /* NULL where the settings disable them */
     int64_t peer_revision; /* of all node records received from other nodes */
     bool is_reader;        /* reads the store for the nodes that are not */
     bool has_records; /* the node table of the store was read completely */
@@ -95,11 +97,16 @@
 void Sidecar_StartStore(sidecar_t *sidecar);
 void Sidecar_StartSync(sidecar_t *sidecar);
 
+/* Whether this node reads the store and reaches it. */
+bool Sidecar_IsStoreConnected(const sidecar_t *sidecar);
+
 /* Callbacks for bb_hop_server and bb_hop_client; arg is the sidecar. */
 int64_t Sidecar_OwnVersion(void *arg);
 void Sidecar_HandlePeerVersion(int64_t version, const char *address,
                                void *arg);
 void Sidecar_HandlePeerRequest(bb_h1_request_t *request, void *arg);
+void Sidecar_HandlePeerMessage(bb_h1_request_t *request, const char *body,
+                               size_t size, void *arg);
 void Sidecar_DropPeerRequest(bb_h1_request_t *request, void *arg);
 
 /* ---- sidecar_endpoints.c: target announcements and admin endpoints ---- */
--- a/programs/bbsidecar/sidecar_record.c
+++ b/programs/bbsidecar/sidecar_record.c
@@ -77,6 +77,7 @@
         .is_ready = accepts_calls(sidecar),
         .is_stopped = sidecar->shutdown_started_at > 0,
         .link_mbps = (int)sidecar->settings->link_mbps,
+        .target_version = (char *)BbLocalTarget_Version(sidecar->target),
     };
 
     BbFleet_SetOwn(sidecar->fleet, &record, BbClock_Now(sidecar->loop));
@@ -143,6 +144,7 @@
     if (age_s < RESTORED_READY_S && sidecar->shutdown_started_at <= 0 &&
         BbLocalTarget_RestoreReady(sidecar->target, record->target_id,
                                    record->target_born_ms, record->slots)) {
+        BbLocalTarget_RestoreVersion(sidecar->target, record->target_version);
         ev_timer_set(&sidecar->restored_timer, RESTORED_READY_S - age_s, 0.0);
         ev_timer_start(sidecar->loop, &sidecar->restored_timer);
         Sidecar_TargetChanged(sidecar, "recalled");
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -105,9 +105,24 @@
 static void
 handle_config_row(const bb_table_row_t *row, void *arg)
 {
+    sidecar_t *sidecar = arg;
+
     if (strcmp(row->key, PLATFORM_CONFIG_KEY) == 0 && !row->is_removed) {
         apply_config(row->value, row->size, "store", arg);
     }
+    else if (g_str_has_prefix(row->key, PLATFORM_ROLLOUT_PREFIX)) {
+        bool is_start = BbFollower_Version(sidecar->config_follower) == 0;
+        SidecarRollouts_HandleOrder(sidecar->rollouts, row, is_start);
+    }
+}
+
+static void
+handle_config_snapshot(GHashTable *keys, int64_t version, void *arg)
+{
+    const sidecar_t *sidecar = arg;
+    (void)version;
+
+    SidecarRollouts_KeepOrders(sidecar->rollouts, keys);
 }
 
 /* Not needed for the node table: is_connected() reads the state when it is
@@ -165,6 +180,7 @@
 
 static const bb_follower_handler_t config_handler = {
     .on_row = handle_config_row,
+    .on_snapshot = handle_config_snapshot,
     .on_health = handle_config_health,
     .on_confirmed = confirm_config,
 };
@@ -285,6 +301,20 @@
     }
 }
 
+void
+Sidecar_HandlePeerMessage(bb_h1_request_t *request, const char *body,
+                          size_t size, void *arg)
+{
+    const sidecar_t *sidecar = arg;
+
+    if (strcmp(request->target->str, SIDECAR_ROLLOUT_PATH) == 0) {
+        SidecarRollouts_HandleMessage(sidecar->rollouts, request, body, size);
+    }
+    else {
+        BbH1_Respond(request, 404, NULL, NULL, 0);
+    }
+}
+
 void
 Sidecar_DropPeerRequest(bb_h1_request_t *request, void *arg)
 {
@@ -301,6 +331,20 @@
     return MAX(read, sidecar->peer_revision);
 }
 
+static void
+handle_peer_row(const char *text, size_t size, void *arg)
+{
+    const sidecar_t *sidecar = arg;
+    SidecarRollouts_HandleRow(sidecar->rollouts, text, size);
+}
+
+static int64_t
+peer_rows_revision(void *arg)
+{
+    const sidecar_t *sidecar = arg;
+    return SidecarRollouts_Revision(sidecar->rollouts);
+}
+
 static void
 handle_peer_revision(int64_t revision, void *arg)
 {
@@ -335,6 +379,12 @@
            BbFollower_IsConnected(sidecar->node_follower);
 }
 
+bool
+Sidecar_IsStoreConnected(const sidecar_t *sidecar)
+{
+    return is_connected((void *)sidecar);
+}
+
 static bool
 is_store_lost(void *arg)
 {
@@ -504,6 +554,7 @@
         .fleet = sidecar->fleet,
         .versions = sidecar->versions,
         .revision = known_revision,
+        .rows = SidecarRollouts_SyncRows(sidecar->rollouts),
         .is_connected = is_connected,
         .is_store_lost = is_store_lost,
         .config_age_s = config_age_s,
@@ -522,6 +573,8 @@
         .on_config = apply_config,
         .on_node = handle_peer_node,
         .on_revision = handle_peer_revision,
+        .on_row = handle_peer_row,
+        .rows_revision = peer_rows_revision,
         .on_confirmed = handle_peer_confirmed,
         .on_readers_available = handle_readers_available,
         .revision = known_revision,
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -296,7 +296,8 @@
 class Node {
   public:
     Node(Loop *loop, const std::string &name, const std::string &data_centre,
-         Target *target, int slots = 4)
+         Target *target, int slots = 4,
+         const bb_target_rollout_t *rollout = nullptr)
         : target(target), slots_(slots), caller_address(FreeAddress()),
           forward_address(FreeAddress()), name(name), data_centre(data_centre)
     {
@@ -304,8 +305,9 @@
                                            false};
         local_target = BbLocalTarget_New(&local);
         bb_target_io_options_t target_options = {
-            loop->loop, target->address.c_str(), "orders", &kHeaderNames,
-            local_target};
+            loop->loop,   target->address.c_str(),
+            "orders",     &kHeaderNames,
+            local_target, rollout};
         target_io = BbTargetIo_New(&target_options);
         bb_hop_server_options_t server_options = {};
         server_options.loop = loop->loop;
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -760,7 +760,7 @@
 {
     bb_local_target_options_t options = {"10.0.0.1:80", "orders", false};
     bb_heartbeat_t late = {"i-1", "10.0.0.1:80", "orders", 9, false, 0,
-                           7,     1000};
+                           7,     1000,          nullptr};
     bb_heartbeat_t next = late;
     next.id = "i-2";
     next.born_ms = 2000;
