--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -168,7 +168,9 @@
                                 error != 0 ? BbError_Name(error) : ""));
     }
     record_result(io, true);
-    report_run(call, true);
+    /* A call that was cut at its deadline may have started late. Its duration
+     * tells a slow target, and a failure would tell only an overloaded one. */
+    report_run(call, reason != BB_REASON_CALL_TIMEOUT);
     release_ticket(call, reason == BB_REASON_CALL_TIMEOUT);
     free_call(call);
     handler->on_lost(reason, arg);
--- a/programs/bbsidecar/sidecar_rollout.c
+++ b/programs/bbsidecar/sidecar_rollout.c
@@ -145,8 +145,10 @@
     log_row(row, source);
     if (strcmp(row->service, rollouts->sidecar->settings->service) == 0) {
         update_target(rollouts);
-        /* The next tick reports, so that a new phase is answered at once. */
-        rollouts->reported_at = 0;
+        if (row->phase != rollouts->reported_phase ||
+            row->epoch != rollouts->reported_epoch) {
+            rollouts->reported_at = 0; /* the next tick reports */
+        }
     }
     BbSyncServer_NotifyChange(rollouts->sidecar->sync_server);
     SidecarRollouts_CheckFence(rollouts, row);
@@ -558,6 +560,8 @@
     if (row != NULL && row->epoch > 0 &&
         now - rollouts->reported_at >= ROLLOUT_REPORT_S - ROLLOUT_TICK_S / 2) {
         rollouts->reported_at = now;
+        rollouts->reported_phase = row->phase;
+        rollouts->reported_epoch = row->epoch;
         send_report(rollouts, row);
     }
     update_target(rollouts);
--- a/programs/bbsidecar/sidecar_rollout_decide.c
+++ b/programs/bbsidecar/sidecar_rollout_decide.c
@@ -55,13 +55,28 @@
 
 /* ---- log ---- */
 
+/* Time since the order. A process that has found it at its start takes the
+ * wall clock that the row says. */
+static double
+elapsed_s(const sidecar_rollouts_t *rollouts, const rollout_order_t *order,
+          const bb_rollout_row_t *row)
+{
+    double seen_s = rollouts_now(rollouts) - order->seen_at;
+    double row_s =
+        row != NULL && row->order == order->version && row->started_ms > 0
+            ? (double)(g_get_real_time() / 1000 - row->started_ms) / 1000.0
+            : 0;
+
+    return order->is_start ? MAX(seen_s, row_s) : seen_s;
+}
+
 static void
 log_phase(const rollout_duty_t *duty)
 {
     const bb_rollout_t *rollout = duty->rollout;
     const bb_rollout_row_t *row = BbRollout_Row(rollout);
     const bb_rollout_verdict_t *verdict = BbRollout_Verdict(rollout);
-    double now = rollouts_now(duty->rollouts);
+    double since_order_s = elapsed_s(duty->rollouts, duty->order, row);
 
     BbCounters_Add(BB_COUNTER_ROLLOUT_PHASES, 1);
     if (BbEvent_Allows(BB_EVENT_ROLLOUT)) {
@@ -70,9 +85,9 @@
             "service", row->service, "to", row->to, "order",
             (json_int_t)row->order, "epoch", (json_int_t)row->epoch, "phase",
             BbRolloutPhase_Name(row->phase), "reason",
-            BbRollout_Reason(rollout), "elapsed_s", now - duty->order->seen_at,
-            "share", row->share, "active", (int)g_strv_length(row->active),
-            "new_runs", (json_int_t)BbRollout_NewRuns(rollout), "all_runs",
+            BbRollout_Reason(rollout), "elapsed_s", since_order_s, "share",
+            row->share, "active", (int)g_strv_length(row->active), "new_runs",
+            (json_int_t)BbRollout_NewRuns(rollout), "all_runs",
             (json_int_t)BbRollout_AllRuns(rollout));
         if (verdict->route != NULL) {
             json_t *evidence =
@@ -189,21 +204,6 @@
     return longest_s > 0 ? longest_s : DEFAULT_LONGEST_CALL_S;
 }
 
-/* Time since the order. A process that has found it at its start takes the
- * wall clock that the row says. */
-static double
-elapsed_s(const sidecar_rollouts_t *rollouts, const rollout_order_t *order,
-          const bb_rollout_row_t *row)
-{
-    double seen_s = rollouts_now(rollouts) - order->seen_at;
-    double row_s =
-        row != NULL && row->order == order->version && row->started_ms > 0
-            ? (double)(g_get_real_time() / 1000 - row->started_ms) / 1000.0
-            : 0;
-
-    return order->is_start ? MAX(seen_s, row_s) : seen_s;
-}
-
 static bb_rollout_t *
 new_rollout(const sidecar_rollouts_t *rollouts, const rollout_order_t *order)
 {
--- a/programs/bbsidecar/sidecar_rollout_internal.h
+++ b/programs/bbsidecar/sidecar_rollout_internal.h
@@ -41,6 +41,8 @@
     ev_timer tick_timer;
     GPtrArray *messages; /* in progress, of rollout_message_t */
     double reported_at;
+    bb_rollout_phase_t reported_phase; /* of the row of the last report */
+    int64_t reported_epoch;
     double pushed_at;
     bool was_accepting;
     void *table_read; /* of the store; NULL when none is in progress */
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -526,6 +526,17 @@
             BbSyncClient_HintVersion(static_cast<SyncNode *>(arg)->client,
                                      version, from);
         };
+        rows = {[](void *arg) {
+                    return static_cast<SyncNode *>(arg)->rows_revision;
+                },
+                [](void (*add)(const char *, void *), void *to, void *arg) {
+                    for (auto &text :
+                         static_cast<SyncNode *>(arg)->row_texts) {
+                        add(text.c_str(), to);
+                    }
+                },
+                this};
+        server_options.rows = &rows;
         server_options.arg = this;
         server = BbSyncServer_New(&server_options);
         bb_h1_server_options_t listen = {};
@@ -566,6 +577,14 @@
             node->confirmed_version = version;
             node->confirmed_age_s = age_s;
         };
+        options.on_row = [](const char *text, size_t size, void *arg) {
+            auto *node = static_cast<SyncNode *>(arg);
+            node->row_texts.push_back(std::string(text, size));
+            node->rows_revision = std::stoll(node->row_texts.back());
+        };
+        options.rows_revision = [](void *arg) {
+            return static_cast<SyncNode *>(arg)->rows_revision;
+        };
         options.arg = this;
         client = BbSyncClient_New(&options);
     }
@@ -593,7 +612,10 @@
     static const bb_h1_handler_t kHandler;
     std::string address, config, announced_node;
     int64_t revision = 1;
-    int query_count = 0; // requests received from other nodes
+    bb_sync_rows_t rows;
+    int64_t rows_revision = 0;
+    std::vector<std::string> row_texts; // each is its revision
+    int query_count = 0;                // requests received from other nodes
     bool is_connected = false;
     bool is_store_lost = false; // not connected, and not for a moment only
     bool are_readers_available = true; // as told to the owner of the client
@@ -636,6 +658,37 @@
     EXPECT_EQ(restarted.announced_node, "restarted");
 }
 
+// Guards against shared rows that reach the nodes late, and against responses
+// without end when the nodes have the rows already, or newer ones.
+TEST(MeshSync, SharedRowsArePassedOnAtOnceAndOnce)
+{
+    Loop loop;
+    SyncNode reader(&loop, "r"), node(&loop, "n");
+    BbVersions_Add(reader.versions, 7, "the tables", 10);
+    reader.is_connected = true;
+    bb_node_record_t record = {};
+    record.address = const_cast<char *>(reader.address.c_str());
+    record.data_centre = const_cast<char *>("a");
+    record.service = const_cast<char *>("orders");
+    record.target_id = const_cast<char *>("i-1");
+    BbFleet_Merge(node.fleet, "r", &record, 5, 0);
+    BbSyncClient_SetScope(node.client, BB_SYNC_READERS);
+    ASSERT_TRUE(loop.RunUntil([&] { return !node.config.empty(); }));
+    reader.revision = 0; // the client of this test keeps revision 0
+    loop.RunFor(0.3);
+    reader.row_texts = {"12"};
+    reader.rows_revision = 12;
+    BbSyncServer_NotifyChange(reader.server);
+    EXPECT_TRUE(loop.RunUntil([&] { return node.rows_revision == 12; }, 0.3));
+    int queries = reader.query_count;
+    loop.RunFor(0.5);
+    EXPECT_LE(reader.query_count, queries + 1);
+    EXPECT_EQ(node.row_texts.size(), 1u);
+    node.rows_revision = 13;
+    loop.RunFor(1.0);
+    EXPECT_LE(reader.query_count, queries + 3);
+}
+
 // When the whole fleet starts, guards against every node fetching the complete
 // version from two readers, and against all nodes using the same reader.
 TEST(MeshSync, NodesWithoutAVersionQueryOneReaderEach)
