--- a/lib/rollout/bb_rollout.c
+++ b/lib/rollout/bb_rollout.c
@@ -54,6 +54,9 @@
 /* Calls of the new version that are enough when few calls arrive. */
 #define FEW_CALLS 20
 
+/* More nodes that have never reported are not named in the row. */
+#define MAX_UNHEARD 8
+
 typedef struct {
     char *node;
     char *data_centre;
@@ -62,6 +65,7 @@
     bool is_ready;
     bool was_active;
     bool is_suspect;
+    bool was_heard;  /* by an earlier deciding node */
     bool is_lost;    /* was active and lost its target */
     double heard_at; /* last report; 0 before the first */
     double lease_until;
@@ -79,6 +83,7 @@
     GHashTable *nodes;  /* name to node_t */
     bb_rollout_evidence_t *evidence;
     bb_rollout_verdict_t verdict;
+    bool must_recall; /* nodes that an earlier deciding node has heard */
     const char *reason;
     const char *next_reason;
     bool has_next;
@@ -102,6 +107,15 @@
     return g_new0(char *, 1);
 }
 
+static char **
+every_name(void)
+{
+    char **names = g_new0(char *, 2);
+
+    names[0] = g_strdup(BB_ROLLOUT_EVERY_NODE);
+    return names;
+}
+
 /* ---- creation and destruction ---- */
 
 /* The service runs this version already, by an earlier order. */
@@ -130,6 +144,7 @@
         .decider = g_strdup(rollout->own_node),
         .active = no_names(),
         .rejected = BbRolloutRow_RejectedAfter(before, order->to),
+        .unheard = every_name(),
     };
 }
 
@@ -137,6 +152,7 @@
 continue_row(bb_rollout_t *rollout, const bb_rollout_row_t *before)
 {
     BbRolloutRow_Copy(&rollout->row, before);
+    rollout->must_recall = true;
     rollout->row.epoch++;
     rollout->row.serial = 1;
     g_free(rollout->row.decider);
@@ -214,6 +230,25 @@
     node->version = g_strdup(version);
 }
 
+static double decide_after_s(const bb_rollout_t *rollout);
+
+/* Takes over what an earlier deciding node knew: the nodes that had reported,
+ * and the longest lease that it may have granted them. */
+static void
+recall_nodes(bb_rollout_t *rollout, double now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    double shift_at = rollout->started_at + decide_after_s(rollout);
+
+    g_hash_table_iter_init(&iter, rollout->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        node_t *node = value;
+        node->was_heard = !BbRolloutRow_IsUnheard(&rollout->row, node->node);
+        node->lease_until = MAX(shift_at, now + OLD_LEASE_S);
+    }
+}
+
 void
 BbRollout_SetTargets(bb_rollout_t *rollout, const bb_rollout_target_t *targets,
                      size_t count, double now)
@@ -243,6 +278,10 @@
         bool was_new = is_new_target(rollout, node);
         node->is_lost = node->was_active && !(node->is_ready && was_new);
     }
+    if (rollout->must_recall) {
+        rollout->must_recall = false;
+        recall_nodes(rollout, now);
+    }
 }
 
 static double
@@ -303,6 +342,55 @@
     }
 }
 
+static int
+compare_strings(const void *a, const void *b)
+{
+    const char *const *first = a;
+    const char *const *second = b;
+
+    return strcmp(*first, *second);
+}
+
+/* Whether the node may not know of the order. */
+static bool
+is_unheard(const bb_rollout_t *rollout, const node_t *node)
+{
+    return node->is_listed && node->is_ready && node->heard_at <= 0 &&
+           !node->was_heard && !is_new_target(rollout, node);
+}
+
+/* Returns whether the row has changed. */
+static bool
+update_unheard(bb_rollout_t *rollout)
+{
+    GPtrArray *names = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, rollout->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const node_t *node = value;
+        if (is_unheard(rollout, node)) {
+            g_ptr_array_add(names, g_strdup(node->node));
+        }
+    }
+    g_ptr_array_sort(names, compare_strings);
+    g_ptr_array_add(names, NULL);
+    bool are_many = names->len > MAX_UNHEARD + 1;
+    char **unheard = (char **)g_ptr_array_free(names, FALSE);
+    if (are_many) {
+        g_strfreev(unheard);
+        unheard = every_name();
+    }
+    bool is_changed =
+        !g_strv_equal((const gchar *const *)unheard,
+                      (const gchar *const *)rollout->row.unheard);
+    g_strfreev(rollout->row.unheard);
+    rollout->row.unheard = unheard;
+    rollout->row.serial += is_changed;
+    return is_changed;
+}
+
 /* ---- phases ---- */
 
 static bool
@@ -565,7 +653,8 @@
         return change_phase(rollout, BB_ROLLOUT_ROLLED_BACK, reason);
     }
     decide_shift(rollout, &tally, now);
-    return choose_active(rollout, &tally, now);
+    bool is_changed = update_unheard(rollout);
+    return choose_active(rollout, &tally, now) || is_changed;
 }
 
 /* ---- shifting ---- */
@@ -581,7 +670,7 @@
     if (is_new_target(rollout, node) || node->is_drained) {
         return true;
     }
-    if (node->heard_at <= 0 && node->is_ready) {
+    if (is_unheard(rollout, node)) {
         return false;
     }
     return now - MAX(node->heard_at, silent_from) >
@@ -624,7 +713,7 @@
     if (now - rollout->started_at >= rollout->row.duration_s) {
         return change_phase(rollout, BB_ROLLOUT_ROLLED_BACK, "deadline");
     }
-    return false;
+    return update_unheard(rollout);
 }
 
 bool
--- a/lib/rollout/bb_rollout.h
+++ b/lib/rollout/bb_rollout.h
@@ -20,8 +20,9 @@
  *   answer. Old targets get a long one until the first moment at which a shift
  *   is possible, so that a node that is cut off goes on serving; completion
  *   waits for the end of the leases of silent nodes and of their calls. A node
- *   that has never reported, but whose record says that its old target is
- *   ready, may not know of the order: completion waits for its report.
+ *   that has never reported to a deciding node, but whose record says that its
+ *   old target is ready, may not know of the order: completion waits for its
+ *   report.
  *
  * USE
  *   BbRollout_SetTargets() and BbRollout_AddReport() with what is known,
--- a/lib/rollout/bb_rollout_local.c
+++ b/lib/rollout/bb_rollout_local.c
@@ -140,6 +140,7 @@
         .decider = "",
         .active = &nothing,
         .rejected = BbRolloutRow_RejectedAfter(before, order->to),
+        .unheard = &nothing,
     };
 
     if (is_start && strcmp(order->service, local->service) == 0) {
--- a/lib/rollout/bb_rollout_row.c
+++ b/lib/rollout/bb_rollout_row.c
@@ -67,14 +67,15 @@
 BbRolloutRow_Format(const bb_rollout_row_t *row)
 {
     json_t *object = json_pack(
-        "{s:s, s:s, s:I, s:I, s:I, s:s, s:b, s:f, s:f, s:I, s:s, s:o, s:o}",
+        "{s:s, s:s, s:I, s:I, s:I, s:s, s:b, s:f, s:f, s:I, s:s, s:o, s:o, "
+        "s:o}",
         "service", row->service, "to", row->to, "order",
         (json_int_t)row->order, "epoch", (json_int_t)row->epoch, "serial",
         (json_int_t)row->serial, "phase", BbRolloutPhase_Name(row->phase),
         "reported", row->is_reported, "share", row->share, "duration_s",
         row->duration_s, "started_ms", (json_int_t)row->started_ms, "decider",
         row->decider, "active", names_to_json(row->active), "rejected",
-        names_to_json(row->rejected));
+        names_to_json(row->rejected), "unheard", names_to_json(row->unheard));
     char *text = json_dumps(object, JSON_COMPACT | JSON_REAL_PRECISION(6));
     char *copy = g_strdup(text);
 
@@ -115,6 +116,7 @@
         .decider = g_strdup(decider),
         .active = names_from_json(json_object_get(object, "active")),
         .rejected = names_from_json(json_object_get(object, "rejected")),
+        .unheard = names_from_json(json_object_get(object, "unheard")),
     };
     json_decref(object);
     return 0;
@@ -128,6 +130,7 @@
     g_free(row->decider);
     g_strfreev(row->active);
     g_strfreev(row->rejected);
+    g_strfreev(row->unheard);
     memset(row, 0, sizeof(*row));
 }
 
@@ -140,6 +143,7 @@
     to->decider = g_strdup(from->decider);
     to->active = g_strdupv(from->active);
     to->rejected = g_strdupv(from->rejected);
+    to->unheard = g_strdupv(from->unheard);
 }
 
 static int
@@ -192,6 +196,13 @@
     return contains(row->active, node);
 }
 
+bool
+BbRolloutRow_IsUnheard(const bb_rollout_row_t *row, const char *node)
+{
+    return contains(row->unheard, node) ||
+           contains(row->unheard, BB_ROLLOUT_EVERY_NODE);
+}
+
 bool
 BbRolloutRow_IsRejected(const bb_rollout_row_t *row, const char *version)
 {
--- a/lib/rollout/bb_rollout_row.h
+++ b/lib/rollout/bb_rollout_row.h
@@ -50,8 +50,14 @@
                            NULL-terminated */
     char **rejected;    /* versions of this service that were rolled back or
                            whose order was replaced; NULL-terminated */
+    /* Nodes beside ready old targets that have never reported to a deciding
+     * node, so that the next one knows who may not have heard of the order;
+     * BB_ROLLOUT_EVERY_NODE for more than a few. NULL-terminated. */
+    char **unheard;
 } bb_rollout_row_t;
 
+#define BB_ROLLOUT_EVERY_NODE "*"
+
 /* "canary", "shifting", "completed" or "rolled_back". */
 const char *BbRolloutPhase_Name(bb_rollout_phase_t phase);
 
@@ -78,6 +84,7 @@
                                   const char *to);
 
 bool BbRolloutRow_IsActive(const bb_rollout_row_t *row, const char *node);
+bool BbRolloutRow_IsUnheard(const bb_rollout_row_t *row, const char *node);
 bool BbRolloutRow_IsRejected(const bb_rollout_row_t *row, const char *version);
 
 #ifdef __cplusplus
--- a/programs/bbsidecar/sidecar_rollout.c
+++ b/programs/bbsidecar/sidecar_rollout.c
@@ -553,13 +553,12 @@
 {
     (void)events;
     sidecar_rollouts_t *rollouts = timer->data;
-    double now = rollouts_now(rollouts);
 
     SidecarRollouts_Decide(rollouts);
     const bb_rollout_row_t *row = reported_row(rollouts);
     if (row != NULL && row->epoch > 0 &&
-        now - rollouts->reported_at >= ROLLOUT_REPORT_S - ROLLOUT_TICK_S / 2) {
-        rollouts->reported_at = now;
+        rollouts_is_due(rollouts, rollouts->reported_at)) {
+        rollouts->reported_at = rollouts_now(rollouts);
         rollouts->reported_phase = row->phase;
         rollouts->reported_epoch = row->epoch;
         send_report(rollouts, row);
--- a/programs/bbsidecar/sidecar_rollout_decide.c
+++ b/programs/bbsidecar/sidecar_rollout_decide.c
@@ -395,6 +395,7 @@
         log_phase(duty);
     }
     publish(duty);
+    SidecarRollouts_Push(duty->rollouts);
 }
 
 static void
@@ -654,8 +655,7 @@
         }
         has_duty = has_duty || order->duty != NULL;
     }
-    if (has_duty && rollouts_now(rollouts) - rollouts->pushed_at >=
-                        ROLLOUT_REPORT_S - ROLLOUT_TICK_S / 2) {
+    if (has_duty && rollouts_is_due(rollouts, rollouts->pushed_at)) {
         SidecarRollouts_Push(rollouts);
     }
 }
--- a/programs/bbsidecar/sidecar_rollout_internal.h
+++ b/programs/bbsidecar/sidecar_rollout_internal.h
@@ -12,9 +12,12 @@
 /* Decisions, reports and pushes are due at multiples of this. */
 #define ROLLOUT_TICK_S 0.125
 
-/* Interval of reports and pushes. */
+/* Longest interval of reports and pushes. */
 #define ROLLOUT_REPORT_S 0.5
 
+/* Reports in the time within which a bad version must get no more calls. */
+#define ROLLOUT_REPORTS_TO_ROLLBACK 10.0
+
 /* A message without a response for this long is lost. */
 #define ROLLOUT_MESSAGE_S 0.9
 
@@ -63,6 +66,18 @@
     return BbClock_Now(rollouts->sidecar->loop);
 }
 
+/* Whether a report or a push is due that was made last at some time; half a
+ * tick early, since ticks are late by up to some milliseconds. */
+static inline bool
+rollouts_is_due(const sidecar_rollouts_t *rollouts, double last_at)
+{
+    double interval_s =
+        MIN(ROLLOUT_REPORT_S, rollouts->sidecar->settings->rollback_s /
+                                  ROLLOUT_REPORTS_TO_ROLLBACK);
+
+    return rollouts_now(rollouts) - last_at >= interval_s - ROLLOUT_TICK_S / 2;
+}
+
 /* ---- sidecar_rollout.c ---- */
 
 /* Takes a row if it is newer than the known one; source is "order", "node",
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -93,7 +93,7 @@
     void StartDecider(const char *name)
     {
         const bb_rollout_row_t *known =
-            BbRolloutLocal_Row(nodes[0]->local, kService);
+            BbRolloutLocal_Row(nodes.back()->local, kService);
         bb_rollout_options_t decider = {name, 0.1, 50, 1.0};
         bb_rollout_t *next =
             BbRollout_New(&decider, &order_, known, now - ordered_at, 0, now);
@@ -701,12 +701,29 @@
     EXPECT_EQ(fleet.OpenAt("v1"), 0);
 }
 
+// Guards against a roll-out that waits for ever for a node that died together
+// with the deciding node.
+TEST(Rollout, CompletesAlthoughAnOldNodeDiedWithTheDecidingNode)
+{
+    Fleet fleet(Options{});
+    fleet.Order();
+    fleet.RunFor(5);
+    fleet.nodes[1]->is_cut = true;
+    fleet.is_deciding = false;
+    fleet.RunFor(1.5);
+    fleet.StartDecider("d2");
+    EXPECT_EQ(fleet.RunUntilFinal(), BB_ROLLOUT_COMPLETED) << fleet.Reason();
+    EXPECT_EQ(fleet.old_open_at_completion, 0);
+}
+
 // Guards against a completion beside a node that has never heard of the order.
 TEST(Rollout, NoCompletionBesideANodeThatNeverReported)
 {
     Fleet fleet(Options{});
     fleet.nodes[0]->is_cut = true;
     fleet.Order();
+    fleet.RunFor(5);
+    fleet.StartDecider("d2"); // which learns of that node from the row
     EXPECT_EQ(fleet.RunUntilFinal(), BB_ROLLOUT_ROLLED_BACK);
     EXPECT_EQ(fleet.Reason(), "deadline");
 }
