--- a/lib/rollout/bb_rollout.c
+++ b/lib/rollout/bb_rollout.c
@@ -771,6 +771,23 @@
     return change_phase(rollout, stored->phase, rollout->next_reason);
 }
 
+bool
+BbRollout_Outbid(bb_rollout_t *rollout, const bb_rollout_row_t *other)
+{
+    bb_rollout_row_t *row = &rollout->row;
+    bool is_found_bad = row->phase == BB_ROLLOUT_ROLLED_BACK &&
+                        (strcmp(rollout->reason, "evidence") == 0 ||
+                         strcmp(rollout->reason, "suspects") == 0);
+
+    if (!is_found_bad || other->order != row->order ||
+        BbRolloutPhase_IsFinal(other->phase)) {
+        return false;
+    }
+    row->epoch = MAX(row->epoch, other->epoch) + 1;
+    row->serial++;
+    return true;
+}
+
 void
 BbRollout_SetReported(bb_rollout_t *rollout)
 {
--- a/lib/rollout/bb_rollout.h
+++ b/lib/rollout/bb_rollout.h
@@ -125,6 +125,11 @@
 bool BbRollout_Confirm(bb_rollout_t *rollout, const bb_rollout_row_t *stored,
                        double now);
 
+/* Another node decides on the same order with this epoch. If this one has
+ * found the version bad, its verdict stands: takes a higher epoch, for the row
+ * to be stored and published again, and returns true. */
+bool BbRollout_Outbid(bb_rollout_t *rollout, const bb_rollout_row_t *other);
+
 /* The final phase is in the operator's status row. */
 void BbRollout_SetReported(bb_rollout_t *rollout);
 
--- a/programs/bbsidecar/sidecar_rollout_decide.c
+++ b/programs/bbsidecar/sidecar_rollout_decide.c
@@ -182,6 +182,8 @@
             (row->order == own->order && row->epoch >= own->epoch));
 }
 
+static void publish(rollout_duty_t *duty);
+
 void
 SidecarRollouts_CheckFence(sidecar_rollouts_t *rollouts,
                            const bb_rollout_row_t *row)
@@ -189,7 +191,15 @@
     const rollout_order_t *order =
         g_hash_table_lookup(rollouts->orders, row->service);
 
-    if (order != NULL && order->duty != NULL && is_fencing(order->duty, row)) {
+    if (order == NULL || order->duty == NULL ||
+        !is_fencing(order->duty, row)) {
+        return;
+    }
+    if (BbRollout_Outbid(order->duty->rollout, row)) {
+        order->duty->must_fence_again = true;
+        publish(order->duty);
+    }
+    else {
         lose_duty(order->duty, row);
     }
 }
@@ -205,7 +215,8 @@
 }
 
 static bb_rollout_t *
-new_rollout(const sidecar_rollouts_t *rollouts, const rollout_order_t *order)
+new_rollout(const sidecar_rollouts_t *rollouts, const rollout_order_t *order,
+            const bb_rollout_row_t *before)
 {
     const sidecar_t *sidecar = rollouts->sidecar;
     const bb_rollout_options_t options = {
@@ -216,11 +227,9 @@
     };
     const bb_rollout_order_t decoded = {order->service, order->to,
                                         order->duration_s, order->version};
-    const bb_rollout_row_t *known =
-        BbRolloutLocal_Row(rollouts->local, order->service);
 
-    return BbRollout_New(&options, &decoded, known,
-                         elapsed_s(rollouts, order, known),
+    return BbRollout_New(&options, &decoded, before,
+                         elapsed_s(rollouts, order, before),
                          g_get_real_time() / 1000, rollouts_now(rollouts));
 }
 
@@ -236,7 +245,7 @@
     }
     duty->rollouts = rollouts;
     duty->order = order;
-    duty->rollout = new_rollout(rollouts, order);
+    duty->rollout = new_rollout(rollouts, order, known);
     order->duty = duty;
 }
 
@@ -363,13 +372,18 @@
         /* Continues from what the store has. */
         SidecarRollouts_Apply(rollouts, &row, "store");
         if (order->duty == duty) { /* else freed by CheckFence() */
+            const bb_rollout_row_t *known =
+                BbRolloutLocal_Row(rollouts->local, order->service);
+            bool is_earlier_order =
+                row.order < order->version && known->epoch == 0;
             BbRollout_Free(duty->rollout);
-            duty->rollout = new_rollout(rollouts, order);
+            duty->rollout =
+                new_rollout(rollouts, order, is_earlier_order ? &row : known);
         }
     }
     else if (!is_own) {
         SidecarRollouts_Apply(rollouts, &row, "store");
-        if (order->duty == duty) {
+        if (order->duty == duty && is_fencing(duty, &row)) {
             lose_duty(duty, &row);
         }
     }
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -541,6 +541,28 @@
     }
 }
 
+// Guards against a verdict that is lost to a node that decides at the same
+// time on the other side of a cut link and has not seen the fault.
+TEST(Rollout, VerdictAgainstAVersionOutlivesAnotherDecidingNode)
+{
+    Fleet fleet(Options{});
+    bb_rollout_row_t other;
+    fleet.Order();
+    fleet.RunFor(1);
+    BbRolloutRow_Copy(&other, BbRollout_Row(fleet.rollout));
+    other.epoch = 5;
+    EXPECT_FALSE(BbRollout_Outbid(fleet.rollout, &other));
+    fleet.behaviour = [](const SimNode &node, const std::string &) {
+        return Outcome{1, IsNew(node) ? 0.5 : 0};
+    };
+    EXPECT_EQ(fleet.RunUntilFinal(), BB_ROLLOUT_ROLLED_BACK);
+    EXPECT_TRUE(BbRollout_Outbid(fleet.rollout, &other));
+    EXPECT_GT(BbRolloutRow_Compare(BbRollout_Row(fleet.rollout), &other), 0);
+    other.phase = BB_ROLLOUT_COMPLETED;
+    EXPECT_FALSE(BbRollout_Outbid(fleet.rollout, &other));
+    BbRolloutRow_Clear(&other);
+}
+
 // Guards against evidence that is lost with the deciding node: the next one
 // gets the totals that the nodes have counted.
 TEST(Rollout, BadVersionIsFoundAfterAChangeOfTheDecidingNode)
--- a/tests/unit/sidecar_rollout_test.cc
+++ b/tests/unit/sidecar_rollout_test.cc
@@ -158,6 +158,34 @@
     EXPECT_GE(served, sent * 97 / 100);
 }
 
+// Guards against a roll-out that stops, or is completed, while the store does
+// not answer: calls are served, and the rows are written at its return.
+TEST_F(SidecarRollout, StoreIsSilentUntilPastTheDeadline)
+{
+    Order(6);
+    EXPECT_TRUE(CallUntil([&] { return HasState("running"); }, 3));
+    store.is_silent = true;
+    CallUntil([] { return false; }, 6.5);
+    EXPECT_GE(served, sent * 97 / 100);
+    store.is_silent = false;
+    size_t at_new = Arrived(2);
+    EXPECT_TRUE(CallUntil([&] { return HasState("rolled_back"); }, 8));
+    EXPECT_EQ(Arrived(2), at_new);
+}
+
+// Guards against a roll-out that ends with its deciding node: the next reader
+// takes over. The targets beside the lost node count as silent.
+TEST_F(SidecarRollout, NextReaderTakesOver)
+{
+    Order(14);
+    EXPECT_TRUE(CallUntil([&] { return Arrived(2) >= 10; }, 5));
+    nodes[0]->Signal(SIGKILL); // n1 decides
+    EXPECT_TRUE(nodes[0]->WaitForEnd());
+    EXPECT_TRUE(CallUntil([&] { return HasState("completed"); }, 15));
+    EXPECT_NE(nodes[1]->Log().find("\"event\":\"rollout\""),
+              std::string::npos);
+}
+
 // Guards against additional store calls without an order.
 TEST_F(SidecarRollout, WithoutOrderTheTablesAreNotTouched)
 {
