--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -42,6 +42,17 @@
 
 typedef struct bb_call_io bb_call_io_t;
 
+/* What a roll-out decides on the placement of calls. */
+typedef struct {
+    /* Whether the next call of the route is part of the share of the new
+     * version; counts the call. */
+    bool (*is_new_turn)(const char *service, const char *route, void *arg);
+    /* Whether a call may go to this node. */
+    bool (*may_place)(const bb_endpoint_t *endpoint, const char *service,
+                      bool is_new_turn, void *arg);
+    void *arg;
+} bb_call_rollout_t;
+
 typedef struct {
     struct ev_loop *loop;
     const char *address;     /* listening address for callers */
@@ -57,8 +68,9 @@
     const bb_freshness_t *freshness; /* of the configuration; may be NULL */
     /* Calls with these keys get no further attempt. Borrowed; may be NULL. */
     const bb_dropped_keys_t *dropped_keys;
-    bb_link_pacer_t *pacer; /* of the outbound link; may be NULL */
-    const bb_call_quota_t *quota;    /* copied; NULL for no quotas */
+    bb_link_pacer_t *pacer;           /* of the outbound link; may be NULL */
+    const bb_call_quota_t *quota;     /* copied; NULL for no quotas */
+    const bb_call_rollout_t *rollout; /* borrowed; NULL without roll-outs */
 } bb_call_io_options_t;
 
 /* Returns 0 or an error of BbH1Server_New(). */
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -333,6 +333,8 @@
     }
 }
 
+/* ---- requests ---- */
+
 static void
 handle_peer_head(bb_hop_server_t *server, bb_h1_request_t *request)
 {
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -55,7 +55,8 @@
     const bb_header_names_t *names;
     bb_local_target_t *target;
     const bb_dropped_keys_t *dropped_keys;
-    bb_link_admission_t *link; /* may be NULL */
+    bb_link_admission_t *link;          /* may be NULL */
+    const bb_target_rollout_t *rollout; /* may be NULL */
     bb_slot_queue_t *queue;
     bb_h1_client_t *client;
     target_call_t *calls;
@@ -108,6 +109,20 @@
         FAIL_RATE_WEIGHT * ((is_failed ? 1.0 : 0.0) - io->fail_rate);
 }
 
+/* Reports a call that was sent to the target. */
+static void
+report_run(const target_call_t *call, bool is_failed)
+{
+    const bb_target_rollout_t *rollout = call->io->rollout;
+
+    if (rollout != NULL && call->request.class_name != NULL) {
+        rollout->on_run_ended(call->request.class_name, is_failed,
+                              BbClock_Now(call->io->loop) -
+                                  call->ticket.started_at,
+                              rollout->arg);
+    }
+}
+
 static void
 record_refusal(const target_call_t *call, bb_reason_t reason)
 {
@@ -161,6 +176,9 @@
                                 error != 0 ? BbError_Name(error) : ""));
     }
     record_result(io, true);
+    /* A call that was cut at its deadline may have started late. Its duration
+     * tells a slow target, and a failure would tell only an overloaded one. */
+    report_run(call, reason != BB_REASON_CALL_TIMEOUT);
     release_ticket(call, reason == BB_REASON_CALL_TIMEOUT);
     free_call(call);
     handler->on_lost(reason, arg);
@@ -244,6 +262,7 @@
         BbLinkAdmission_Measure(io->link, call->request.class_name,
                                 call->response_bytes, BbClock_Now(io->loop));
     }
+    report_run(call, call->status >= 500);
     release_ticket(call, true);
     free_call(call);
     handler->on_end(owner);
@@ -348,6 +367,9 @@
     case BB_LOCAL_READY:
         break;
     }
+    if (io->rollout != NULL && !io->rollout->accepts_calls(io->rollout->arg)) {
+        return BB_REASON_VERSION_INACTIVE;
+    }
     return io->is_node_draining ? BB_REASON_NODE_DRAINING : BB_REASON_NONE;
 }
 
@@ -427,6 +449,11 @@
     bb_target_io_t *io = call->io;
 
     if (call->exchange != NULL) {
+        /* A caller that gives up on a slow call is evidence of its duration,
+         * not of a failure. */
+        if (BbH1_IsSent(call->exchange)) {
+            report_run(call, false);
+        }
         BbH1_Cancel(call->exchange);
         call->exchange = NULL;
     }
@@ -650,6 +677,7 @@
     io->target = options->target;
     io->dropped_keys = options->dropped_keys;
     io->link = options->link;
+    io->rollout = options->rollout;
     io->queue = BbSlotQueue_New();
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -216,6 +216,9 @@
         .names = Platform_HeaderNames(),
     };
 
+    if (settings->expose_share > 0) {
+        sidecar->rollouts = SidecarRollouts_New(sidecar);
+    }
     sidecar->random = BbRandom_New(0);
     sidecar->fleet = BbFleet_New(settings->name);
     sidecar->readers = BbReaders_New(sidecar->fleet);
@@ -230,6 +233,7 @@
     sidecar->link_admission =
         BbLinkAdmission_New(BbLinkPacer_Queue(sidecar->pacer));
     options.link = sidecar->link_admission;
+    options.rollout = SidecarRollouts_TargetHooks(sidecar->rollouts);
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
@@ -286,6 +290,7 @@
         .dropped_keys = sidecar->dropped_keys,
         .pacer = sidecar->pacer,
         .quota = &call_quota,
+        .rollout = SidecarRollouts_CallHooks(sidecar->rollouts),
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
 }
@@ -363,6 +368,7 @@
     ev_timer_stop(loop, &sidecar->restored_timer);
     ev_timer_stop(loop, &sidecar->record_timer);
     ev_timer_stop(loop, &sidecar->ack_timer);
+    SidecarRollouts_Free(sidecar->rollouts);
     BbSyncClient_Free(sidecar->sync_client);
     BbProbe_Free(sidecar->probe);
     BbSyncServer_Free(sidecar->sync_server);
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -297,7 +297,8 @@
 class Node {
   public:
     Node(Loop *loop, const std::string &name, const std::string &data_centre,
-         Target *target, int slots = 4, double link_mbps = 0)
+         Target *target, int slots = 4, double link_mbps = 0,
+         const bb_target_rollout_t *rollout = nullptr)
         : target(target), slots_(slots), caller_address(FreeAddress()),
           forward_address(FreeAddress()), name(name), data_centre(data_centre)
     {
@@ -314,6 +315,7 @@
         target_options.target = local_target;
         target_options.link = link_admission;
         target_options.dropped_keys = dropped_keys;
+        target_options.rollout = rollout;
         target_io = BbTargetIo_New(&target_options);
         bb_hop_server_options_t server_options = {};
         server_options.loop = loop->loop;
