End calls that have certainly not started with 503

Cause: when the deadline of a call passed or its node shut down, BbMeshCall_TimeOut counted every open attempt as one that may have run, also while it waited in the queue of the local target or its body was withheld from the other node. The caller got 504 and could not retry a call that must not run twice.

Change: bb_attempt_ops_t.is_not_started tells whether no target has received any of the call and none will after cancel. The call then ends with 503 and Retry-After. A call in the queue of another node may start at any moment and still ends with 504.

Checked: MeshIo.CallsThatHaveNotStartedEndWith503 fails without the change.

--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -109,6 +109,9 @@
     void (*cancel)(bb_attempt_t *attempt);
     /* Pauses and resumes reading the response. */
     void (*pause)(bb_attempt_t *attempt, bool is_paused);
+    /* Whether no target has received any of the call, and none will after
+     * cancel. False while that is not certain. */
+    bool (*is_not_started)(const bb_attempt_t *attempt);
 } bb_attempt_ops_t;
 
 /* Reading a response pauses while more bytes than this are unsent: a target
--- a/lib/mesh/bb_hop_client.c
+++ b/lib/mesh/bb_hop_client.c
@@ -212,16 +212,25 @@
     }
 }
 
+/* A node starts a call whose body is withheld only after it has requested the
+ * body. One that may start at once counts as started: the other node does not
+ * say whether it waits in its queue. */
+static bool
+is_not_started(const bb_attempt_t *base)
+{
+    const hop_attempt_t *attempt = (const hop_attempt_t *)base;
+
+    return !BbH1_IsSent(attempt->exchange) || is_body_withheld(attempt);
+}
+
 /* Reports the unresponsive node to the owner, which may cancel the attempt.
  * Returns true if it did. */
 static bool
 report_unresponsive(hop_attempt_t *attempt)
 {
-    bool may_have_run =
-        BbH1_IsSent(attempt->exchange) && !is_body_withheld(attempt);
-
     return attempt->handler->on_unresponsive != NULL &&
-           attempt->handler->on_unresponsive(may_have_run, attempt->arg);
+           attempt->handler->on_unresponsive(!is_not_started(&attempt->base),
+                                             attempt->arg);
 }
 
 /* Reports a node that has not responded to any call to all idempotent calls
@@ -312,6 +321,7 @@
     .body_extended = handle_body_extended,
     .cancel = cancel_attempt,
     .pause = pause_response,
+    .is_not_started = is_not_started,
 };
 
 static void
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -382,7 +382,9 @@
 {
     if (call->attempt != NULL) {
         bb_attempt_t *attempt = call->attempt;
-        call->may_have_run = true;
+        if (!attempt->ops->is_not_started(attempt)) {
+            call->may_have_run = true;
+        }
         BbMeshCall_EndAttempt(call, outcome);
         attempt->ops->cancel(attempt);
     }
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -419,10 +419,19 @@
     }
 }
 
+static bool
+is_not_started(const bb_attempt_t *attempt)
+{
+    const target_call_t *call = (const target_call_t *)attempt;
+
+    return call->exchange == NULL || !BbH1_IsSent(call->exchange);
+}
+
 static const bb_attempt_ops_t attempt_ops = {
     .body_extended = body_extended,
     .cancel = cancel,
     .pause = pause_response,
+    .is_not_started = is_not_started,
 };
 
 /* Counts and logs a refusal without a target_call_t, and returns its reason.
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -473,6 +473,41 @@
     EXPECT_EQ(BbCallIo_OpenCalls(node.calls), 0);
 }
 
+// Guards against statuses 502 and 504, which tell the caller that its call may
+// have run, for calls that are known not to have started: one that waits for a
+// slot, and one whose body the other node has not requested.
+TEST_F(MeshIo, CallsThatHaveNotStartedEndWith503)
+{
+    target.on_request = [](const Target::Request &) {};
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 5; i++) { // the target has 4 slots
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(
+            Caller::Request("POST", "/once/1", "c" + std::to_string(i), "x"));
+        loop.RunFor(0.02);
+    }
+    ASSERT_EQ(target.requests.size(), 4u);
+    node.MarkOwnTargetNotReady();
+    Target silent(&loop);
+    silent.on_request = [](const Target::Request &) {};
+    Node other(&loop, "n2", "a", &silent);
+    other.forward_address = silent.address;
+    node.AddNodeRecord(&other, 9);
+    callers.push_back(std::make_unique<Caller>(&loop, node.caller_address));
+    callers.back()->connection.Send(
+        Caller::Request("POST", "/once/1", "c5", "x"));
+    callers.push_back(std::make_unique<Caller>(&loop, node.caller_address));
+    callers.back()->connection.Send(Caller::Request("GET", "/safe/1", "c6"));
+    loop.RunFor(0.05);
+    BbCallIo_FailOpenCalls(node.calls);
+    const char *expected[] = {"504", "504", "504", "504", "503", "503", "504"};
+    for (size_t i = 0; i < callers.size(); i++) {
+        EXPECT_EQ(Status(callers[i]->Wait(1)), expected[i]) << i;
+    }
+    EXPECT_NE(HeaderField(callers[5]->connection.received, "Retry-After"), "");
+}
+
 // Guards against a call that is refused because the first nodes tried are all
 // draining. A trace of a load test showed five draining nodes in a row.
 TEST_F(MeshIo, RefusalsOfDrainingNodesDoNotCountAsAttempts)
