Reserve slots for urgent calls; report the mix of calls while slots are short

Cause: a target whose slots are all held by long runs of low rank makes short urgent calls wait, since a running call cannot be preempted. Also the load report gave the mean time of the calls that ended lately: where short calls go first it is too low, so the target looked fast and more calls came to it.

Change: lib/admission/bb_reserve keeps the smallest number of slots free for which at most 5 in 100 of the more urgent calls wait longer than they can; a rank always keeps a quarter of the slots, and classes of similar duration reserve nothing. While calls wait, the load report gives the mean expected time of the calls that run and wait.

Ruled out: a reserve of the expected urgent calls plus the square root.

--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -43,9 +43,11 @@
     int slots;
     int running;
     int waiting;
+    double open_work_s; /* expected time of the running and waiting calls */
     service_mean_t all;
     GHashTable *classes;       /* name to service_mean_t */
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
+    bb_reserve_t *reserve;     /* borrowed; may be NULL */
 };
 
 bb_slot_queue_t *
@@ -95,6 +97,77 @@
     return current_mean(mean != NULL ? mean : &queue->all, now);
 }
 
+void
+BbSlotQueue_SetReserve(bb_slot_queue_t *queue, bb_reserve_t *reserve)
+{
+    queue->reserve = reserve;
+}
+
+static bb_reserve_call_t
+reserve_call(const bb_slot_ticket_t *ticket)
+{
+    return (bb_reserve_call_t){
+        .class_name = ticket->class_name,
+        .rank = ticket->rank,
+        .service_s = ticket->service_s,
+        .target_latency_s = ticket->target_latency_s,
+    };
+}
+
+/* Whether the reserve for more urgent calls leaves room for the call. */
+static bool
+is_unreserved(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+              double now)
+{
+    if (queue->reserve == NULL) {
+        return true;
+    }
+    const bb_reserve_call_t call = reserve_call(ticket);
+    return BbReserve_MayStart(queue->reserve, &call, queue->slots, now);
+}
+
+/* Number of slots that the call may get; ticket may be NULL. */
+static int
+usable_slots(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+             double now)
+{
+    if (queue->reserve == NULL || ticket == NULL) {
+        return MAX(queue->slots, 1);
+    }
+    const bb_reserve_call_t call = reserve_call(ticket);
+    return BbReserve_Limit(queue->reserve, &call, queue->slots, now);
+}
+
+/* Whether the call, which arrives now, takes a free slot at once. */
+static bool
+can_start_now(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+              double now)
+{
+    const bb_slot_ticket_t *other;
+
+    if (queue->running >= queue->slots || !is_unreserved(queue, ticket, now)) {
+        return false;
+    }
+    DL_FOREACH (queue->tickets, other) {
+        if (is_unreserved(queue, other, now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+start(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket, double now)
+{
+    ticket->state = BB_SLOT_RUNNING;
+    ticket->started_at = now;
+    queue->running++;
+    queue->open_work_s += ticket->service_s;
+    if (queue->reserve != NULL) {
+        BbReserve_OnStart(queue->reserve, ticket->rank);
+    }
+}
+
 static double
 latest_start(const bb_slot_ticket_t *ticket)
 {
@@ -126,14 +199,18 @@
     return queue_order(a) < queue_order(b);
 }
 
-/* Seconds until a slot is free behind an amount of waiting work. */
+/* Seconds until the call gets a slot behind an amount of waiting work; ticket
+ * NULL: a call for which nothing is reserved. */
 static double
-predict_wait(const bb_slot_queue_t *queue, double work_s, double now)
+predict_wait(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+             double work_s, double now)
 {
-    if (queue->running < queue->slots && work_s <= 0) {
+    if (queue->running < queue->slots && work_s <= 0 &&
+        (ticket == NULL || is_unreserved(queue, ticket, now))) {
         return 0;
     }
-    return (work_s + current_mean(&queue->all, now)) / MAX(queue->slots, 1);
+    return (work_s + current_mean(&queue->all, now)) /
+           usable_slots(queue, ticket, now);
 }
 
 static double
@@ -154,7 +231,7 @@
 double
 BbSlotQueue_PredictWait(const bb_slot_queue_t *queue, double now)
 {
-    return predict_wait(queue, work_ahead(queue, NULL, now), now);
+    return predict_wait(queue, NULL, work_ahead(queue, NULL, now), now);
 }
 
 static bb_slot_state_t
@@ -184,10 +261,12 @@
     if (now > latest_start(ticket)) {
         return refuse(ticket, BB_REASON_TOO_LATE);
     }
-    if (queue->waiting == 0 && queue->running < queue->slots) {
-        ticket->state = BB_SLOT_RUNNING;
-        ticket->started_at = now;
-        queue->running++;
+    if (queue->reserve != NULL) {
+        const bb_reserve_call_t call = reserve_call(ticket);
+        BbReserve_OnArrival(queue->reserve, &call, now);
+    }
+    if (can_start_now(queue, ticket, now)) {
+        start(queue, ticket, now);
         return ticket->state;
     }
     if (BbSlotQueue_WouldRefuse(queue, ticket, now)) {
@@ -195,6 +274,7 @@
     }
     ticket->state = BB_SLOT_WAITING;
     queue->waiting++;
+    queue->open_work_s += ticket->service_s;
     DL_APPEND(queue->tickets, ticket);
     return ticket->state;
 }
@@ -210,10 +290,11 @@
     if (now > latest_start(&copy)) {
         return true;
     }
-    if (queue->waiting == 0 && queue->running < queue->slots) {
+    if (can_start_now(queue, &copy, now)) {
         return false;
     }
-    double wait_s = predict_wait(queue, work_ahead(queue, &copy, now), now);
+    double wait_s =
+        predict_wait(queue, &copy, work_ahead(queue, &copy, now), now);
     return !is_wait_acceptable(&copy, wait_s, now) ||
            now + wait_s > latest_start(&copy);
 }
@@ -224,6 +305,7 @@
     assert(ticket->state == BB_SLOT_WAITING);
     DL_DELETE(queue->tickets, ticket);
     queue->waiting--;
+    queue->open_work_s -= ticket->service_s;
 }
 
 static void
@@ -245,6 +327,10 @@
 
     assert(ticket->state == BB_SLOT_RUNNING);
     queue->running--;
+    queue->open_work_s -= ticket->service_s;
+    if (queue->reserve != NULL) {
+        BbReserve_OnEnd(queue->reserve, ticket->rank);
+    }
     ticket->state = BB_SLOT_NONE;
     if (!is_measured) {
         return;
@@ -280,7 +366,7 @@
         return true;
     }
     return !is_in_time(ticket, now, WAITING_MARGIN) &&
-           predict_wait(queue, work_ahead(queue, ticket, now), now) >
+           predict_wait(queue, ticket, work_ahead(queue, ticket, now), now) >
                MAX_LATE_WAIT_S;
 }
 
@@ -295,7 +381,8 @@
             refuse(ticket, BB_REASON_QUEUE_EXPIRED);
             return ticket;
         }
-        if (best == NULL || precedes(ticket, best, now)) {
+        if ((best == NULL || precedes(ticket, best, now)) &&
+            is_unreserved(queue, ticket, now)) {
             best = ticket;
         }
     }
@@ -303,9 +390,7 @@
         return NULL;
     }
     remove_waiting(queue, best);
-    best->state = BB_SLOT_RUNNING;
-    best->started_at = now;
-    queue->running++;
+    start(queue, best, now);
     return best;
 }
 
@@ -327,6 +412,15 @@
     return queue->waiting;
 }
 
+double
+BbSlotQueue_MixTime(const bb_slot_queue_t *queue, double now)
+{
+    if (queue->waiting == 0) {
+        return BbSlotQueue_ServiceTime(queue, now);
+    }
+    return queue->open_work_s / (queue->running + queue->waiting);
+}
+
 double
 BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now)
 {
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -28,6 +28,7 @@
 #include <stdbool.h>
 
 #include "bb_reason.h"
+#include "bb_reserve.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -66,6 +67,10 @@
  */
 void BbSlotQueue_SetSlots(bb_slot_queue_t *queue, int slots);
 
+/* Keeps slots free for urgent calls. The reserve is borrowed; NULL, the
+ * default, keeps none. Set it before the first offer. */
+void BbSlotQueue_SetReserve(bb_slot_queue_t *queue, bb_reserve_t *reserve);
+
 /* Sets the state of the ticket and returns it. */
 bb_slot_state_t BbSlotQueue_Offer(bb_slot_queue_t *queue,
                                   bb_slot_ticket_t *ticket, double now);
@@ -94,6 +99,12 @@
  * the mean decays, so that a target that was slow gets calls again. */
 double BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now);
 
+/* Expected mean seconds of the calls that run and wait now, for load reports
+ * while slots are short; ServiceTime() while none waits. The mean of the calls
+ * that ended lately would be too low where short urgent calls go first: the
+ * target would look fast while long calls fill its queue. */
+double BbSlotQueue_MixTime(const bb_slot_queue_t *queue, double now);
+
 /* The mean of a class, or that of all calls while the class is not known. */
 double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
                              double now);
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -49,6 +49,7 @@
     const bb_header_names_t *names;
     bb_local_target_t *target;
     bb_slot_queue_t *queue;
+    bb_reserve_t *reserve;
     bb_h1_client_t *client;
     target_call_t *calls;
     int call_count;
@@ -561,7 +562,7 @@
     load->waiting = BbSlotQueue_Waiting(io->queue);
     load->slots = BbLocalTarget_Slots(io->target);
     load->service_ms = (int)lrint(
-        BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop)) * 1000);
+        BbSlotQueue_MixTime(io->queue, BbClock_Now(io->loop)) * 1000);
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
 }
 
@@ -593,6 +594,8 @@
     io->names = options->names;
     io->target = options->target;
     io->queue = BbSlotQueue_New();
+    io->reserve = BbReserve_New();
+    BbSlotQueue_SetReserve(io->queue, io->reserve);
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
     io->queue_timer.data = io;
@@ -611,6 +614,7 @@
     }
     BbH1Client_Free(io->client);
     BbSlotQueue_Free(io->queue);
+    BbReserve_Free(io->reserve);
     g_free(io->address);
     g_free(io->service);
     g_free(io);
--- /dev/null
+++ b/tests/unit/admission_test.cc
@@ -0,0 +1,56 @@
+// Tests of lib/admission without a load: limits and edge cases.
+#include <gtest/gtest.h>
+
+#include "bb_reserve.h"
+
+namespace {
+
+const bb_reserve_call_t kLong = {"profile", 2, 0.87, 4};
+const bb_reserve_call_t kUrgent = {"price", 0, 0.14, 0.4};
+
+// Urgent calls at the given rate from 1.0 s to 2.0 s.
+bb_reserve_t *
+ReserveAfterArrivals(int per_s, const bb_reserve_call_t &call)
+{
+    bb_reserve_t *reserve = BbReserve_New();
+    for (int i = 0; i <= per_s; i++) {
+        BbReserve_OnArrival(reserve, &call, 1.0 + 1.0 * i / per_s);
+    }
+    return reserve;
+}
+
+} // namespace
+
+// Guards against a reserve that starves the low rank, that is kept when no
+// urgent calls come, and that counts against urgent calls themselves.
+TEST(AdmissionReserve, IsBoundedAndReleased)
+{
+    bb_reserve_t *reserve = ReserveAfterArrivals(30, kUrgent);
+    EXPECT_LT(BbReserve_Limit(reserve, &kLong, 18, 2.0), 18);
+    EXPECT_EQ(BbReserve_Limit(reserve, &kUrgent, 18, 2.0), 18);
+    EXPECT_EQ(BbReserve_Limit(reserve, &kLong, 18, 3.2), 18);
+    BbReserve_Free(reserve);
+    reserve = ReserveAfterArrivals(2000, kUrgent);
+    EXPECT_EQ(BbReserve_Limit(reserve, &kLong, 18, 2.0), 5);
+    EXPECT_EQ(BbReserve_Limit(reserve, &kLong, 1, 2.0), 1);
+    for (int i = 0; i < 5; i++) {
+        EXPECT_TRUE(BbReserve_MayStart(reserve, &kLong, 18, 2.0));
+        BbReserve_OnStart(reserve, kLong.rank);
+    }
+    EXPECT_FALSE(BbReserve_MayStart(reserve, &kLong, 18, 2.0));
+    EXPECT_TRUE(BbReserve_MayStart(reserve, &kUrgent, 18, 2.0));
+    BbReserve_OnEnd(reserve, kLong.rank);
+    EXPECT_TRUE(BbReserve_MayStart(reserve, &kLong, 18, 2.0));
+    BbReserve_Free(reserve);
+}
+
+// Guards against slots that stay empty for classes whose calls end soon
+// enough to make room for each other.
+TEST(AdmissionReserve, ShortRunsOfLowRankAreNotLimited)
+{
+    const bb_reserve_call_t menu = {"menu", 2, 0.16, 0.6};
+    const bb_reserve_call_t booking = {"booking", 1, 0.21, 1};
+    bb_reserve_t *reserve = ReserveAfterArrivals(2000, booking);
+    EXPECT_EQ(BbReserve_Limit(reserve, &menu, 9, 2.0), 9);
+    BbReserve_Free(reserve);
+}
