Slot queue: a more urgent call is not ordered behind one of similar latency

Cause: the order of waiting calls gave the target latency more weight than the rank. Calls of rank 1 with a target latency of 1.0 s went behind calls of rank 2 with 0.6 s, so in overload the more urgent class was served less often.

Change: between two calls of different rank whose target latencies are within a factor of two, the more urgent one counts with the shorter latency. A nested call has a shorter target latency than that and still goes first.

--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -14,6 +14,10 @@
  * earlier. */
 #define LATENCY_WEIGHT 2.0
 
+/* Target latencies within this factor are those of classes that callers use
+ * side by side; a nested call has a shorter one than its parent. */
+#define SIMILAR_LATENCY_FACTOR 2.0
+
 /* Weight of the newest call in the moving averages. */
 #define SERVICE_WEIGHT 0.05
 
@@ -181,12 +185,25 @@
 }
 
 static double
-queue_order(const bb_slot_ticket_t *ticket)
+queue_order(const bb_slot_ticket_t *ticket, double latency_s)
 {
-    return ticket->arrived_at + ticket->target_latency_s * LATENCY_WEIGHT +
+    return ticket->arrived_at + latency_s * LATENCY_WEIGHT +
            ticket->rank * RANK_AGING_S;
 }
 
+/* Target latency of a for its order against b. A more urgent call is not put
+ * behind another for a moderately longer target latency. */
+static double
+order_latency(const bb_slot_ticket_t *a, const bb_slot_ticket_t *b)
+{
+    bool is_similar =
+        a->target_latency_s <= b->target_latency_s * SIMILAR_LATENCY_FACTOR;
+
+    return a->rank < b->rank && is_similar
+               ? MIN(a->target_latency_s, b->target_latency_s)
+               : a->target_latency_s;
+}
+
 /* Whether a goes before b. */
 static bool
 precedes(const bb_slot_ticket_t *a, const bb_slot_ticket_t *b, double now)
@@ -196,7 +213,8 @@
     if (a_in_time != is_in_time(b, now, WAITING_MARGIN)) {
         return a_in_time;
     }
-    return queue_order(a) < queue_order(b);
+    return queue_order(a, order_latency(a, b)) <
+           queue_order(b, order_latency(b, a));
 }
 
 /* Seconds until the call gets a slot behind an amount of waiting work; ticket
