Retry-After from the predicted start of the refused class, spread

Cause: Retry-After was the wait behind all waiting calls, cut at 2 s and equal for all callers. An urgent call, which goes first, was told the wait of the last one, and callers came back together or before there was room.

Change: the node beside the target predicts the wait of a call of that class; the caller-side node spreads it from 0.8 to 1.5 times, between 0.05 and 5 s.

--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -4,10 +4,7 @@
 #include "bb_event.h"
 #include "bb_histogram.h"
 #include "bb_mesh_call.h"
-
-/* Retry-After in seconds when no node has estimated when a slot is free. */
-#define DEFAULT_RETRY_AFTER_S 0.3
-#define MAX_RETRY_AFTER_S 2.0
+#include "bb_retry_after.h"
 
 const char *
 BbMeshCall_PeerName(const bb_mesh_call_t *call)
@@ -90,10 +87,10 @@
                        call->call_id);
     }
     if (status == 503) {
-        double wait_s = call->retry_after_s > 0 ? call->retry_after_s
-                                                : DEFAULT_RETRY_AFTER_S;
-        g_ascii_formatd(seconds, sizeof(seconds), "%.3f",
-                        MIN(wait_s, MAX_RETRY_AFTER_S));
+        g_ascii_formatd(
+            seconds, sizeof(seconds), "%.3f",
+            BbRetryAfter_Spread(call->retry_after_s,
+                                BbRandom_Unit(call->io->options.random)));
         BbH1Fields_Add(&fields, "Retry-After", seconds);
     }
     if (call->is_streaming) {
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -252,6 +252,17 @@
     return predict_wait(queue, NULL, work_ahead(queue, NULL, now), now);
 }
 
+double
+BbSlotQueue_PredictTicketWait(const bb_slot_queue_t *queue,
+                              const bb_slot_ticket_t *ticket, double now)
+{
+    bb_slot_ticket_t copy = *ticket;
+
+    copy.arrived_at = now;
+    copy.service_s = BbSlotQueue_ClassTime(queue, copy.class_name, now);
+    return predict_wait(queue, &copy, work_ahead(queue, &copy, now), now);
+}
+
 static bb_slot_state_t
 refuse(bb_slot_ticket_t *ticket, bb_reason_t reason)
 {
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -109,6 +109,11 @@
 double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
                              double now);
 
+/* Seconds until the calls that wait now before such a call have started. */
+double BbSlotQueue_PredictTicketWait(const bb_slot_queue_t *queue,
+                                     const bb_slot_ticket_t *ticket,
+                                     double now);
+
 /* Seconds until a call that arrives now would start. */
 double BbSlotQueue_PredictWait(const bb_slot_queue_t *queue, double now);
 
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -125,8 +125,8 @@
     bb_target_io_t *io = call->io;
     const bb_attempt_handler_t *handler = call->handler;
     void *arg = call->arg;
-    double retry_after_s =
-        BbSlotQueue_PredictWait(io->queue, BbClock_Now(io->loop));
+    double retry_after_s = BbSlotQueue_PredictTicketWait(
+        io->queue, &call->ticket, BbClock_Now(io->loop));
 
     record_refusal(call, reason);
     release_ticket(call, false);
@@ -481,8 +481,8 @@
     *retry_after_s = 0;
     if (reason == BB_REASON_NONE &&
         BbSlotQueue_WouldRefuse(io->queue, &ticket, BbClock_Now(io->loop))) {
-        *retry_after_s =
-            BbSlotQueue_PredictWait(io->queue, BbClock_Now(io->loop));
+        *retry_after_s = BbSlotQueue_PredictTicketWait(io->queue, &ticket,
+                                                       BbClock_Now(io->loop));
         reason = BB_REASON_QUEUE_FULL;
     }
     return reason != BB_REASON_NONE ? report_refusal(io, request, reason)
@@ -512,7 +512,7 @@
     if (BbSlotQueue_Offer(io->queue, &call->ticket, now) == BB_SLOT_REFUSED) {
         reason = call->ticket.reason;
         *retry_after_s =
-            BbSlotQueue_PredictWait(io->queue, BbClock_Now(io->loop));
+            BbSlotQueue_PredictTicketWait(io->queue, &call->ticket, now);
         g_free(call);
         return report_refusal(io, request, reason);
     }
