Accounts of one rank share the slots fairly while calls wait

Cause: the queue did not look at accounts, so one account at several times its usual rate, still within its quota, pushed out the calls of all others.

Change: lib/admission/bb_fair_share keeps the decayed service time of each account at the target. Calls of an account above its fair share by more than the fluctuation of small numbers go later among the waiting calls of their rank, by up to their target latency, and are refused as soon as they will be late. Without accounts nothing changes.

--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -14,6 +14,11 @@
  * earlier. */
 #define LATENCY_WEIGHT 2.0
 
+/* Share of the target latency by which calls of an account that uses at least
+ * twice its fair share go later among calls of their rank. No call waits for
+ * longer than its target latency, so with 1 they go behind the others. */
+#define SHARE_DELAY 1.0
+
 /* Target latencies within this factor are those of classes that callers use
  * side by side; a nested call has a shorter one than its parent. */
 #define SIMILAR_LATENCY_FACTOR 2.0
@@ -52,6 +57,7 @@
     GHashTable *classes;       /* name to service_mean_t */
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
     bb_reserve_t *reserve;     /* borrowed; may be NULL */
+    bb_fair_share_t *share;    /* borrowed; may be NULL */
 };
 
 bb_slot_queue_t *
@@ -107,6 +113,25 @@
     queue->reserve = reserve;
 }
 
+void
+BbSlotQueue_SetFairShare(bb_slot_queue_t *queue, bb_fair_share_t *share)
+{
+    queue->share = share;
+}
+
+/* Fills in what the queue knows about a call that arrives now. */
+static void
+prepare(const bb_slot_queue_t *queue, bb_slot_ticket_t *ticket, double now)
+{
+    ticket->arrived_at = now;
+    ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name, now);
+    ticket->share_delay_s =
+        queue->share != NULL
+            ? BbFairShare_Excess(queue->share, ticket->account, now) *
+                  ticket->target_latency_s * SHARE_DELAY
+            : 0;
+}
+
 static bb_reserve_call_t
 reserve_call(const bb_slot_ticket_t *ticket)
 {
@@ -170,6 +195,10 @@
     if (queue->reserve != NULL) {
         BbReserve_OnStart(queue->reserve, ticket->rank);
     }
+    if (queue->share != NULL) {
+        BbFairShare_Add(queue->share, ticket->account, ticket->rank,
+                        ticket->service_s, now);
+    }
 }
 
 static double
@@ -213,8 +242,13 @@
     if (a_in_time != is_in_time(b, now, WAITING_MARGIN)) {
         return a_in_time;
     }
-    return queue_order(a, order_latency(a, b)) <
-           queue_order(b, order_latency(b, a));
+    double a_order = queue_order(a, order_latency(a, b));
+    double b_order = queue_order(b, order_latency(b, a));
+    if (a->rank == b->rank) {
+        a_order += a->share_delay_s;
+        b_order += b->share_delay_s;
+    }
+    return a_order < b_order;
 }
 
 /* Seconds until the call gets a slot behind an amount of waiting work; ticket
@@ -258,8 +292,7 @@
 {
     bb_slot_ticket_t copy = *ticket;
 
-    copy.arrived_at = now;
-    copy.service_s = BbSlotQueue_ClassTime(queue, copy.class_name, now);
+    prepare(queue, &copy, now);
     return predict_wait(queue, &copy, work_ahead(queue, &copy, now), now);
 }
 
@@ -284,9 +317,8 @@
 bb_slot_state_t
 BbSlotQueue_Offer(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket, double now)
 {
-    ticket->arrived_at = now;
     ticket->reason = BB_REASON_NONE;
-    ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name, now);
+    prepare(queue, ticket, now);
     if (now > latest_start(ticket)) {
         return refuse(ticket, BB_REASON_TOO_LATE);
     }
@@ -314,8 +346,7 @@
 {
     bb_slot_ticket_t copy = *ticket;
 
-    copy.arrived_at = now;
-    copy.service_s = BbSlotQueue_ClassTime(queue, copy.class_name, now);
+    prepare(queue, &copy, now);
     if (now > latest_start(&copy)) {
         return true;
     }
@@ -386,7 +417,9 @@
 }
 
 /* Whether a waiting call is to be refused: it cannot end before it expires, or
- * it is late and the calls in time keep all slots busy. */
+ * it is late and the calls in time keep all slots busy. A call of an account
+ * above its fair share, before which others have gone, is refused as soon as
+ * it will be late. */
 static bool
 must_refuse(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
             double now)
@@ -394,6 +427,12 @@
     if (now > latest_start(ticket)) {
         return true;
     }
+    if (ticket->share_delay_s > 0) {
+        double wait_s =
+            predict_wait(queue, ticket, work_ahead(queue, ticket, now), now);
+        return wait_s > MAX_LATE_WAIT_S &&
+               !is_in_time(ticket, now + wait_s, WAITING_MARGIN);
+    }
     return !is_in_time(ticket, now, WAITING_MARGIN) &&
            predict_wait(queue, ticket, work_ahead(queue, ticket, now), now) >
                MAX_LATE_WAIT_S;
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -27,6 +27,7 @@
 
 #include <stdbool.h>
 
+#include "bb_fair_share.h"
 #include "bb_reason.h"
 #include "bb_reserve.h"
 
@@ -45,6 +46,7 @@
 typedef struct bb_slot_ticket {
     const char *class_name;  /* class of calls with similar duration */
     int rank;                /* 0 is the most urgent */
+    const char *account;     /* client account, or NULL */
     double target_latency_s; /* of the route */
     double due_at;           /* end of the target latency */
     double expires_at;       /* a response after that is useless */
@@ -54,7 +56,8 @@
     bb_reason_t reason;
     double arrived_at;
     double started_at;
-    double service_s; /* expected time at the target */
+    double service_s;     /* expected time at the target */
+    double share_delay_s; /* for an account above its fair share */
     struct bb_slot_ticket *prev, *next;
 } bb_slot_ticket_t;
 
@@ -71,6 +74,10 @@
  * default, keeps none. Set it before the first offer. */
 void BbSlotQueue_SetReserve(bb_slot_queue_t *queue, bb_reserve_t *reserve);
 
+/* Lets accounts of one rank share the slots fairly while calls wait. The
+ * shares are borrowed; NULL, the default, ignores accounts. */
+void BbSlotQueue_SetFairShare(bb_slot_queue_t *queue, bb_fair_share_t *share);
+
 /* Sets the state of the ticket and returns it. */
 bb_slot_state_t BbSlotQueue_Offer(bb_slot_queue_t *queue,
                                   bb_slot_ticket_t *ticket, double now);
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -50,6 +50,7 @@
     bb_local_target_t *target;
     bb_slot_queue_t *queue;
     bb_reserve_t *reserve;
+    bb_fair_share_t *share;
     bb_h1_client_t *client;
     target_call_t *calls;
     int call_count;
@@ -453,6 +454,7 @@
     return (bb_slot_ticket_t){
         .class_name = request->class_name,
         .rank = request->rank,
+        .account = request->account,
         .target_latency_s = request->target_latency_s,
         .due_at = request->due_at,
         .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
@@ -596,6 +598,8 @@
     io->queue = BbSlotQueue_New();
     io->reserve = BbReserve_New();
     BbSlotQueue_SetReserve(io->queue, io->reserve);
+    io->share = BbFairShare_New();
+    BbSlotQueue_SetFairShare(io->queue, io->share);
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
     io->queue_timer.data = io;
@@ -615,6 +619,7 @@
     BbH1Client_Free(io->client);
     BbSlotQueue_Free(io->queue);
     BbReserve_Free(io->reserve);
+    BbFairShare_Free(io->share);
     g_free(io->address);
     g_free(io->service);
     g_free(io);
--- a/tests/unit/admission_load_test.cc
+++ b/tests/unit/admission_load_test.cc
@@ -84,6 +84,7 @@
         for (auto &node : nodes_) {
             BbSlotQueue_Free(node->queue);
             BbReserve_Free(node->reserve);
+            BbFairShare_Free(node->share);
             BbFleet_Free(node->fleet);
         }
         BbRandom_Free(random_);
@@ -120,12 +121,14 @@
         std::string name, data_centre;
         bb_slot_queue_t *queue;
         bb_reserve_t *reserve;
+        bb_fair_share_t *share;
         bb_fleet_t *fleet;
     };
     struct Call {
         int index; // of the class
         Node *node, *target;
-        int account;
+        int account; // 0: none
+        std::string account_name;
         double first_at, arrived_at, due_at, deadline_at;
         double work_s;
         int tries, refusals;
@@ -156,8 +159,10 @@
         node->queue = BbSlotQueue_New();
         BbSlotQueue_SetSlots(node->queue, service.slots);
         node->reserve = BbReserve_New();
+        node->share = BbFairShare_New();
         if (options_.has_admission) {
             BbSlotQueue_SetReserve(node->queue, node->reserve);
+            BbSlotQueue_SetFairShare(node->queue, node->share);
         }
         nodes_.push_back(std::move(node));
     }
@@ -204,6 +209,7 @@
             call->account = options_.accounts == 0 ? 0
                             : drawn < 1            ? 1
                                         : static_cast<int>(drawn) + 1;
+            call->account_name = std::to_string(call->account);
             StartCall(call, index, nodes_[arrivals_() % nodes_.size()].get());
             ScheduleNextCall(index);
         });
@@ -263,6 +269,9 @@
         call->ticket = {};
         call->ticket.class_name = load.name;
         call->ticket.rank = load.rank;
+        if (call->account > 0) {
+            call->ticket.account = call->account_name.c_str();
+        }
         call->ticket.target_latency_s = load.latency_s;
         call->ticket.due_at = call->due_at + 1000;
         call->ticket.expires_at = call->deadline_at + 1000 - 0.03;
@@ -543,3 +552,28 @@
                   r.after.classes[0].refused,
               0.8);
 }
+
+// Guards against one account at five times its usual rate that pushes the
+// others out.
+TEST(AdmissionLoad, HotAccountsDoNotPushOutOthers)
+{
+    LoadOptions options;
+    options.services = {{"D", 38, 18}};
+    options.classes = {{"profile", "D", 750, 0.87, 2, 4, 6},
+                       {"price", "D", 400, 0.14, 0, 0.4, 1}};
+    options.accounts = 20;
+    options.hot_factor = 5;
+    Comparison r = Compare("hot", options, 5, 30);
+    ClassResult before, after;
+    for (int i = 2; i <= options.accounts; i++) {
+        before.calls += r.before.accounts[i].calls;
+        before.in_time += r.before.accounts[i].in_time;
+        after.calls += r.after.accounts[i].calls;
+        after.in_time += r.after.accounts[i].in_time;
+    }
+    printf("others in time before %.3f after %.3f, hot account %.3f %.3f\n",
+           before.InTime(), after.InTime(), r.before.accounts[1].InTime(),
+           r.after.accounts[1].InTime());
+    EXPECT_GT(after.InTime(), before.InTime() + 0.05);
+    EXPECT_GT(r.after.accounts[1].InTime(), after.InTime() / 4);
+}
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -1,6 +1,9 @@
 // Tests of lib/admission without a load: limits and edge cases.
 #include <gtest/gtest.h>
 
+#include <string>
+
+#include "bb_fair_share.h"
 #include "bb_reserve.h"
 
 namespace {
@@ -54,3 +57,27 @@
     EXPECT_EQ(BbReserve_Limit(reserve, &menu, 9, 2.0), 9);
     BbReserve_Free(reserve);
 }
+
+// Guards against an order that changes by accounts where none is heavier than
+// the others or none is known, and against a surplus that is never forgotten.
+TEST(AdmissionFairShare, OnlyASurplusBeyondFluctuationCounts)
+{
+    bb_fair_share_t *share = BbFairShare_New();
+    for (int i = 0; i < 100; i++) {
+        BbFairShare_Add(share, nullptr, 1, 0.5, 1.0 + i * 0.02);
+    }
+    EXPECT_EQ(BbFairShare_Excess(share, nullptr, 3.0), 0);
+    for (int i = 0; i < 300; i++) {
+        std::string account = i % 3 == 0 ? "hot" : std::to_string(i % 20);
+        BbFairShare_Add(share, account.c_str(), 2, 0.5, 3.0 + i * 0.02);
+    }
+    EXPECT_EQ(BbFairShare_Excess(share, "hot", 9.0), 1);
+    EXPECT_EQ(BbFairShare_Excess(share, "4", 9.0), 0);
+    EXPECT_EQ(BbFairShare_Excess(share, nullptr, 9.0), 0);
+    for (int i = 0; i < 60; i++) {
+        BbFairShare_Add(share, std::to_string(i % 20).c_str(), 2, 0.5,
+                        15.0 + i * 0.1);
+    }
+    EXPECT_EQ(BbFairShare_Excess(share, "hot", 21.0), 0);
+    BbFairShare_Free(share);
+}
