Call tree: nested calls go first, by the age of the run that waits for them

Cause: a nested call waited in the queue of its service like a new call, and the second one of a run behind the first ones of younger runs. When that service was short, its queue made nearly all runs late or failed, and the work already done was lost.

Change: lib/admission/bb_call_tree finds calls that arrive from the local target while it runs their parent: their id is the parent's, a separator (from the adapter) and a suffix. A nested call is marked in the hop metadata with the age of its run; the text of other calls is unchanged. In the queue of its service it goes before calls that are not nested and by the age of the run, and the reserve for urgent ranks does not hold it back; calls that are not nested keep a quarter of the chance to start. A nested call is tried at up to five nodes instead of two.

A new call whose nested calls were mostly refused lately (half of the runs of its class would fail) is refused with reason nested_short while other calls wait for a slot of the target, by the share that would fail, at most nine in ten. It is not tried elsewhere.

--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -32,6 +32,9 @@
     const char *not_run;         /* set when the target did not run the call */
     const char *account_key;     /* key of the caller's client account */
     const char *account;         /* name of that account, for the target */
+    /* between the id of a call and the suffix of calls nested in it; NULL
+     * where ids do not show that */
+    const char *call_id_separator;
 } bb_header_names_t;
 
 /* Header names used between nodes. */
@@ -79,6 +82,9 @@
     int rank;               /* 0 is the most urgent */
     const char *account;    /* client account; NULL without one */
     uint64_t key_digest;    /* of the account's key; 0 without account */
+    bool is_nested;         /* a run elsewhere waits for the call */
+    double parent_age_s;    /* of that run; see bb_call_tree.h */
+    bool is_checked; /* BbTargetIo_RefusalReason() has admitted the call */
     double target_latency_s;
     double due_at; /* end of the target latency */
     double deadline_at;
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -157,6 +157,11 @@
     copy_call_fields(call, &request->fields);
     call->body.is_complete = request->content_length == BB_H1_NO_BODY ||
                              request->content_length == 0;
+    double parent_age_s = 0;
+    call->is_nested = BbCallTree_BeginNested(
+        BbTargetIo_CallTree(call->io->options.target), call->call_id,
+        call->route->name, call->arrived_at, &parent_age_s);
+    BbCounters_Add(BB_COUNTER_NESTED_CALLS, call->is_nested ? 1 : 0);
     call->attempt_request = (bb_attempt_request_t){
         .call_id = call->call_id,
         .method = request->method,
@@ -172,6 +177,8 @@
             call->account != NULL ? call->account->rank : call->route->rank,
         .account = call->account != NULL ? call->account->name : NULL,
         .key_digest = call->key_digest,
+        .is_nested = call->is_nested,
+        .parent_age_s = parent_age_s,
         .target_latency_s = call->route->target_latency_s,
         .due_at = call->arrived_at + call->route->target_latency_s -
                   call->earlier_tries_s,
--- a/lib/mesh/bb_hop.c
+++ b/lib/mesh/bb_hop.c
@@ -18,26 +18,31 @@
     FIELD_ONCE,
     FIELD_LENGTH,
     FIELD_COUNT,
-    FIELD_DIGEST = FIELD_COUNT,
-    FIELD_ACCOUNT, /* last, since it may contain commas */
-    FIELD_COUNT_WITH_ACCOUNT,
+    FIELD_OPTIONAL = FIELD_COUNT, /* the text behind the figures above */
+    FIELD_COUNT_WITH_OPTIONAL,
 };
 
+/* Begins the figure of a nested call; no hexadecimal digest begins with it. */
+#define NESTED_MARK 'n'
+
 char *
 BbHop_Format(const bb_hop_call_t *hop)
 {
-    char *text = g_strdup_printf(
-        "%s,%s,%s,%d,%d,%d,%d,%d,%" PRId64, hop->service, hop->caller_service,
-        hop->class_name, hop->deadline_ms, hop->latency_ms, hop->due_in_ms,
-        hop->rank, hop->is_at_most_once ? 1 : 0, hop->content_length);
+    GString *text = g_string_new(NULL);
+
+    g_string_printf(text, "%s,%s,%s,%d,%d,%d,%d,%d,%" PRId64, hop->service,
+                    hop->caller_service, hop->class_name, hop->deadline_ms,
+                    hop->latency_ms, hop->due_in_ms, hop->rank,
+                    hop->is_at_most_once ? 1 : 0, hop->content_length);
 
-    if (hop->account == NULL) {
-        return text;
+    if (hop->is_nested) {
+        g_string_append_printf(text, ",%c%d", NESTED_MARK, hop->parent_age_ms);
+    }
+    if (hop->account != NULL) {
+        g_string_append_printf(text, ",%" PRIx64 ",%s", hop->key_digest,
+                               hop->account);
     }
-    char *with_account = g_strdup_printf("%s,%" PRIx64 ",%s", text,
-                                         hop->key_digest, hop->account);
-    g_free(text);
-    return with_account;
+    return g_string_free(text, FALSE);
 }
 
 static bool
@@ -49,6 +54,31 @@
     return end != text && *end == '\0';
 }
 
+/* Parses "nAGE", "digest,account" or both. An account may contain commas. */
+static bool
+parse_optional(const char *text, bb_hop_call_t *out)
+{
+    char *end;
+
+    if (*text == NESTED_MARK) {
+        out->is_nested = true;
+        out->parent_age_ms = (int)strtol(text + 1, &end, 10);
+        if (end == text + 1 || *end == '\0') {
+            return end != text + 1;
+        }
+        if (*end != ',') {
+            return false;
+        }
+        text = end + 1;
+    }
+    out->key_digest = strtoull(text, &end, 16);
+    if (end == text || *end != ',') {
+        return false;
+    }
+    out->account = g_strdup(end + 1);
+    return true;
+}
+
 int
 BbHop_Parse(const char *text, bb_hop_call_t *out)
 {
@@ -58,17 +88,18 @@
     if (text == NULL) {
         return BB_ERR_PARSE;
     }
-    char **fields = g_strsplit(text, ",", FIELD_COUNT_WITH_ACCOUNT);
+    char **fields = g_strsplit(text, ",", FIELD_COUNT_WITH_OPTIONAL);
     guint count = g_strv_length(fields);
     bool is_valid =
-        (count == FIELD_COUNT || count == FIELD_COUNT_WITH_ACCOUNT) &&
+        (count == FIELD_COUNT || count == FIELD_COUNT_WITH_OPTIONAL) &&
         fields[FIELD_SERVICE][0] != '\0' &&
         parse_int(fields[FIELD_DEADLINE], &out->deadline_ms) &&
         parse_int(fields[FIELD_LATENCY], &out->latency_ms) &&
         parse_int(fields[FIELD_DUE_IN], &out->due_in_ms) &&
         parse_int(fields[FIELD_RANK], &out->rank) &&
         parse_int(fields[FIELD_ONCE], &once) &&
-        fields[FIELD_LENGTH][0] != '\0';
+        fields[FIELD_LENGTH][0] != '\0' &&
+        (count == FIELD_COUNT || parse_optional(fields[FIELD_OPTIONAL], out));
     if (is_valid) {
         out->service = g_strdup(fields[FIELD_SERVICE]);
         out->caller_service = g_strdup(fields[FIELD_CALLER]);
@@ -76,10 +107,6 @@
         out->is_at_most_once = once != 0;
         out->content_length = strtoll(fields[FIELD_LENGTH], NULL, 10);
     }
-    if (is_valid && count == FIELD_COUNT_WITH_ACCOUNT) {
-        out->key_digest = strtoull(fields[FIELD_DIGEST], NULL, 16);
-        out->account = g_strdup(fields[FIELD_ACCOUNT]);
-    }
     g_strfreev(fields);
     return is_valid ? 0 : BB_ERR_PARSE;
 }
--- a/lib/mesh/bb_hop.h
+++ b/lib/mesh/bb_hop.h
@@ -3,7 +3,8 @@
  *
  * One short header field, since traffic between data centres is costly:
  * "service,caller,class,deadline_ms,latency_ms,due_in_ms,rank,once,length",
- * and for the call of a client account ",digest,account" behind it.
+ * then for a nested call ",nAGE" (see parent_age_ms), and for the call of a
+ * client account ",digest,account".
  *
  * USE
  *   text = BbHop_Format(&hop); free with g_free()
@@ -38,6 +39,8 @@
     int rank;      /* 0 is the most urgent */
     bool is_at_most_once;   /* the call must not run twice */
     int64_t content_length; /* of the request body, as in bb_h1_message.h */
+    bool is_nested;         /* a run elsewhere waits for the call */
+    int parent_age_ms;      /* of that run; see bb_call_tree.h */
     uint64_t key_digest;    /* see bb_account.h; 0 without account */
     char *account;          /* name of the client account, or NULL */
 } bb_hop_call_t;
--- a/lib/mesh/bb_hop_client.c
+++ b/lib/mesh/bb_hop_client.c
@@ -339,6 +339,8 @@
         .rank = request->rank,
         .is_at_most_once = !request->is_idempotent,
         .content_length = request->content_length,
+        .is_nested = request->is_nested,
+        .parent_age_ms = (int)(request->parent_age_s * MS_PER_S),
         .key_digest = request->key_digest,
         .account = (char *)request->account,
     };
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -214,6 +214,8 @@
         .rank = call->call_header.rank,
         .account = call->call_header.account,
         .key_digest = call->call_header.key_digest,
+        .is_nested = call->call_header.is_nested,
+        .parent_age_s = call->call_header.parent_age_ms / MS_PER_S,
         .target_latency_s = call->call_header.latency_ms / MS_PER_S,
         .due_at = now + call->call_header.due_in_ms / MS_PER_S,
         .deadline_at = now + call->call_header.deadline_ms / MS_PER_S,
@@ -361,6 +363,7 @@
         hop_refused(reason, retry_after_s, call);
         return;
     }
+    call->attempt_request.is_checked = true;
     request_body(call);
 }
 
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -30,6 +30,7 @@
     const bb_account_t *account; /* owned by config; NULL without one */
     uint64_t key_digest;         /* see bb_account.h */
     char *call_id;
+    bool is_nested; /* in a run at the local target */
     bb_h1_fields_t fields;
     bb_body_t body;
     bb_attempt_request_t attempt_request;
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -55,8 +55,11 @@
     const bb_mesh_route_t *route = call->route;
     bb_call_io_t *io = call->io;
 
+    /* A run that holds a slot waits for a nested call. */
+    int max_full_refusals = call->is_nested ? MAX_ATTEMPTS : MAX_FULL_REFUSALS;
+
     if (call->attempts - call->draining_refusals >= MAX_ATTEMPTS ||
-        call->full_refusals >= MAX_FULL_REFUSALS || call->body.dropped > 0 ||
+        call->full_refusals >= max_full_refusals || call->body.dropped > 0 ||
         call->is_streaming ||
         BbMeshCall_Now(call) + BB_RESPONSE_MARGIN_S >=
             call->attempt_request.deadline_at) {
@@ -165,6 +168,11 @@
         call->retry_after_s = retry_after_s;
     }
     BbMeshCall_EndAttempt(call, outcome);
+    if (reason == BB_REASON_NESTED_SHORT) {
+        /* The nested service is as short for the other nodes. */
+        BbMeshCall_Fail(call, reason);
+        return;
+    }
     retry_or_fail(call, reason, refused_by_target);
 }
 
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -72,6 +72,32 @@
                     BbMeshCall_Now(call) - call->arrived_at);
 }
 
+/* Whether a call was refused because its service lacks capacity. */
+static bool
+is_capacity_refusal(const bb_mesh_call_t *call, bb_reason_t reason)
+{
+    switch (reason) {
+    case BB_REASON_QUEUE_FULL:
+    case BB_REASON_QUEUE_EXPIRED:
+    case BB_REASON_TOO_LATE:
+    case BB_REASON_TARGET_SHED:
+    case BB_REASON_NESTED_SHORT:
+        return !call->may_have_run;
+    default:
+        return false;
+    }
+}
+
+static void
+end_nested(const bb_mesh_call_t *call, bool is_refused)
+{
+    if (call->is_nested) {
+        BbCallTree_EndNested(BbTargetIo_CallTree(call->io->options.target),
+                             call->route->name, is_refused,
+                             BbMeshCall_Now(call));
+    }
+}
+
 void
 BbMeshCall_RespondError(bb_mesh_call_t *call, int status, bb_reason_t reason)
 {
@@ -81,6 +107,7 @@
 
     log_error_response(call, status, reason);
     count_error_response(call, status, reason);
+    end_nested(call, is_capacity_refusal(call, reason));
     BbH1Fields_Init(&fields);
     if (call->call_id[0] != '\0') {
         BbH1Fields_Add(&fields, call->io->options.names->call_id,
@@ -120,6 +147,7 @@
 {
     bb_h1_request_t *request = call->request;
 
+    end_nested(call, false);
     BbHistogram_Add(BB_HISTOGRAM_CALL_SERVED,
                     BbMeshCall_Now(call) - call->arrived_at);
     if (BbEvent_Allows(BB_EVENT_CALL_SERVED)) {
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -38,6 +38,18 @@
     double measured_at;
 } service_mean_t;
 
+/* Calls that are not nested get a slot at least this share as often as nested
+ * ones. */
+#define MIN_ROOT_SHARE 0.25
+#define START_DECAY_S 5.0
+
+/* Calls offered and started lately, decayed. */
+typedef struct {
+    double offered;
+    double started;
+    double decayed_at;
+} start_share_t;
+
 /* Expected times are multiplied by the margin to decide on admission, because
  * half of the calls take longer than the mean. A call that waits already is
  * checked without extra margin: refusing it after a wait is no use to its
@@ -56,8 +68,10 @@
     service_mean_t all;
     GHashTable *classes;       /* name to service_mean_t */
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
-    bb_reserve_t *reserve;     /* borrowed; may be NULL */
-    bb_fair_share_t *share;    /* borrowed; may be NULL */
+    start_share_t roots;       /* calls that are not nested */
+    start_share_t nested;
+    bb_reserve_t *reserve;  /* borrowed; may be NULL */
+    bb_fair_share_t *share; /* borrowed; may be NULL */
 };
 
 bb_slot_queue_t *
@@ -126,7 +140,7 @@
     ticket->arrived_at = now;
     ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name, now);
     ticket->share_delay_s =
-        queue->share != NULL
+        queue->share != NULL && !ticket->is_nested
             ? BbFairShare_Excess(queue->share, ticket->account, now) *
                   ticket->target_latency_s * SHARE_DELAY
             : 0;
@@ -148,7 +162,7 @@
 is_unreserved(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
               double now)
 {
-    if (queue->reserve == NULL) {
+    if (queue->reserve == NULL || ticket->is_nested) {
         return true;
     }
     const bb_reserve_call_t call = reserve_call(ticket);
@@ -160,7 +174,7 @@
 usable_slots(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
              double now)
 {
-    if (queue->reserve == NULL || ticket == NULL) {
+    if (queue->reserve == NULL || ticket == NULL || ticket->is_nested) {
         return MAX(queue->slots, 1);
     }
     const bb_reserve_call_t call = reserve_call(ticket);
@@ -185,17 +199,41 @@
     return true;
 }
 
+static start_share_t *
+start_share(bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket, double now)
+{
+    start_share_t *share = ticket->is_nested ? &queue->nested : &queue->roots;
+    double factor = exp(-MAX(now - share->decayed_at, 0.0) / START_DECAY_S);
+
+    share->offered *= factor;
+    share->started *= factor;
+    share->decayed_at = now;
+    return share;
+}
+
+/* Whether calls that are not nested have started so seldom that one of them
+ * goes before nested calls now. */
+static bool
+are_roots_starved(const bb_slot_queue_t *queue)
+{
+    const start_share_t *roots = &queue->roots, *nested = &queue->nested;
+
+    return roots->started * nested->offered <
+           MIN_ROOT_SHARE * nested->started * roots->offered;
+}
+
 static void
 start(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket, double now)
 {
     ticket->state = BB_SLOT_RUNNING;
     ticket->started_at = now;
     queue->running++;
+    start_share(queue, ticket, now)->started++;
     queue->open_work_s += ticket->service_s;
     if (queue->reserve != NULL) {
         BbReserve_OnStart(queue->reserve, ticket->rank);
     }
-    if (queue->share != NULL) {
+    if (queue->share != NULL && !ticket->is_nested) {
         BbFairShare_Add(queue->share, ticket->account, ticket->rank,
                         ticket->service_s, now);
     }
@@ -216,8 +254,8 @@
 static double
 queue_order(const bb_slot_ticket_t *ticket, double latency_s)
 {
-    return ticket->arrived_at + latency_s * LATENCY_WEIGHT +
-           ticket->rank * RANK_AGING_S;
+    return ticket->arrived_at - ticket->parent_age_s +
+           latency_s * LATENCY_WEIGHT + ticket->rank * RANK_AGING_S;
 }
 
 /* Target latency of a for its order against b. A more urgent call is not put
@@ -242,6 +280,9 @@
     if (a_in_time != is_in_time(b, now, WAITING_MARGIN)) {
         return a_in_time;
     }
+    if (a->is_nested != b->is_nested) {
+        return a->is_nested;
+    }
     double a_order = queue_order(a, order_latency(a, b));
     double b_order = queue_order(b, order_latency(b, a));
     if (a->rank == b->rank) {
@@ -326,6 +367,7 @@
         const bb_reserve_call_t call = reserve_call(ticket);
         BbReserve_OnArrival(queue->reserve, &call, now);
     }
+    start_share(queue, ticket, now)->offered++;
     if (can_start_now(queue, ticket, now)) {
         start(queue, ticket, now);
         return ticket->state;
@@ -441,7 +483,7 @@
 bb_slot_ticket_t *
 BbSlotQueue_Next(bb_slot_queue_t *queue, double now)
 {
-    bb_slot_ticket_t *ticket, *best = NULL;
+    bb_slot_ticket_t *ticket, *best = NULL, *best_root = NULL;
 
     DL_FOREACH (queue->tickets, ticket) {
         if (must_refuse(queue, ticket, now)) {
@@ -453,10 +495,18 @@
             is_unreserved(queue, ticket, now)) {
             best = ticket;
         }
+        if (!ticket->is_nested &&
+            (best_root == NULL || precedes(ticket, best_root, now)) &&
+            is_unreserved(queue, ticket, now)) {
+            best_root = ticket;
+        }
     }
     if (best == NULL || queue->running >= queue->slots) {
         return NULL;
     }
+    if (best->is_nested && best_root != NULL && are_roots_starved(queue)) {
+        best = best_root;
+    }
     remove_waiting(queue, best);
     start(queue, best, now);
     return best;
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -47,6 +47,8 @@
     const char *class_name;  /* class of calls with similar duration */
     int rank;                /* 0 is the most urgent */
     const char *account;     /* client account, or NULL */
+    bool is_nested;          /* a run elsewhere waits for it */
+    double parent_age_s;     /* of that run, since its call arrived */
     double target_latency_s; /* of the route */
     double due_at;           /* end of the target latency */
     double expires_at;       /* a response after that is useless */
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -27,6 +27,10 @@
 /* Weight of the newest call in the moving average of the failure rate. */
 #define FAIL_RATE_WEIGHT 0.05
 
+/* Retry-After of a call whose nested calls have no capacity: the time constant
+ * with which a recovery is seen. */
+#define NESTED_RETRY_AFTER_S 1.0
+
 typedef struct target_call {
     bb_attempt_t base; /* must be first */
     bb_target_io_t *io;
@@ -34,6 +38,7 @@
     const bb_attempt_handler_t *handler;
     void *arg;
     bb_slot_ticket_t ticket;
+    bb_call_run_t *run; /* while it has a slot; may be NULL */
     ev_timer deadline_timer;
     bb_h1_exchange_t *exchange;
     size_t sent;
@@ -51,6 +56,7 @@
     bb_slot_queue_t *queue;
     bb_reserve_t *reserve;
     bb_fair_share_t *share;
+    bb_call_tree_t *tree;
     bb_h1_client_t *client;
     target_call_t *calls;
     int call_count;
@@ -88,6 +94,8 @@
                         BbClock_Now(io->loop) - call->ticket.started_at);
         BbSlotQueue_Finish(io->queue, &call->ticket, is_measured,
                            BbClock_Now(io->loop));
+        BbCallTree_EndRun(io->tree, call->run);
+        call->run = NULL;
     }
     else if (call->ticket.state == BB_SLOT_WAITING) {
         BbSlotQueue_Cancel(io->queue, &call->ticket);
@@ -281,6 +289,9 @@
     double remaining_s =
         request->deadline_at - DEADLINE_MARGIN_S - BbClock_Now(io->loop);
 
+    call->run = BbCallTree_StartRun(
+        io->tree, request->call_id, request->class_name,
+        request->due_at - request->target_latency_s - request->parent_age_s);
     g_snprintf(deadline_ms, sizeof(deadline_ms), "%d",
                (int)MAX(remaining_s * 1000, 1));
     BbH1Fields_Init(&fields);
@@ -455,6 +466,8 @@
         .class_name = request->class_name,
         .rank = request->rank,
         .account = request->account,
+        .is_nested = request->is_nested,
+        .parent_age_s = request->parent_age_s,
         .target_latency_s = request->target_latency_s,
         .due_at = request->due_at,
         .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
@@ -472,6 +485,16 @@
                : state_refusal_reason(io);
 }
 
+/* Whether the call is refused because its nested calls would fail. Only while
+ * calls wait: a slot that no other call needs costs nothing. */
+static bool
+is_nested_short(const bb_target_io_t *io, const bb_attempt_request_t *request)
+{
+    return !request->is_checked && BbSlotQueue_Waiting(io->queue) > 0 &&
+           BbCallTree_MustRefuse(io->tree, request->class_name,
+                                 BbClock_Now(io->loop));
+}
+
 bb_reason_t
 BbTargetIo_RefusalReason(const bb_target_io_t *io,
                          const bb_attempt_request_t *request,
@@ -487,6 +510,10 @@
                                                        BbClock_Now(io->loop));
         reason = BB_REASON_QUEUE_FULL;
     }
+    else if (reason == BB_REASON_NONE && is_nested_short(io, request)) {
+        *retry_after_s = NESTED_RETRY_AFTER_S;
+        reason = BB_REASON_NESTED_SHORT;
+    }
     return reason != BB_REASON_NONE ? report_refusal(io, request, reason)
                                     : reason;
 }
@@ -503,6 +530,10 @@
     if (reason != BB_REASON_NONE) {
         return report_refusal(io, request, reason);
     }
+    if (is_nested_short(io, request)) {
+        *retry_after_s = NESTED_RETRY_AFTER_S;
+        return report_refusal(io, request, BB_REASON_NESTED_SHORT);
+    }
     target_call_t *call = g_new0(target_call_t, 1);
     call->base.ops = &attempt_ops;
     call->io = io;
@@ -529,6 +560,9 @@
         start_call(call);
     }
     else {
+        if (BbSlotQueue_Running(io->queue) < BbLocalTarget_Slots(io->target)) {
+            BbCounters_Add(BB_COUNTER_RESERVE_WAITS, 1);
+        }
         schedule_queue_timer(io);
     }
     return BB_REASON_NONE;
@@ -568,6 +602,12 @@
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
 }
 
+bb_call_tree_t *
+BbTargetIo_CallTree(bb_target_io_t *io)
+{
+    return io->tree;
+}
+
 double
 BbTargetIo_ServiceTime(const bb_target_io_t *io, const char *class_name)
 {
@@ -600,6 +640,7 @@
     BbSlotQueue_SetReserve(io->queue, io->reserve);
     io->share = BbFairShare_New();
     BbSlotQueue_SetFairShare(io->queue, io->share);
+    io->tree = BbCallTree_New(options->names->call_id_separator);
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
     io->queue_timer.data = io;
@@ -620,6 +661,7 @@
     BbSlotQueue_Free(io->queue);
     BbReserve_Free(io->reserve);
     BbFairShare_Free(io->share);
+    BbCallTree_Free(io->tree);
     g_free(io->address);
     g_free(io->service);
     g_free(io);
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -19,6 +19,7 @@
 #include <ev.h>
 
 #include "bb_attempt.h"
+#include "bb_call_tree.h"
 #include "bb_local_target.h"
 
 #ifdef __cplusplus
@@ -52,6 +53,9 @@
                                      const bb_attempt_request_t *request,
                                      double *retry_after_s);
 
+/* The nested calls of the runs at the target; owned by io. */
+bb_call_tree_t *BbTargetIo_CallTree(bb_target_io_t *io);
+
 /* Mean time of a call of this class at the target, in seconds. */
 double BbTargetIo_ServiceTime(const bb_target_io_t *io,
                               const char *class_name);
--- a/tests/unit/admission_load_test.cc
+++ b/tests/unit/admission_load_test.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "bb_call_tree.h"
 #include "bb_placement.h"
 #include "bb_retry_after.h"
 #include "bb_slot_queue.h"
@@ -85,6 +86,7 @@
             BbSlotQueue_Free(node->queue);
             BbReserve_Free(node->reserve);
             BbFairShare_Free(node->share);
+            BbCallTree_Free(node->tree);
             BbFleet_Free(node->fleet);
         }
         BbRandom_Free(random_);
@@ -122,14 +124,17 @@
         bb_slot_queue_t *queue;
         bb_reserve_t *reserve;
         bb_fair_share_t *share;
+        bb_call_tree_t *tree;
         bb_fleet_t *fleet;
     };
     struct Call {
         int index; // of the class
         Node *node, *target;
+        std::string id;
+        bb_call_run_t *run;
         int account; // 0: none
         std::string account_name;
-        double first_at, arrived_at, due_at, deadline_at;
+        double parent_age_s, first_at, arrived_at, due_at, deadline_at;
         double work_s;
         int tries, refusals;
         double wait_s; // least Retry-After of its refusals
@@ -160,6 +165,7 @@
         BbSlotQueue_SetSlots(node->queue, service.slots);
         node->reserve = BbReserve_New();
         node->share = BbFairShare_New();
+        node->tree = BbCallTree_New(".");
         if (options_.has_admission) {
             BbSlotQueue_SetReserve(node->queue, node->reserve);
             BbSlotQueue_SetFairShare(node->queue, node->share);
@@ -219,6 +225,12 @@
         const LoadClass &load = options_.classes[index];
         call->index = index;
         call->node = node;
+        call->id += std::to_string(order_);
+        if (call->is_nested) {
+            EXPECT_TRUE(BbCallTree_BeginNested(node->tree, call->id.c_str(),
+                                               load.name, now_,
+                                               &call->parent_age_s));
+        }
         call->first_at = now_;
         call->deadline_at = now_ + load.deadline_s;
         std::mt19937 *engine = call->is_nested ? &engine_ : &arrivals_;
@@ -269,6 +281,10 @@
         call->ticket = {};
         call->ticket.class_name = load.name;
         call->ticket.rank = load.rank;
+        if (call->is_nested && options_.has_admission) {
+            call->ticket.is_nested = true;
+            call->ticket.parent_age_s = call->parent_age_s;
+        }
         if (call->account > 0) {
             call->ticket.account = call->account_name.c_str();
         }
@@ -276,6 +292,14 @@
         call->ticket.due_at = call->due_at + 1000;
         call->ticket.expires_at = call->deadline_at + 1000 - 0.03;
         waiting_[&call->ticket] = call;
+        if (options_.has_admission &&
+            BbSlotQueue_Waiting(call->target->queue) > 0 &&
+            BbCallTree_MustRefuse(call->target->tree, load.name, Clock())) {
+            call->ticket.state = BB_SLOT_REFUSED;
+            call->refusals = 9; // not tried elsewhere
+            Started(&call->ticket);
+            return;
+        }
         BbSlotQueue_Offer(call->target->queue, &call->ticket, Clock());
         if (call->ticket.state != BB_SLOT_WAITING) {
             Started(&call->ticket);
@@ -317,6 +341,8 @@
             return;
         }
         const LoadClass &load = ClassOf(call);
+        call->run = BbCallTree_StartRun(call->target->tree, call->id.c_str(),
+                                        load.name, call->first_at);
         call->nested_left =
             static_cast<int>(load.nested_count + Draw(&engine_));
         Schedule(now_ + call->work_s / 2, [this, call] { RunNested(call); });
@@ -327,6 +353,7 @@
         if (call->nested_left-- > 0) {
             auto nested = std::make_shared<Call>();
             nested->is_nested = true;
+            nested->id = call->id + ".";
             nested->on_end = [this, call](bool is_served) {
                 if (is_served) {
                     RunNested(call);
@@ -344,6 +371,7 @@
     void Finish(const CallPtr &call, bool is_success)
     {
         BbSlotQueue_Finish(call->target->queue, &call->ticket, true, Clock());
+        BbCallTree_EndRun(call->target->tree, call->run);
         Respond(call, [this, call, is_success] {
             End(call,
                 is_success ? &ClassResult::in_time : &ClassResult::failed);
@@ -378,7 +406,8 @@
         if (call->refusals == 0 || wait_s < call->wait_s) {
             call->wait_s = wait_s;
         }
-        if (++call->refusals >= 2) {
+        bool is_patient = call->is_nested && options_.has_admission;
+        if (++call->refusals >= (is_patient ? 5 : 2)) {
             Refuse(call, call->wait_s);
         }
         else {
@@ -419,6 +448,10 @@
             result->calls++;
             (result->*outcome)++;
         }
+        if (call->is_nested) {
+            BbCallTree_EndNested(call->node->tree, load.name,
+                                 outcome == &ClassResult::refused, Clock());
+        }
         if (call->on_end) {
             call->on_end(outcome == &ClassResult::in_time ||
                          outcome == &ClassResult::late);
@@ -507,7 +540,7 @@
 
 // Guards against long runs of low rank that hold all slots while short calls
 // of high rank come, and against a reserve that costs the low rank more.
-TEST(AdmissionLoad, ShortUrgentCallsBesideLongRuns)
+TEST(MeshAdmissionLoad, ShortUrgentCallsBesideLongRuns)
 {
     double nested = 0, price = 0, profile = 0;
     for (unsigned seed : {1, 2, 3}) {
@@ -530,7 +563,7 @@
 // Guards against a more urgent class that is served less often than another
 // of similar duration, because its target latency is longer, and against slots
 // that stay empty in overload.
-TEST(AdmissionLoad, UrgentClassesOfSimilarDurationAreNotServedLess)
+TEST(MeshAdmissionLoad, UrgentClassesOfSimilarDurationAreNotServedLess)
 {
     LoadOptions options;
     options.services = {{"P", 30, 9}};
@@ -555,7 +588,7 @@
 
 // Guards against one account at five times its usual rate that pushes the
 // others out.
-TEST(AdmissionLoad, HotAccountsDoNotPushOutOthers)
+TEST(MeshAdmissionLoad, HotAccountsDoNotPushOutOthers)
 {
     LoadOptions options;
     options.services = {{"D", 38, 18}};
@@ -577,3 +610,29 @@
     EXPECT_GT(after.InTime(), before.InTime() + 0.05);
     EXPECT_GT(r.after.accounts[1].InTime(), after.InTime() / 4);
 }
+
+// Guards against second nested calls that wait behind the first ones of
+// younger runs, so that all runs end late or fail, and against nested calls
+// that leave no slot for other calls.
+TEST(MeshAdmissionLoad, OverloadOfANestedServiceFailsFewRuns)
+{
+    LoadOptions options;
+    options.services = {{"P", 65, 9}, {"K", 7, 9}};
+    options.classes = {{"menu", "P", 1103, 0.16, 2, 0.6, 1.5, 2, 1.4},
+                       {"booking", "P", 341, 0.21, 1, 1, 2.5},
+                       {"allergy", "K", 0, 0.048, 1, 0.25, 0.6},
+                       {"sheet", "K", 60, 0.14, 2, 0.8, 2}};
+    options.length_s = 20;
+    Comparison r = Compare("K", options, 5, 20);
+    EXPECT_GT(r.after.classes[0].InTime(), r.before.classes[0].InTime() + 0.1);
+    EXPECT_GT(r.after.classes[1].InTime(), 0.98);
+    EXPECT_GT(r.after.classes[3].InTime(), r.after.classes[2].InTime() / 4);
+
+    // Also without enough slots for the runs themselves: those that would fail
+    // must not take the slots of the others. Without refused roots 0.26.
+    options.services = {{"P", 40, 9}, {"K", 4, 9}};
+    r = Compare("P+K", options, 5, 20);
+    EXPECT_GT(r.after.classes[0].InTime(), 0.30);
+    EXPECT_GT(r.after.classes[0].InTime(),
+              r.before.classes[0].InTime() + 0.05);
+}
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "bb_call_tree.h"
 #include "bb_fair_share.h"
 #include "bb_reserve.h"
 
@@ -81,3 +82,69 @@
     EXPECT_EQ(BbFairShare_Excess(share, "hot", 21.0), 0);
     BbFairShare_Free(share);
 }
+
+namespace {
+
+// One run of "menu" with two nested calls of "allergy".
+void
+RunMenu(bb_call_tree_t *tree, bool is_refused, double now)
+{
+    double age_s;
+    bb_call_run_t *run = BbCallTree_StartRun(tree, "c.1", "menu", now - 0.2);
+    ASSERT_TRUE(BbCallTree_BeginNested(tree, "c.1.a", "allergy", now, &age_s));
+    EXPECT_NEAR(age_s, 0.2, 1e-9);
+    ASSERT_TRUE(
+        BbCallTree_BeginNested(tree, "c.1.b.2", "allergy", now, &age_s));
+    BbCallTree_EndNested(tree, "allergy", is_refused, now);
+    BbCallTree_EndNested(tree, "allergy", is_refused, now);
+    BbCallTree_EndRun(tree, run);
+}
+
+} // namespace
+
+// Guards against calls that are taken for nested ones, and against a node that
+// learns from ids that do not show nested calls.
+TEST(AdmissionCallTree, FindsOnlyCallsNestedInRuns)
+{
+    double age_s;
+    bb_call_tree_t *tree = BbCallTree_New(".");
+    bb_call_run_t *run = BbCallTree_StartRun(tree, "c1", "menu", 1);
+    for (const char *id :
+         {"c1", "c10", "c10.1", "c", "", ".", "c.1", "xc1.1"}) {
+        EXPECT_FALSE(BbCallTree_BeginNested(tree, id, "a", 2, &age_s)) << id;
+    }
+    EXPECT_TRUE(BbCallTree_BeginNested(tree, "c1.1", "a", 2, &age_s));
+    BbCallTree_EndRun(tree, run);
+    EXPECT_FALSE(BbCallTree_BeginNested(tree, "c1.1", "a", 2, &age_s));
+    BbCallTree_Free(tree);
+    tree = BbCallTree_New(nullptr);
+    EXPECT_EQ(BbCallTree_StartRun(tree, "c1", "menu", 1), nullptr);
+    EXPECT_FALSE(BbCallTree_BeginNested(tree, "c1.1", "a", 2, &age_s));
+    BbCallTree_Free(tree);
+}
+
+// Guards against refused roots without a shortage or after it has ended, and
+// against a refusal of all roots, after which no recovery would be seen.
+TEST(AdmissionCallTree, RefusesRootsOnlyDuringAShortage)
+{
+    bb_call_tree_t *tree = BbCallTree_New(".");
+    int refused = 0;
+    double now = 1;
+    for (int i = 0; i < 50; i++) {
+        RunMenu(tree, i % 10 == 0, now += 0.02);
+        EXPECT_FALSE(BbCallTree_MustRefuse(tree, "menu", now));
+    }
+    for (int i = 0; i < 400; i++) {
+        RunMenu(tree, true, now += 0.02);
+        refused += BbCallTree_MustRefuse(tree, "menu", now);
+        EXPECT_FALSE(BbCallTree_MustRefuse(tree, "booking", now));
+    }
+    EXPECT_GT(refused, 300);
+    EXPECT_LE(refused, 360);
+    EXPECT_EQ(BbCallTree_RefusalShare(tree, "menu", now + 10), 0);
+    for (int i = 0; i < 100; i++) {
+        RunMenu(tree, false, now += 0.02);
+    }
+    EXPECT_EQ(BbCallTree_RefusalShare(tree, "menu", now), 0);
+    BbCallTree_Free(tree);
+}
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -508,6 +508,31 @@
     EXPECT_NE(HeaderField(callers[5]->connection.received, "Retry-After"), "");
 }
 
+// Guards against nested calls of running calls that wait behind new calls at
+// another node because that node does not learn that they are nested.
+TEST_F(MeshIo, NestedCallsAreMarkedForOtherNodes)
+{
+    target.on_request = [](const Target::Request &) {};
+    Caller caller(&loop, node.caller_address);
+    caller.connection.Send(Caller::Request("GET", "/safe/1", "c1"));
+    ASSERT_TRUE(loop.RunUntil([&] { return target.RunCount("c1") == 1; }));
+    node.MarkOwnTargetNotReady();
+    Target remote(&loop); // reads the metadata instead of a node
+    remote.on_request = [](const Target::Request &) {};
+    Node other(&loop, "n2", "a", &remote);
+    other.forward_address = remote.address;
+    node.AddNodeRecord(&other, 9);
+    Caller nested(&loop, node.caller_address);
+    nested.connection.Send(Caller::Request("GET", "/safe/1", "c1.1") +
+                           Caller::Request("GET", "/safe/1", "c2.1"));
+    ASSERT_TRUE(loop.RunUntil([&] { return remote.requests.size() == 2; }));
+    for (const Target::Request &request : remote.requests) {
+        std::string call = HeaderField(request.head, "Burdock-Call");
+        EXPECT_EQ(call.find(",n") != std::string::npos, request.id == "c1.1")
+            << call;
+    }
+}
+
 // Guards against a call that is refused because the first nodes tried are all
 // draining. A trace of a load test showed five draining nodes in a row.
 TEST_F(MeshIo, RefusalsOfDrainingNodesDoNotCountAsAttempts)
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -28,7 +28,7 @@
 // caller service, seal, not run, account key and account.
 const bb_header_names_t kHeaderNames = {"Call-Id", "Left-Ms", "Want-Target",
                                         "Caller",  "Seal",    "Not-Run",
-                                        "Key",     "Account"};
+                                        "Key",     "Account", "."};
 
 // Ports of tests, below those of the scripted tests and the ephemeral ports,
 // so that no outgoing connection takes a port before it is bound.
