--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -354,6 +354,8 @@
     io->service = g_strdup(options->service);
     io->longest_deadlines =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    io->room_expected_at =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     *out = io;
     return 0;
 }
@@ -365,6 +367,7 @@
         BbH1Server_Free(io->server);
         BbMeshConfig_Unref(io->config);
         g_hash_table_destroy(io->longest_deadlines);
+        g_hash_table_destroy(io->room_expected_at);
         g_free(io->data_centre);
         g_free(io->service);
         g_free(io);
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -70,6 +70,7 @@
     double last_call_at;
     bool is_refusing;
     GHashTable *longest_deadlines; /* by route name, in seconds */
+    GHashTable *room_expected_at;  /* by route name, from refusals */
 };
 
 /* ---- bb_call_io ---- */
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -127,6 +127,30 @@
     }
 }
 
+/* Keeps when a node expected room for calls of the route, for calls that are
+ * refused without an attempt because all nodes are full. */
+static void
+record_room_expected(bb_mesh_call_t *call, double retry_after_s)
+{
+    GHashTable *table = call->io->room_expected_at;
+    double *at = g_hash_table_lookup(table, call->route->name);
+
+    if (at == NULL) {
+        at = g_new(double, 1);
+        g_hash_table_insert(table, g_strdup(call->route->name), at);
+    }
+    *at = BbMeshCall_Now(call) + retry_after_s;
+}
+
+static double
+time_until_room(const bb_mesh_call_t *call)
+{
+    const double *at =
+        g_hash_table_lookup(call->io->room_expected_at, call->route->name);
+
+    return at != NULL ? MAX(*at - BbMeshCall_Now(call), 0.0) : 0.0;
+}
+
 static void
 call_refused(bb_reason_t reason, double retry_after_s, void *arg)
 {
@@ -162,6 +186,7 @@
     }
     if (reason == BB_REASON_QUEUE_FULL) {
         BbPlacement_SetFull(endpoint, call->route->name, BbMeshCall_Now(call));
+        record_room_expected(call, retry_after_s);
     }
     if (retry_after_s > 0 &&
         (call->retry_after_s <= 0 || retry_after_s < call->retry_after_s)) {
@@ -377,6 +402,9 @@
     if (endpoint == NULL) {
         bb_reason_t reason =
             is_full ? BB_REASON_QUEUE_FULL : BB_REASON_NO_LIVE_TARGET;
+        if (is_full && call->attempts == 0) {
+            call->retry_after_s = time_until_room(call);
+        }
         BbMeshCall_Fail(call, call->attempts > 0 ? call->last_reason : reason);
         return;
     }
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -19,6 +19,10 @@
  * longer than its target latency, so with 1 they go behind the others. */
 #define SHARE_DELAY 1.0
 
+/* How often waiting calls of such accounts are checked for being late; each
+ * check compares them with all waiting calls. */
+#define SHARE_CHECK_S 0.05
+
 /* Target latencies within this factor are those of classes that callers use
  * side by side; a nested call has a shorter one than its parent. */
 #define SIMILAR_LATENCY_FACTOR 2.0
@@ -70,7 +74,8 @@
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
     start_share_t roots;       /* calls that are not nested */
     start_share_t nested;
-    bb_reserve_t *reserve;  /* borrowed; may be NULL */
+    bb_reserve_t *reserve; /* borrowed; may be NULL */
+    double share_checked_at;
     bb_fair_share_t *share; /* borrowed; may be NULL */
 };
 
@@ -464,12 +469,12 @@
  * it will be late. */
 static bool
 must_refuse(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
-            double now)
+            bool is_share_check, double now)
 {
     if (now > latest_start(ticket)) {
         return true;
     }
-    if (ticket->share_delay_s > 0) {
+    if (ticket->share_delay_s > 0 && is_share_check) {
         double wait_s =
             predict_wait(queue, ticket, work_ahead(queue, ticket, now), now);
         return wait_s > MAX_LATE_WAIT_S &&
@@ -484,9 +489,10 @@
 BbSlotQueue_Next(bb_slot_queue_t *queue, double now)
 {
     bb_slot_ticket_t *ticket, *best = NULL, *best_root = NULL;
+    bool is_share_check = now - queue->share_checked_at >= SHARE_CHECK_S;
 
     DL_FOREACH (queue->tickets, ticket) {
-        if (must_refuse(queue, ticket, now)) {
+        if (must_refuse(queue, ticket, is_share_check, now)) {
             remove_waiting(queue, ticket);
             refuse(ticket, BB_REASON_QUEUE_EXPIRED);
             return ticket;
@@ -501,6 +507,9 @@
             best_root = ticket;
         }
     }
+    if (is_share_check) {
+        queue->share_checked_at = now;
+    }
     if (best == NULL || queue->running >= queue->slots) {
         return NULL;
     }
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -490,7 +490,8 @@
 static bool
 is_nested_short(const bb_target_io_t *io, const bb_attempt_request_t *request)
 {
-    return !request->is_checked && BbSlotQueue_Waiting(io->queue) > 0 &&
+    return !request->is_checked && !request->is_nested &&
+           BbSlotQueue_Waiting(io->queue) > 0 &&
            BbCallTree_MustRefuse(io->tree, request->class_name,
                                  BbClock_Now(io->loop));
 }
--- a/tests/unit/admission_load_test.cc
+++ b/tests/unit/admission_load_test.cc
@@ -126,6 +126,7 @@
         bb_fair_share_t *share;
         bb_call_tree_t *tree;
         bb_fleet_t *fleet;
+        std::map<int, double> room_at; // by class
     };
     struct Call {
         int index; // of the class
@@ -263,7 +264,11 @@
         bb_endpoint_t *endpoint = BbPlacement_Choose(
             call->node->fleet, &request, random_, Clock(), nullptr);
         if (endpoint == nullptr) {
-            Refuse(call, 0.3);
+            double room_at = call->node->room_at[call->index];
+            Refuse(call, call->refusals > 0 ? call->wait_s
+                         : options_.has_admission
+                             ? std::max(room_at - now_, 0.0)
+                             : 0.3);
             return;
         }
         call->tried.push_back(endpoint);
@@ -403,6 +408,7 @@
     void Refused(const CallPtr &call, double wait_s)
     {
         BbPlacement_SetFull(call->tried.back(), ClassOf(call).name, Clock());
+        call->node->room_at[call->index] = now_ + wait_s;
         if (call->refusals == 0 || wait_s < call->wait_s) {
             call->wait_s = wait_s;
         }
