--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -32,6 +32,9 @@
     const char *not_run;         /* set when the target did not run the call */
     const char *account_key;     /* key of the caller's client account */
     const char *account;         /* name of that account, for the target */
+    /* between the id of a call and the suffix of calls nested in it; NULL
+     * where ids do not show that */
+    const char *call_id_separator;
 } bb_header_names_t;
 
 /* Header names used between nodes. */
@@ -79,6 +82,9 @@
     int rank;               /* 0 is the most urgent */
     const char *account;    /* client account; NULL without one */
     uint64_t key_digest;    /* of the account's key; 0 without account */
+    bool is_nested;         /* a run elsewhere waits for the call */
+    double parent_age_s;    /* of that run; see bb_call_tree.h */
+    bool is_checked; /* BbTargetIo_RefusalReason() has admitted the call */
     double target_latency_s;
     double due_at; /* end of the target latency */
     double deadline_at;
@@ -109,6 +115,9 @@
     void (*cancel)(bb_attempt_t *attempt);
     /* Pauses and resumes reading the response. */
     void (*pause)(bb_attempt_t *attempt, bool is_paused);
+    /* Whether no target has received any of the call, and none will after
+     * cancel. False while that is not certain. */
+    bool (*is_not_started)(const bb_attempt_t *attempt);
 } bb_attempt_ops_t;
 
 /* Reading a response pauses while more bytes than this are unsent: a target
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -171,6 +171,11 @@
     copy_call_fields(call, &request->fields);
     call->body.is_complete = request->content_length == BB_H1_NO_BODY ||
                              request->content_length == 0;
+    double parent_age_s = 0;
+    call->is_nested = BbCallTree_BeginNested(
+        BbTargetIo_CallTree(call->io->options.target), call->call_id,
+        call->route->name, call->arrived_at, &parent_age_s);
+    BbCounters_Add(BB_COUNTER_NESTED_CALLS, call->is_nested ? 1 : 0);
     call->attempt_request = (bb_attempt_request_t){
         .call_id = call->call_id,
         .method = request->method,
@@ -186,6 +191,8 @@
             call->account != NULL ? call->account->rank : call->route->rank,
         .account = call->account != NULL ? call->account->name : NULL,
         .key_digest = call->key_digest,
+        .is_nested = call->is_nested,
+        .parent_age_s = parent_age_s,
         .target_latency_s = call->route->target_latency_s,
         .due_at = call->arrived_at + call->route->target_latency_s -
                   call->earlier_tries_s,
@@ -388,6 +395,8 @@
     io->longest_deadlines =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     io->sizes = BbLinkSizes_New();
+    io->room_expected_at =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     *out = io;
     return 0;
 }
@@ -400,6 +409,7 @@
         BbMeshConfig_Unref(io->config);
         g_hash_table_destroy(io->longest_deadlines);
         BbLinkSizes_Free(io->sizes);
+        g_hash_table_destroy(io->room_expected_at);
         g_free(io->data_centre);
         g_free(io->service);
         g_free(io);
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -32,6 +32,7 @@
     uint32_t quota_ticket;       /* see bb_call_quota.h */
     bool has_quota_ticket;
     char *call_id;
+    bool is_nested; /* in a run at the local target */
     bb_h1_fields_t fields;
     bb_body_t body;
     bb_attempt_request_t attempt_request;
@@ -75,6 +76,7 @@
     bool is_refusing;
     GHashTable *longest_deadlines; /* by route name, in seconds */
     bb_link_sizes_t *sizes;        /* of responses, by route name */
+    GHashTable *room_expected_at;  /* by route name, from refusals */
 };
 
 /* ---- bb_call_io ---- */
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -59,8 +59,11 @@
     const bb_mesh_route_t *route = call->route;
     bb_call_io_t *io = call->io;
 
+    /* A run that holds a slot waits for a nested call. */
+    int max_full_refusals = call->is_nested ? MAX_ATTEMPTS : MAX_FULL_REFUSALS;
+
     if (call->attempts - call->draining_refusals >= MAX_ATTEMPTS ||
-        call->full_refusals >= MAX_FULL_REFUSALS || call->body.dropped > 0 ||
+        call->full_refusals >= max_full_refusals || call->body.dropped > 0 ||
         call->is_streaming ||
         BbMeshCall_Now(call) + BB_RESPONSE_MARGIN_S >=
             call->attempt_request.deadline_at) {
@@ -129,6 +132,30 @@
     }
 }
 
+/* Keeps when a node expected room for calls of the route, for calls that are
+ * refused without an attempt because all nodes are full. */
+static void
+record_room_expected(bb_mesh_call_t *call, double retry_after_s)
+{
+    GHashTable *table = call->io->room_expected_at;
+    double *at = g_hash_table_lookup(table, call->route->name);
+
+    if (at == NULL) {
+        at = g_new(double, 1);
+        g_hash_table_insert(table, g_strdup(call->route->name), at);
+    }
+    *at = BbMeshCall_Now(call) + retry_after_s;
+}
+
+static double
+time_until_room(const bb_mesh_call_t *call)
+{
+    const double *at =
+        g_hash_table_lookup(call->io->room_expected_at, call->route->name);
+
+    return at != NULL ? MAX(*at - BbMeshCall_Now(call), 0.0) : 0.0;
+}
+
 static void
 call_refused(bb_reason_t reason, double retry_after_s, void *arg)
 {
@@ -171,12 +198,18 @@
     }
     if (is_full) {
         BbPlacement_SetFull(endpoint, call->route->name, BbMeshCall_Now(call));
+        record_room_expected(call, retry_after_s);
     }
     if (retry_after_s > 0 &&
         (call->retry_after_s <= 0 || retry_after_s < call->retry_after_s)) {
         call->retry_after_s = retry_after_s;
     }
     BbMeshCall_EndAttempt(call, outcome);
+    if (reason == BB_REASON_NESTED_SHORT) {
+        /* The nested service is as short for the other nodes. */
+        BbMeshCall_Fail(call, reason);
+        return;
+    }
     retry_or_fail(call, reason, refused_by_target);
 }
 
@@ -421,6 +454,9 @@
     if (endpoint == NULL) {
         bb_reason_t reason =
             is_full ? BB_REASON_QUEUE_FULL : BB_REASON_NO_LIVE_TARGET;
+        if (is_full && call->attempts == 0) {
+            call->retry_after_s = time_until_room(call);
+        }
         BbMeshCall_Fail(call, call->attempts > 0 ? call->last_reason : reason);
         return;
     }
@@ -434,7 +470,9 @@
 {
     if (call->attempt != NULL) {
         bb_attempt_t *attempt = call->attempt;
-        call->may_have_run = true;
+        if (!attempt->ops->is_not_started(attempt)) {
+            call->may_have_run = true;
+        }
         BbMeshCall_EndAttempt(call, outcome);
         attempt->ops->cancel(attempt);
     }
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -14,6 +14,19 @@
  * earlier. */
 #define LATENCY_WEIGHT 2.0
 
+/* Share of the target latency by which calls of an account that uses at least
+ * twice its fair share go later among calls of their rank. No call waits for
+ * longer than its target latency, so with 1 they go behind the others. */
+#define SHARE_DELAY 1.0
+
+/* How often waiting calls of such accounts are checked for being late; each
+ * check compares them with all waiting calls. */
+#define SHARE_CHECK_S 0.05
+
+/* Target latencies within this factor are those of classes that callers use
+ * side by side; a nested call has a shorter one than its parent. */
+#define SIMILAR_LATENCY_FACTOR 2.0
+
 /* Weight of the newest call in the moving averages. */
 #define SERVICE_WEIGHT 0.05
 
@@ -29,6 +42,18 @@
     double measured_at;
 } service_mean_t;
 
+/* Calls that are not nested get a slot at least this share as often as nested
+ * ones. */
+#define MIN_ROOT_SHARE 0.25
+#define START_DECAY_S 5.0
+
+/* Calls offered and started lately, decayed. */
+typedef struct {
+    double offered;
+    double started;
+    double decayed_at;
+} start_share_t;
+
 /* Expected times are multiplied by the margin to decide on admission, because
  * half of the calls take longer than the mean. A call that waits already is
  * checked without extra margin: refusing it after a wait is no use to its
@@ -43,9 +68,15 @@
     int slots;
     int running;
     int waiting;
+    double open_work_s; /* expected time of the running and waiting calls */
     service_mean_t all;
     GHashTable *classes;       /* name to service_mean_t */
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
+    start_share_t roots;       /* calls that are not nested */
+    start_share_t nested;
+    bb_reserve_t *reserve; /* borrowed; may be NULL */
+    double share_checked_at;
+    bb_fair_share_t *share; /* borrowed; may be NULL */
 };
 
 bb_slot_queue_t *
@@ -95,6 +126,124 @@
     return current_mean(mean != NULL ? mean : &queue->all, now);
 }
 
+void
+BbSlotQueue_SetReserve(bb_slot_queue_t *queue, bb_reserve_t *reserve)
+{
+    queue->reserve = reserve;
+}
+
+void
+BbSlotQueue_SetFairShare(bb_slot_queue_t *queue, bb_fair_share_t *share)
+{
+    queue->share = share;
+}
+
+/* Fills in what the queue knows about a call that arrives now. */
+static void
+prepare(const bb_slot_queue_t *queue, bb_slot_ticket_t *ticket, double now)
+{
+    ticket->arrived_at = now;
+    ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name, now);
+    ticket->share_delay_s =
+        queue->share != NULL && !ticket->is_nested
+            ? BbFairShare_Excess(queue->share, ticket->account, now) *
+                  ticket->target_latency_s * SHARE_DELAY
+            : 0;
+}
+
+static bb_reserve_call_t
+reserve_call(const bb_slot_ticket_t *ticket)
+{
+    return (bb_reserve_call_t){
+        .class_name = ticket->class_name,
+        .rank = ticket->rank,
+        .service_s = ticket->service_s,
+        .target_latency_s = ticket->target_latency_s,
+    };
+}
+
+/* Whether the reserve for more urgent calls leaves room for the call. */
+static bool
+is_unreserved(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+              double now)
+{
+    if (queue->reserve == NULL || ticket->is_nested) {
+        return true;
+    }
+    const bb_reserve_call_t call = reserve_call(ticket);
+    return BbReserve_MayStart(queue->reserve, &call, queue->slots, now);
+}
+
+/* Number of slots that the call may get; ticket may be NULL. */
+static int
+usable_slots(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+             double now)
+{
+    if (queue->reserve == NULL || ticket == NULL || ticket->is_nested) {
+        return MAX(queue->slots, 1);
+    }
+    const bb_reserve_call_t call = reserve_call(ticket);
+    return BbReserve_Limit(queue->reserve, &call, queue->slots, now);
+}
+
+/* Whether the call, which arrives now, takes a free slot at once. */
+static bool
+can_start_now(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+              double now)
+{
+    const bb_slot_ticket_t *other;
+
+    if (queue->running >= queue->slots || !is_unreserved(queue, ticket, now)) {
+        return false;
+    }
+    DL_FOREACH (queue->tickets, other) {
+        if (is_unreserved(queue, other, now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static start_share_t *
+start_share(bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket, double now)
+{
+    start_share_t *share = ticket->is_nested ? &queue->nested : &queue->roots;
+    double factor = exp(-MAX(now - share->decayed_at, 0.0) / START_DECAY_S);
+
+    share->offered *= factor;
+    share->started *= factor;
+    share->decayed_at = now;
+    return share;
+}
+
+/* Whether calls that are not nested have started so seldom that one of them
+ * goes before nested calls now. */
+static bool
+are_roots_starved(const bb_slot_queue_t *queue)
+{
+    const start_share_t *roots = &queue->roots, *nested = &queue->nested;
+
+    return roots->started * nested->offered <
+           MIN_ROOT_SHARE * nested->started * roots->offered;
+}
+
+static void
+start(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket, double now)
+{
+    ticket->state = BB_SLOT_RUNNING;
+    ticket->started_at = now;
+    queue->running++;
+    start_share(queue, ticket, now)->started++;
+    queue->open_work_s += ticket->service_s;
+    if (queue->reserve != NULL) {
+        BbReserve_OnStart(queue->reserve, ticket->rank);
+    }
+    if (queue->share != NULL && !ticket->is_nested) {
+        BbFairShare_Add(queue->share, ticket->account, ticket->rank,
+                        ticket->service_s, now);
+    }
+}
+
 static double
 latest_start(const bb_slot_ticket_t *ticket)
 {
@@ -108,10 +257,23 @@
 }
 
 static double
-queue_order(const bb_slot_ticket_t *ticket)
+queue_order(const bb_slot_ticket_t *ticket, double latency_s)
 {
-    return ticket->arrived_at + ticket->target_latency_s * LATENCY_WEIGHT +
-           ticket->rank * RANK_AGING_S;
+    return ticket->arrived_at - ticket->parent_age_s +
+           latency_s * LATENCY_WEIGHT + ticket->rank * RANK_AGING_S;
+}
+
+/* Target latency of a for its order against b. A more urgent call is not put
+ * behind another for a moderately longer target latency. */
+static double
+order_latency(const bb_slot_ticket_t *a, const bb_slot_ticket_t *b)
+{
+    bool is_similar =
+        a->target_latency_s <= b->target_latency_s * SIMILAR_LATENCY_FACTOR;
+
+    return a->rank < b->rank && is_similar
+               ? MIN(a->target_latency_s, b->target_latency_s)
+               : a->target_latency_s;
 }
 
 /* Whether a goes before b. */
@@ -123,17 +285,30 @@
     if (a_in_time != is_in_time(b, now, WAITING_MARGIN)) {
         return a_in_time;
     }
-    return queue_order(a) < queue_order(b);
+    if (a->is_nested != b->is_nested) {
+        return a->is_nested;
+    }
+    double a_order = queue_order(a, order_latency(a, b));
+    double b_order = queue_order(b, order_latency(b, a));
+    if (a->rank == b->rank) {
+        a_order += a->share_delay_s;
+        b_order += b->share_delay_s;
+    }
+    return a_order < b_order;
 }
 
-/* Seconds until a slot is free behind an amount of waiting work. */
+/* Seconds until the call gets a slot behind an amount of waiting work; ticket
+ * NULL: a call for which nothing is reserved. */
 static double
-predict_wait(const bb_slot_queue_t *queue, double work_s, double now)
+predict_wait(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
+             double work_s, double now)
 {
-    if (queue->running < queue->slots && work_s <= 0) {
+    if (queue->running < queue->slots && work_s <= 0 &&
+        (ticket == NULL || is_unreserved(queue, ticket, now))) {
         return 0;
     }
-    return (work_s + current_mean(&queue->all, now)) / MAX(queue->slots, 1);
+    return (work_s + current_mean(&queue->all, now)) /
+           usable_slots(queue, ticket, now);
 }
 
 static double
@@ -154,7 +329,17 @@
 double
 BbSlotQueue_PredictWait(const bb_slot_queue_t *queue, double now)
 {
-    return predict_wait(queue, work_ahead(queue, NULL, now), now);
+    return predict_wait(queue, NULL, work_ahead(queue, NULL, now), now);
+}
+
+double
+BbSlotQueue_PredictTicketWait(const bb_slot_queue_t *queue,
+                              const bb_slot_ticket_t *ticket, double now)
+{
+    bb_slot_ticket_t copy = *ticket;
+
+    prepare(queue, &copy, now);
+    return predict_wait(queue, &copy, work_ahead(queue, &copy, now), now);
 }
 
 static bb_slot_state_t
@@ -178,16 +363,18 @@
 bb_slot_state_t
 BbSlotQueue_Offer(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket, double now)
 {
-    ticket->arrived_at = now;
     ticket->reason = BB_REASON_NONE;
-    ticket->service_s = BbSlotQueue_ClassTime(queue, ticket->class_name, now);
+    prepare(queue, ticket, now);
     if (now > latest_start(ticket)) {
         return refuse(ticket, BB_REASON_TOO_LATE);
     }
-    if (queue->waiting == 0 && queue->running < queue->slots) {
-        ticket->state = BB_SLOT_RUNNING;
-        ticket->started_at = now;
-        queue->running++;
+    if (queue->reserve != NULL) {
+        const bb_reserve_call_t call = reserve_call(ticket);
+        BbReserve_OnArrival(queue->reserve, &call, now);
+    }
+    start_share(queue, ticket, now)->offered++;
+    if (can_start_now(queue, ticket, now)) {
+        start(queue, ticket, now);
         return ticket->state;
     }
     if (BbSlotQueue_WouldRefuse(queue, ticket, now)) {
@@ -195,6 +382,7 @@
     }
     ticket->state = BB_SLOT_WAITING;
     queue->waiting++;
+    queue->open_work_s += ticket->service_s;
     DL_APPEND(queue->tickets, ticket);
     return ticket->state;
 }
@@ -205,15 +393,15 @@
 {
     bb_slot_ticket_t copy = *ticket;
 
-    copy.arrived_at = now;
-    copy.service_s = BbSlotQueue_ClassTime(queue, copy.class_name, now);
+    prepare(queue, &copy, now);
     if (now > latest_start(&copy)) {
         return true;
     }
-    if (queue->waiting == 0 && queue->running < queue->slots) {
+    if (can_start_now(queue, &copy, now)) {
         return false;
     }
-    double wait_s = predict_wait(queue, work_ahead(queue, &copy, now), now);
+    double wait_s =
+        predict_wait(queue, &copy, work_ahead(queue, &copy, now), now);
     return !is_wait_acceptable(&copy, wait_s, now) ||
            now + wait_s > latest_start(&copy);
 }
@@ -224,6 +412,7 @@
     assert(ticket->state == BB_SLOT_WAITING);
     DL_DELETE(queue->tickets, ticket);
     queue->waiting--;
+    queue->open_work_s -= ticket->service_s;
 }
 
 static void
@@ -245,6 +434,10 @@
 
     assert(ticket->state == BB_SLOT_RUNNING);
     queue->running--;
+    queue->open_work_s -= ticket->service_s;
+    if (queue->reserve != NULL) {
+        BbReserve_OnEnd(queue->reserve, ticket->rank);
+    }
     ticket->state = BB_SLOT_NONE;
     if (!is_measured) {
         return;
@@ -271,41 +464,60 @@
 }
 
 /* Whether a waiting call is to be refused: it cannot end before it expires, or
- * it is late and the calls in time keep all slots busy. */
+ * it is late and the calls in time keep all slots busy. A call of an account
+ * above its fair share, before which others have gone, is refused as soon as
+ * it will be late. */
 static bool
 must_refuse(const bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket,
-            double now)
+            bool is_share_check, double now)
 {
     if (now > latest_start(ticket)) {
         return true;
     }
+    if (ticket->share_delay_s > 0 && is_share_check) {
+        double wait_s =
+            predict_wait(queue, ticket, work_ahead(queue, ticket, now), now);
+        return wait_s > MAX_LATE_WAIT_S &&
+               !is_in_time(ticket, now + wait_s, WAITING_MARGIN);
+    }
     return !is_in_time(ticket, now, WAITING_MARGIN) &&
-           predict_wait(queue, work_ahead(queue, ticket, now), now) >
+           predict_wait(queue, ticket, work_ahead(queue, ticket, now), now) >
                MAX_LATE_WAIT_S;
 }
 
 bb_slot_ticket_t *
 BbSlotQueue_Next(bb_slot_queue_t *queue, double now)
 {
-    bb_slot_ticket_t *ticket, *best = NULL;
+    bb_slot_ticket_t *ticket, *best = NULL, *best_root = NULL;
+    bool is_share_check = now - queue->share_checked_at >= SHARE_CHECK_S;
 
     DL_FOREACH (queue->tickets, ticket) {
-        if (must_refuse(queue, ticket, now)) {
+        if (must_refuse(queue, ticket, is_share_check, now)) {
             remove_waiting(queue, ticket);
             refuse(ticket, BB_REASON_QUEUE_EXPIRED);
             return ticket;
         }
-        if (best == NULL || precedes(ticket, best, now)) {
+        if ((best == NULL || precedes(ticket, best, now)) &&
+            is_unreserved(queue, ticket, now)) {
             best = ticket;
         }
+        if (!ticket->is_nested &&
+            (best_root == NULL || precedes(ticket, best_root, now)) &&
+            is_unreserved(queue, ticket, now)) {
+            best_root = ticket;
+        }
+    }
+    if (is_share_check) {
+        queue->share_checked_at = now;
     }
     if (best == NULL || queue->running >= queue->slots) {
         return NULL;
     }
+    if (best->is_nested && best_root != NULL && are_roots_starved(queue)) {
+        best = best_root;
+    }
     remove_waiting(queue, best);
-    best->state = BB_SLOT_RUNNING;
-    best->started_at = now;
-    queue->running++;
+    start(queue, best, now);
     return best;
 }
 
@@ -327,6 +539,15 @@
     return queue->waiting;
 }
 
+double
+BbSlotQueue_MixTime(const bb_slot_queue_t *queue, double now)
+{
+    if (queue->waiting == 0) {
+        return BbSlotQueue_ServiceTime(queue, now);
+    }
+    return queue->open_work_s / (queue->running + queue->waiting);
+}
+
 double
 BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now)
 {
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -27,7 +27,9 @@
 
 #include <stdbool.h>
 
+#include "bb_fair_share.h"
 #include "bb_reason.h"
+#include "bb_reserve.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -44,6 +46,9 @@
 typedef struct bb_slot_ticket {
     const char *class_name;  /* class of calls with similar duration */
     int rank;                /* 0 is the most urgent */
+    const char *account;     /* client account, or NULL */
+    bool is_nested;          /* a run elsewhere waits for it */
+    double parent_age_s;     /* of that run, since its call arrived */
     double target_latency_s; /* of the route */
     double due_at;           /* end of the target latency */
     double expires_at;       /* a response after that is useless */
@@ -53,7 +58,8 @@
     bb_reason_t reason;
     double arrived_at;
     double started_at;
-    double service_s; /* expected time at the target */
+    double service_s;     /* expected time at the target */
+    double share_delay_s; /* for an account above its fair share */
     struct bb_slot_ticket *prev, *next;
 } bb_slot_ticket_t;
 
@@ -66,6 +72,14 @@
  */
 void BbSlotQueue_SetSlots(bb_slot_queue_t *queue, int slots);
 
+/* Keeps slots free for urgent calls. The reserve is borrowed; NULL, the
+ * default, keeps none. Set it before the first offer. */
+void BbSlotQueue_SetReserve(bb_slot_queue_t *queue, bb_reserve_t *reserve);
+
+/* Lets accounts of one rank share the slots fairly while calls wait. The
+ * shares are borrowed; NULL, the default, ignores accounts. */
+void BbSlotQueue_SetFairShare(bb_slot_queue_t *queue, bb_fair_share_t *share);
+
 /* Sets the state of the ticket and returns it. */
 bb_slot_state_t BbSlotQueue_Offer(bb_slot_queue_t *queue,
                                   bb_slot_ticket_t *ticket, double now);
@@ -94,10 +108,21 @@
  * the mean decays, so that a target that was slow gets calls again. */
 double BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now);
 
+/* Expected mean seconds of the calls that run and wait now, for load reports
+ * while slots are short; ServiceTime() while none waits. The mean of the calls
+ * that ended lately would be too low where short urgent calls go first: the
+ * target would look fast while long calls fill its queue. */
+double BbSlotQueue_MixTime(const bb_slot_queue_t *queue, double now);
+
 /* The mean of a class, or that of all calls while the class is not known. */
 double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
                              double now);
 
+/* Seconds until the calls that wait now before such a call have started. */
+double BbSlotQueue_PredictTicketWait(const bb_slot_queue_t *queue,
+                                     const bb_slot_ticket_t *ticket,
+                                     double now);
+
 /* Seconds until a call that arrives now would start. */
 double BbSlotQueue_PredictWait(const bb_slot_queue_t *queue, double now);
 
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -30,6 +30,10 @@
 /* Weight of the newest call in the moving average of the failure rate. */
 #define FAIL_RATE_WEIGHT 0.05
 
+/* Retry-After of a call whose nested calls have no capacity: the time constant
+ * with which a recovery is seen. */
+#define NESTED_RETRY_AFTER_S 1.0
+
 typedef struct target_call {
     bb_attempt_t base; /* must be first */
     bb_target_io_t *io;
@@ -40,6 +44,7 @@
     bb_link_reservation_t reservation;
     int status; /* of the response; 0 before its head */
     size_t response_bytes;
+    bb_call_run_t *run; /* while it has a slot; may be NULL */
     ev_timer deadline_timer;
     bb_h1_exchange_t *exchange;
     size_t sent;
@@ -58,6 +63,9 @@
     bb_link_admission_t *link;          /* may be NULL */
     const bb_target_rollout_t *rollout; /* may be NULL */
     bb_slot_queue_t *queue;
+    bb_reserve_t *reserve;
+    bb_fair_share_t *share;
+    bb_call_tree_t *tree;
     bb_h1_client_t *client;
     target_call_t *calls;
     int call_count;
@@ -96,6 +104,8 @@
                         BbClock_Now(io->loop) - call->ticket.started_at);
         BbSlotQueue_Finish(io->queue, &call->ticket, is_measured,
                            BbClock_Now(io->loop));
+        BbCallTree_EndRun(io->tree, call->run);
+        call->run = NULL;
     }
     else if (call->ticket.state == BB_SLOT_WAITING) {
         BbSlotQueue_Cancel(io->queue, &call->ticket);
@@ -148,8 +158,8 @@
     bb_target_io_t *io = call->io;
     const bb_attempt_handler_t *handler = call->handler;
     void *arg = call->arg;
-    double retry_after_s =
-        BbSlotQueue_PredictWait(io->queue, BbClock_Now(io->loop));
+    double retry_after_s = BbSlotQueue_PredictTicketWait(
+        io->queue, &call->ticket, BbClock_Now(io->loop));
 
     record_refusal(call, reason);
     release_ticket(call, false);
@@ -313,6 +323,9 @@
     double remaining_s =
         request->deadline_at - DEADLINE_MARGIN_S - BbClock_Now(io->loop);
 
+    call->run = BbCallTree_StartRun(
+        io->tree, request->call_id, request->class_name,
+        request->due_at - request->target_latency_s - request->parent_age_s);
     g_snprintf(deadline_ms, sizeof(deadline_ms), "%d",
                (int)MAX(remaining_s * 1000, 1));
     BbH1Fields_Init(&fields);
@@ -472,10 +485,19 @@
     }
 }
 
+static bool
+is_not_started(const bb_attempt_t *attempt)
+{
+    const target_call_t *call = (const target_call_t *)attempt;
+
+    return call->exchange == NULL || !BbH1_IsSent(call->exchange);
+}
+
 static const bb_attempt_ops_t attempt_ops = {
     .body_extended = body_extended,
     .cancel = cancel,
     .pause = pause_response,
+    .is_not_started = is_not_started,
 };
 
 /* Counts and logs a refusal without a target_call_t, and returns its reason.
@@ -496,6 +518,9 @@
     return (bb_slot_ticket_t){
         .class_name = request->class_name,
         .rank = request->rank,
+        .account = request->account,
+        .is_nested = request->is_nested,
+        .parent_age_s = request->parent_age_s,
         .target_latency_s = request->target_latency_s,
         .due_at = request->due_at,
         .expires_at = request->deadline_at - DEADLINE_MARGIN_S,
@@ -539,6 +564,17 @@
                                    retry_after_s);
 }
 
+/* Whether the call is refused because its nested calls would fail. Only while
+ * calls wait: a slot that no other call needs costs nothing. */
+static bool
+is_nested_short(const bb_target_io_t *io, const bb_attempt_request_t *request)
+{
+    return !request->is_checked && !request->is_nested &&
+           BbSlotQueue_Waiting(io->queue) > 0 &&
+           BbCallTree_MustRefuse(io->tree, request->class_name,
+                                 BbClock_Now(io->loop));
+}
+
 bb_reason_t
 BbTargetIo_RefusalReason(const bb_target_io_t *io,
                          const bb_attempt_request_t *request,
@@ -550,14 +586,18 @@
     *retry_after_s = 0;
     if (reason == BB_REASON_NONE &&
         BbSlotQueue_WouldRefuse(io->queue, &ticket, BbClock_Now(io->loop))) {
-        *retry_after_s =
-            BbSlotQueue_PredictWait(io->queue, BbClock_Now(io->loop));
+        *retry_after_s = BbSlotQueue_PredictTicketWait(io->queue, &ticket,
+                                                       BbClock_Now(io->loop));
         reason = BB_REASON_QUEUE_FULL;
     }
     else if (reason == BB_REASON_NONE &&
              !is_link_available(io, request, retry_after_s)) {
         reason = BB_REASON_LINK_FULL;
     }
+    else if (reason == BB_REASON_NONE && is_nested_short(io, request)) {
+        *retry_after_s = NESTED_RETRY_AFTER_S;
+        reason = BB_REASON_NESTED_SHORT;
+    }
     return reason != BB_REASON_NONE ? report_refusal(io, request, reason)
                                     : reason;
 }
@@ -577,6 +617,10 @@
     if (!is_link_available(io, request, retry_after_s)) {
         return report_refusal(io, request, BB_REASON_LINK_FULL);
     }
+    if (is_nested_short(io, request)) {
+        *retry_after_s = NESTED_RETRY_AFTER_S;
+        return report_refusal(io, request, BB_REASON_NESTED_SHORT);
+    }
     target_call_t *call = g_new0(target_call_t, 1);
     call->base.ops = &attempt_ops;
     call->io = io;
@@ -588,7 +632,7 @@
     if (BbSlotQueue_Offer(io->queue, &call->ticket, now) == BB_SLOT_REFUSED) {
         reason = call->ticket.reason;
         *retry_after_s =
-            BbSlotQueue_PredictWait(io->queue, BbClock_Now(io->loop));
+            BbSlotQueue_PredictTicketWait(io->queue, &call->ticket, now);
         g_free(call);
         return report_refusal(io, request, reason);
     }
@@ -605,6 +649,9 @@
         start_call(call);
     }
     else {
+        if (BbSlotQueue_Running(io->queue) < BbLocalTarget_Slots(io->target)) {
+            BbCounters_Add(BB_COUNTER_RESERVE_WAITS, 1);
+        }
         schedule_queue_timer(io);
     }
     return BB_REASON_NONE;
@@ -640,7 +687,7 @@
     load->waiting = BbSlotQueue_Waiting(io->queue);
     load->slots = BbLocalTarget_Slots(io->target);
     load->service_ms = (int)lrint(
-        BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop)) * 1000);
+        BbSlotQueue_MixTime(io->queue, BbClock_Now(io->loop)) * 1000);
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
     /* Bytes that are sent while the next call runs do not delay it. */
     double link_s = BbLinkAdmission_Wait(io->link, BbClock_Now(io->loop)) -
@@ -648,6 +695,12 @@
     load->link_ms = (int)lrint(CLAMP(link_s, 0.0, MAX_REPORTED_LINK_S) * 1000);
 }
 
+bb_call_tree_t *
+BbTargetIo_CallTree(bb_target_io_t *io)
+{
+    return io->tree;
+}
+
 double
 BbTargetIo_ServiceTime(const bb_target_io_t *io, const char *class_name)
 {
@@ -679,6 +732,11 @@
     io->link = options->link;
     io->rollout = options->rollout;
     io->queue = BbSlotQueue_New();
+    io->reserve = BbReserve_New();
+    BbSlotQueue_SetReserve(io->queue, io->reserve);
+    io->share = BbFairShare_New();
+    BbSlotQueue_SetFairShare(io->queue, io->share);
+    io->tree = BbCallTree_New(options->names->call_id_separator);
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
     io->queue_timer.data = io;
@@ -697,6 +755,9 @@
     }
     BbH1Client_Free(io->client);
     BbSlotQueue_Free(io->queue);
+    BbReserve_Free(io->reserve);
+    BbFairShare_Free(io->share);
+    BbCallTree_Free(io->tree);
     g_free(io->address);
     g_free(io->service);
     g_free(io);
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -473,6 +473,66 @@
     EXPECT_EQ(BbCallIo_OpenCalls(node.calls), 0);
 }
 
+// Guards against statuses 502 and 504, which tell the caller that its call may
+// have run, for calls that are known not to have started: one that waits for a
+// slot, and one whose body the other node has not requested.
+TEST_F(MeshIo, CallsThatHaveNotStartedEndWith503)
+{
+    target.on_request = [](const Target::Request &) {};
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 5; i++) { // the target has 4 slots
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(
+            Caller::Request("POST", "/once/1", "c" + std::to_string(i), "x"));
+        loop.RunFor(0.02);
+    }
+    ASSERT_EQ(target.requests.size(), 4u);
+    node.MarkOwnTargetNotReady();
+    Target silent(&loop);
+    silent.on_request = [](const Target::Request &) {};
+    Node other(&loop, "n2", "a", &silent);
+    other.forward_address = silent.address;
+    node.AddNodeRecord(&other, 9);
+    callers.push_back(std::make_unique<Caller>(&loop, node.caller_address));
+    callers.back()->connection.Send(
+        Caller::Request("POST", "/once/1", "c5", "x"));
+    callers.push_back(std::make_unique<Caller>(&loop, node.caller_address));
+    callers.back()->connection.Send(Caller::Request("GET", "/safe/1", "c6"));
+    loop.RunFor(0.05);
+    BbCallIo_FailOpenCalls(node.calls);
+    const char *expected[] = {"504", "504", "504", "504", "503", "503", "504"};
+    for (size_t i = 0; i < callers.size(); i++) {
+        EXPECT_EQ(Status(callers[i]->Wait(1)), expected[i]) << i;
+    }
+    EXPECT_NE(HeaderField(callers[5]->connection.received, "Retry-After"), "");
+}
+
+// Guards against nested calls of running calls that wait behind new calls at
+// another node because that node does not learn that they are nested.
+TEST_F(MeshIo, NestedCallsAreMarkedForOtherNodes)
+{
+    target.on_request = [](const Target::Request &) {};
+    Caller caller(&loop, node.caller_address);
+    caller.connection.Send(Caller::Request("GET", "/safe/1", "c1"));
+    ASSERT_TRUE(loop.RunUntil([&] { return target.RunCount("c1") == 1; }));
+    node.MarkOwnTargetNotReady();
+    Target remote(&loop); // reads the metadata instead of a node
+    remote.on_request = [](const Target::Request &) {};
+    Node other(&loop, "n2", "a", &remote);
+    other.forward_address = remote.address;
+    node.AddNodeRecord(&other, 9);
+    Caller nested(&loop, node.caller_address);
+    nested.connection.Send(Caller::Request("GET", "/safe/1", "c1.1") +
+                           Caller::Request("GET", "/safe/1", "c2.1"));
+    ASSERT_TRUE(loop.RunUntil([&] { return remote.requests.size() == 2; }));
+    for (const Target::Request &request : remote.requests) {
+        std::string call = HeaderField(request.head, "Burdock-Call");
+        EXPECT_EQ(call.find(",n") != std::string::npos, request.id == "c1.1")
+            << call;
+    }
+}
+
 // Guards against a call that is refused because the first nodes tried are all
 // draining. A trace of a load test showed five draining nodes in a row.
 TEST_F(MeshIo, RefusalsOfDrainingNodesDoNotCountAsAttempts)
