--- a/lib/link/bb_link_queue.c
+++ b/lib/link/bb_link_queue.c
@@ -65,7 +65,8 @@
     bb_link_transfer_t *transfers;
     /* the present window */
     double window_start;
-    double window_bytes;
+    double window_bytes; /* of all responses */
+    double window_bulk;  /* part of window_bytes */
     double held_s;
     int held_windows; /* in a row, up to the present one */
 };
@@ -132,8 +133,8 @@
     double length_s = now - queue->window_start;
     double taken = queue->window_bytes / length_s;
 
-    bool is_held = queue->held_s > length_s * HELD_SHARE && taken > 0 &&
-                   taken < queue->rate;
+    bool is_held = queue->held_s > length_s * HELD_SHARE &&
+                   queue->window_bulk > 0 && taken < queue->rate;
 
     queue->held_windows = is_held ? queue->held_windows + 1 : 0;
     if (queue->held_windows >= HELD_WINDOWS) {
@@ -146,6 +147,7 @@
     }
     queue->window_start = now;
     queue->window_bytes = 0;
+    queue->window_bulk = 0;
     queue->held_s = 0;
 }
 
@@ -257,6 +259,7 @@
     allowed = MIN(allowed, bytes);
     queue->tokens -= (double)allowed;
     queue->window_bytes += (double)allowed;
+    queue->window_bulk += (double)allowed;
     queue->released_at = now;
     set_waiting(queue, transfer, bytes - allowed, now);
     return allowed;
@@ -269,6 +272,7 @@
     update(queue, now);
     queue->tokens += (double)bytes;
     queue->window_bytes = MAX(queue->window_bytes - (double)bytes, 0);
+    queue->window_bulk = MAX(queue->window_bulk - (double)bytes, 0);
     set_waiting(queue, transfer, transfer->waiting_bytes + bytes, now);
     if (!transfer->is_held) {
         transfer->is_held = true;
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -160,6 +160,7 @@
         request.target_latency_s = latency;
         request.spill_share = 0.9;
         request.has_large_body = has_large_body;
+        request.response_bytes = response_bytes;
         for (auto *endpoint : tried) {
             request.tried[request.tried_count++] = endpoint;
         }
@@ -182,6 +183,7 @@
     bool adds_stopped = false;    // records of stopped nodes
     bool is_full = false;
     bool has_large_body = false;
+    double response_bytes = 0;
 };
 
 } // namespace
@@ -333,6 +335,29 @@
     EXPECT_EQ(f.Choose(1.0), free);
 }
 
+// Guards against large responses from a node whose link is busy, and from
+// other nodes while the own target is free; small ones are placed as before.
+TEST(MeshPlacement, LargeResponsesAvoidBusyLinks)
+{
+    Fleet f;
+    bb_endpoint_t *busy = f.Add("busy", "a", 1, 10, 13);
+    bb_endpoint_t *free = f.Add("free", "a", 2, 10, 13);
+    bb_node_record_t record = free->record;
+    BbFleet_SetOwn(f.fleet, &record, 0);
+    bb_endpoint_t *own = BbFleet_Find(f.fleet, "own");
+    f.Report(own, 5, 0, 140, 1.0);
+    f.Report(free, 2, 0, 140, 1.0);
+    f.Report(busy, 0, 0, 140, 1.0);
+    busy->load.link_ms = 300;
+    EXPECT_EQ(f.Choose(1.0), busy);
+    f.response_bytes = 90000;
+    EXPECT_EQ(f.Choose(1.0), own);
+    own->load.link_ms = 300;
+    EXPECT_EQ(f.Choose(1.0), free);
+    f.Report(own, 10, 15, 140, 1.0);
+    EXPECT_EQ(f.Choose(1.0), free);
+}
+
 // Guards against a target that attracts calls because it fails fast.
 TEST(MeshPlacement, FailingTargetsGetNoCalls)
 {
@@ -1103,6 +1128,14 @@
     EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,40,7", &load), 0);
     EXPECT_EQ(load.version, 7);
     EXPECT_EQ(load.transfer_ms, 40);
+    EXPECT_EQ(load.link_ms, 0); // as an earlier release reports
+    char report[BB_LOAD_TEXT];
+    BbLoad_Format(&load, report, sizeof(report));
+    EXPECT_STREQ(report, "1,2,18,160,30,40,7"); // readable by that release
+    EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,40,7,250", &load), 0);
+    EXPECT_EQ(load.link_ms, 250);
+    EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,40,7,", &load), BB_ERR_PARSE);
+    EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,40,7,-1", &load), BB_ERR_PARSE);
     EXPECT_EQ(BbLoad_Parse("1,2,18", &load), BB_ERR_PARSE);
     EXPECT_EQ(BbLoad_Parse("-1,2,18,160,30,40,7", &load), BB_ERR_PARSE);
     EXPECT_EQ(BbLoad_Parse(nullptr, &load), BB_ERR_PARSE);
