--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -112,17 +112,19 @@
 {
     const bb_target_io_t *io = call->io;
 
+    double now = BbClock_Now(io->loop);
+
     BbReason_Count(reason);
     if (BbEvent_Allows(BB_EVENT_TARGET_REFUSED)) {
         BbEvent_Write(
             BB_EVENT_TARGET_REFUSED,
-            json_pack(
-                "{s:s, s:s, s:i, s:i, s:i, s:f}", "call",
-                call->request.call_id, "reason", BbReason_Name(reason),
-                "running", BbSlotQueue_Running(io->queue), "waiting",
-                BbSlotQueue_Waiting(io->queue), "slots",
-                BbLocalTarget_Slots(io->target), "service_s",
-                BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop))));
+            json_pack("{s:s, s:s, s:i, s:i, s:i, s:f, s:f}", "call",
+                      call->request.call_id, "reason", BbReason_Name(reason),
+                      "running", BbSlotQueue_Running(io->queue), "waiting",
+                      BbSlotQueue_Waiting(io->queue), "slots",
+                      BbLocalTarget_Slots(io->target), "service_s",
+                      BbSlotQueue_ServiceTime(io->queue, now), "link_s",
+                      BbLinkAdmission_Wait(io->link, now)));
     }
 }
 
