--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -17,8 +17,9 @@
  * to; a new response renews them. */
 #define LEASE_S 0.5
 
-/* Intervals of the reports of an account. A calm account whose demand is below
- * LAZY_SHARE of its limit is reported at the longest. */
+/* Times after the last message at which news is sent: of an account that needs
+ * leases or is not yet known to the owner, of another one, and of a calm one
+ * whose demand is below LAZY_SHARE of its limit (since its last report). */
 #define TIGHT_INTERVAL_S 0.1
 #define CALM_INTERVAL_S 0.25
 #define LAZY_INTERVAL_S 1.0
@@ -39,9 +40,10 @@
 #define IDLE_KEEP_ALIVE_S 1.0
 #define IDLE_S 2.0
 
-/* Up to this number of nodes the keep-alive intervals hold; with more nodes
- * they grow in proportion, so that the load of an owner is bounded. */
-#define KEEP_ALIVE_NODES 160.0
+/* With more nodes, the intervals of calm accounts and without news grow in
+ * proportion: each node reports to each owner, so that an owner would
+ * otherwise get more messages with each node. */
+#define FULL_PACE_NODES 300.0
 
 /* A candidate that does not respond is tried again after this time. */
 #define RETRY_CANDIDATE_S 0.5
@@ -699,6 +701,13 @@
 
 /* ---- reports ---- */
 
+/* Factor of the intervals that depend on the size of the fleet. */
+static double
+size_factor(const bb_quota_t *quota)
+{
+    return MAX((double)quota->nodes / FULL_PACE_NODES, 1.0);
+}
+
 static bool
 is_idle(const bb_quota_t *quota, double now)
 {
@@ -709,7 +718,7 @@
 keep_alive_s(const bb_quota_t *quota, const slot_t *slot, bool has_news,
              double now)
 {
-    double factor = MAX((double)quota->nodes / KEEP_ALIVE_NODES, 1.0);
+    double factor = size_factor(quota);
 
     if (is_idle(quota, now)) {
         return factor * IDLE_KEEP_ALIVE_S;
@@ -741,26 +750,35 @@
                MAX(credit - expected - 2.0 * sqrt(expected), 1.0));
 }
 
-static bool
-is_report_due(const slot_t *slot, const entry_t *entry, double now)
+/* Time after the last message at which the news of an account is sent;
+ * INFINITY without news. */
+static double
+report_after_s(const bb_quota_t *quota, const slot_t *slot,
+               const entry_t *entry, double now)
 {
-    double age_s = now - entry->reported_at;
+    double demand = decayed_demand(entry, now);
 
     if (!has_changes(entry)) {
-        return false;
+        return INFINITY;
     }
-    if (entry->epoch != slot->epoch || entry->returned != 0) {
-        return true;
+    if (entry->epoch != slot->epoch) {
+        return TIGHT_INTERVAL_S;
     }
     if (entry->state == BB_QUOTA_TIGHT) {
-        return age_s >= TIGHT_INTERVAL_S;
+        return entry->tokens > 0 || demand >= THIN_DEMAND_PER_S
+                   ? TIGHT_INTERVAL_S
+                   : CALM_INTERVAL_S;
     }
     if ((double)entry->credit >= early_credit(slot, entry, now)) {
-        return true;
+        return 0.0;
+    }
+    bool is_lazy =
+        MAX(entry->total_demand, demand) < entry->rate_per_s * LAZY_SHARE;
+    if (is_lazy &&
+        now - entry->reported_at < LAZY_INTERVAL_S * size_factor(quota)) {
+        return INFINITY;
     }
-    bool is_lazy = MAX(entry->total_demand, decayed_demand(entry, now)) <
-                   entry->rate_per_s * LAZY_SHARE;
-    return age_s >= (is_lazy ? LAZY_INTERVAL_S : CALM_INTERVAL_S);
+    return CALM_INTERVAL_S * size_factor(quota);
 }
 
 static void
@@ -789,26 +807,38 @@
     entry->reported_at = now;
 }
 
-/* Adds the reports that are due, and drops accounts without changes from the
- * list. Returns the number of lines. */
-static size_t
-add_reports(slot_t *slot, double now, GString *text)
+/* Whether a message with news is due. Drops accounts without news from the
+ * list. */
+static bool
+is_news_due(const bb_quota_t *quota, slot_t *slot, double now)
 {
-    size_t count = 0;
+    double after_s = INFINITY;
 
     for (guint i = slot->news->len; i > 0; i--) {
         entry_t *entry = g_ptr_array_index(slot->news, i - 1);
         expire_tokens(entry, now);
-        if (is_report_due(slot, entry, now)) {
-            add_report(entry, now, text);
-            count++;
+        if (has_changes(entry) || entry->is_sent) {
+            after_s = MIN(after_s, report_after_s(quota, slot, entry, now));
         }
-        else if (!has_changes(entry) && !entry->is_sent) {
+        else {
             entry->has_news = false;
             g_ptr_array_remove_index_fast(slot->news, i - 1);
         }
     }
-    return count;
+    return now - slot->sent_at >= after_s;
+}
+
+/* Adds all news, except of calm accounts with a low demand whose time has not
+ * come. */
+static void
+add_reports(const bb_quota_t *quota, slot_t *slot, double now, GString *text)
+{
+    for (guint i = 0; i < slot->news->len; i++) {
+        entry_t *entry = g_ptr_array_index(slot->news, i);
+        if (!isinf(report_after_s(quota, slot, entry, now))) {
+            add_report(entry, now, text);
+        }
+    }
 }
 
 /* Composes a message from the lines of the accounts. */
@@ -855,15 +885,16 @@
 static bool
 report_to_owner(bb_quota_t *quota, slot_t *slot, double now, GString *text)
 {
-    bool is_due = slot->sent_at == 0 || now - slot->sent_at >= slot->return_s;
+    bool has_news = is_news_due(quota, slot, now);
     GString *lines = quota->lines;
 
-    g_string_truncate(lines, 0);
-    bool has_news = add_reports(slot, now, lines) > 0;
-    if (!has_news && !is_due) {
+    if (!has_news && slot->sent_at > 0 &&
+        now - slot->sent_at < slot->return_s) {
         return false;
     }
-    slot->return_s = keep_alive_s(quota, slot, has_news, now);
+    g_string_truncate(lines, 0);
+    add_reports(quota, slot, now, lines);
+    slot->return_s = keep_alive_s(quota, slot, lines->len > 0, now);
     slot->sent_at = now;
     compose(quota, &slot->candidates[slot->current], slot->return_s,
             !slot->has_responded, now, lines->str, text);
