--- a/lib/rollout/bb_rollout_local.c
+++ b/lib/rollout/bb_rollout_local.c
@@ -1,11 +1,8 @@
 #include "bb_rollout_local.h"
 
 #include <glib.h>
-#include <jansson.h>
 #include <string.h>
 
-#include "bb_error.h"
-
 /* Part of a row's revision that one step of the order or of the epoch is
  * worth. An order is the version of a row of the store, so it rises faster
  * than any serial. */
@@ -430,20 +427,6 @@
     return copy;
 }
 
-int
-BbRolloutReport_Service(const char *text, size_t size, char *out,
-                        size_t out_size)
-{
-    json_t *object = json_loadb(text, size, 0, NULL);
-    const char *service =
-        json_string_value(json_object_get(object, "service"));
-    bool is_read =
-        service != NULL && g_strlcpy(out, service, out_size) < out_size;
-
-    json_decref(object);
-    return is_read ? 0 : BB_ERR_PARSE;
-}
-
 static bb_rollout_phase_t
 phase_of(const char *name)
 {
@@ -459,19 +442,18 @@
 }
 
 double
-BbRolloutReport_Deliver(bb_rollout_t *rollout, const char *text, size_t size,
+BbRolloutReport_Deliver(bb_rollout_t *rollout, const json_t *object,
                         double now)
 {
-    json_t *object = json_loadb(text, size, 0, NULL);
     const char *node, *data_centre, *phase, *route;
     json_int_t order, epoch;
     int is_closed, open_calls;
     json_t *counts;
     double lease_s = -1;
-    int error = json_unpack(object, "{s:s, s:s, s:I, s:I, s:s, s:b, s:i}",
-                            "node", &node, "data_centre", &data_centre,
-                            "order", &order, "epoch", &epoch, "phase", &phase,
-                            "closed", &is_closed, "open", &open_calls);
+    int error = json_unpack(
+        (json_t *)object, "{s:s, s:s, s:I, s:I, s:s, s:b, s:i}", "node", &node,
+        "data_centre", &data_centre, "order", &order, "epoch", &epoch, "phase",
+        &phase, "closed", &is_closed, "open", &open_calls);
 
     if (object != NULL && error == 0 &&
         order == BbRollout_Row(rollout)->order) {
@@ -494,6 +476,5 @@
             }
         }
     }
-    json_decref(object);
     return lease_s;
 }
--- a/lib/rollout/bb_rollout_local.h
+++ b/lib/rollout/bb_rollout_local.h
@@ -28,6 +28,8 @@
 #ifndef BB_ROLLOUT_LOCAL_H
 #define BB_ROLLOUT_LOCAL_H
 
+#include <jansson.h>
+
 #include "bb_rollout.h"
 
 #ifdef __cplusplus
@@ -108,13 +110,9 @@
                                   double now);
 
 /* Passes a report to the roll-out of its service. Returns the lease, or -1 if
- * the text is malformed or belongs to another order. */
-double BbRolloutReport_Deliver(bb_rollout_t *rollout, const char *text,
-                               size_t size, double now);
-
-/* Reads the service of a report into out. Returns 0 or BB_ERR_PARSE. */
-int BbRolloutReport_Service(const char *text, size_t size, char *out,
-                            size_t out_size);
+ * the report is malformed or belongs to another order. */
+double BbRolloutReport_Deliver(bb_rollout_t *rollout, const json_t *object,
+                               double now);
 
 #ifdef __cplusplus
 }
--- a/programs/bbsidecar/sidecar_rollout.c
+++ b/programs/bbsidecar/sidecar_rollout.c
@@ -424,8 +424,9 @@
     BbCounters_Add(BB_COUNTER_ROLLOUT_REPORTS, 1);
     if (strcmp(row->decider, sidecar->settings->name) == 0) {
         int64_t order = row->order;
-        double lease_s =
-            SidecarRollouts_TakeReport(rollouts, text, strlen(text));
+        json_t *report = json_loads(text, 0, NULL);
+        double lease_s = SidecarRollouts_TakeReport(rollouts, report);
+        json_decref(report);
         if (lease_s >= 0) {
             BbRolloutLocal_Grant(rollouts->local, order, now, lease_s);
         }
@@ -465,7 +466,7 @@
 
 static void
 handle_report(sidecar_rollouts_t *rollouts, bb_h1_request_t *request,
-              const json_t *report, const char *body, size_t size)
+              const json_t *report)
 {
     const char *service =
         json_string_value(json_object_get(report, "service"));
@@ -476,7 +477,7 @@
     };
     json_t *rows = json_array();
     json_t *root = json_pack("{s:o}", "rows", rows);
-    double lease_s = SidecarRollouts_TakeReport(rollouts, body, size);
+    double lease_s = SidecarRollouts_TakeReport(rollouts, report);
 
     if (lease_s >= 0) {
         json_object_set_new(root, "lease_s", json_real(lease_s));
@@ -538,7 +539,7 @@
         handle_push(rollouts, request, root);
     }
     else if (json_is_string(json_object_get(root, "service"))) {
-        handle_report(rollouts, request, root, body, size);
+        handle_report(rollouts, request, root);
     }
     else {
         BbH1_Respond(request, rollouts != NULL ? 400 : 404, NULL, NULL, 0);
--- a/programs/bbsidecar/sidecar_rollout_decide.c
+++ b/programs/bbsidecar/sidecar_rollout_decide.c
@@ -691,18 +691,16 @@
 }
 
 double
-SidecarRollouts_TakeReport(sidecar_rollouts_t *rollouts, const char *text,
-                           size_t size)
+SidecarRollouts_TakeReport(sidecar_rollouts_t *rollouts, const json_t *report)
 {
-    char service[BB_TARGET_ID_TEXT];
-
-    if (BbRolloutReport_Service(text, size, service, sizeof(service)) != 0) {
-        return -1;
-    }
+    const char *service =
+        json_string_value(json_object_get(report, "service"));
     const rollout_order_t *order =
-        g_hash_table_lookup(rollouts->orders, service);
+        service != NULL ? g_hash_table_lookup(rollouts->orders, service)
+                        : NULL;
+
     return order != NULL && order->duty != NULL && order->duty->is_fenced
-               ? BbRolloutReport_Deliver(order->duty->rollout, text, size,
+               ? BbRolloutReport_Deliver(order->duty->rollout, report,
                                          rollouts_now(rollouts))
                : -1;
 }
--- a/programs/bbsidecar/sidecar_rollout_internal.h
+++ b/programs/bbsidecar/sidecar_rollout_internal.h
@@ -111,6 +111,6 @@
 
 /* Returns the lease for a report, or -1 if this node does not decide. */
 double SidecarRollouts_TakeReport(sidecar_rollouts_t *rollouts,
-                                  const char *text, size_t size);
+                                  const json_t *report);
 
 #endif
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -256,10 +256,10 @@
         char *text = BbRolloutLocal_FormatReport(
             node->local, node->version.c_str(),
             static_cast<int>(node->runs.size()), now);
-        double lease_s =
-            text != nullptr
-                ? BbRolloutReport_Deliver(rollout, text, strlen(text), now)
-                : -1;
+        json_t *report =
+            text != nullptr ? json_loads(text, 0, nullptr) : nullptr;
+        double lease_s = BbRolloutReport_Deliver(rollout, report, now);
+        json_decref(report);
         if (lease_s >= 0) {
             BbRolloutLocal_Grant(node->local, order_.version, now, lease_s);
         }
