--- a/lib/admission/bb_call_tree.c
+++ b/lib/admission/bb_call_tree.c
@@ -23,6 +23,10 @@
 /* Weight of the newest run in the mean number of nested calls. */
 #define COUNT_WEIGHT 0.02
 
+/* Number of separators at the end of an id that are tried. An id comes from a
+ * caller and may consist of thousands of them. */
+#define MAX_SEPARATORS 8
+
 /* Limit of classes; a configuration has a few hundred routes. */
 #define MAX_CLASSES 1024
 
@@ -190,7 +194,7 @@
         return NULL;
     }
     char *prefix = g_strdup(id);
-    while (run == NULL) {
+    for (int i = 0; i < MAX_SEPARATORS && run == NULL; i++) {
         const char *at =
             g_strrstr_len(prefix, (gssize)length, tree->separator);
         if (at == NULL) {
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -110,7 +110,7 @@
     bb_call_tree_t *tree = BbCallTree_New(".");
     bb_call_run_t *run = BbCallTree_StartRun(tree, "c1", "menu", 1);
     for (const char *id :
-         {"c1", "c10", "c10.1", "c", "", ".", "c.1", "xc1.1"}) {
+         {"c1", "c10", "c10.1", "c", "", ".", "c.1", "xc1.1", "c1........."}) {
         EXPECT_FALSE(BbCallTree_BeginNested(tree, id, "a", 2, &age_s)) << id;
     }
     EXPECT_TRUE(BbCallTree_BeginNested(tree, "c1.1", "a", 2, &age_s));
