Load report of the mix of open calls: exact where all calls are of one class

Cause: the mix was summed from the expected times at the arrival of the calls.

Change: the open calls are counted by class and weighted with the present means of the classes.

--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -39,7 +39,8 @@
 /* Moving average of the service time of calls. */
 typedef struct {
     double mean_s;
-    double measured_at;
+    double measured_at; /* 0 before the first call has ended */
+    int open;           /* running and waiting calls of the class */
 } service_mean_t;
 
 /* Calls that are not nested get a slot at least this share as often as nested
@@ -68,7 +69,6 @@
     int slots;
     int running;
     int waiting;
-    double open_work_s; /* expected time of the running and waiting calls */
     service_mean_t all;
     GHashTable *classes;       /* name to service_mean_t */
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
@@ -123,7 +123,28 @@
 {
     const service_mean_t *mean =
         name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
-    return current_mean(mean != NULL ? mean : &queue->all, now);
+    bool is_known = mean != NULL && mean->measured_at > 0;
+    return current_mean(is_known ? mean : &queue->all, now);
+}
+
+static service_mean_t *
+add_class(bb_slot_queue_t *queue, const char *name)
+{
+    service_mean_t *mean = g_hash_table_lookup(queue->classes, name);
+
+    if (mean == NULL) {
+        mean = g_new0(service_mean_t, 1);
+        g_hash_table_insert(queue->classes, g_strdup(name), mean);
+    }
+    return mean;
+}
+
+static void
+add_open(bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket, int count)
+{
+    if (ticket->class_name != NULL) {
+        add_class(queue, ticket->class_name)->open += count;
+    }
 }
 
 void
@@ -234,7 +255,7 @@
     ticket->started_at = now;
     queue->running++;
     start_share(queue, ticket, now)->started++;
-    queue->open_work_s += ticket->service_s;
+    add_open(queue, ticket, 1);
     if (queue->reserve != NULL) {
         BbReserve_OnStart(queue->reserve, ticket->rank);
     }
@@ -382,7 +403,7 @@
     }
     ticket->state = BB_SLOT_WAITING;
     queue->waiting++;
-    queue->open_work_s += ticket->service_s;
+    add_open(queue, ticket, 1);
     DL_APPEND(queue->tickets, ticket);
     return ticket->state;
 }
@@ -412,7 +433,7 @@
     assert(ticket->state == BB_SLOT_WAITING);
     DL_DELETE(queue->tickets, ticket);
     queue->waiting--;
-    queue->open_work_s -= ticket->service_s;
+    add_open(queue, ticket, -1);
 }
 
 static void
@@ -434,7 +455,7 @@
 
     assert(ticket->state == BB_SLOT_RUNNING);
     queue->running--;
-    queue->open_work_s -= ticket->service_s;
+    add_open(queue, ticket, -1);
     if (queue->reserve != NULL) {
         BbReserve_OnEnd(queue->reserve, ticket->rank);
     }
@@ -446,14 +467,7 @@
     if (ticket->class_name == NULL) {
         return;
     }
-    service_mean_t *mean =
-        g_hash_table_lookup(queue->classes, ticket->class_name);
-    if (mean == NULL) {
-        mean = g_new0(service_mean_t, 1);
-        g_hash_table_insert(queue->classes, g_strdup(ticket->class_name),
-                            mean);
-    }
-    add_measurement(mean, took_s, now);
+    add_measurement(add_class(queue, ticket->class_name), took_s, now);
 }
 
 void
@@ -542,10 +556,25 @@
 double
 BbSlotQueue_MixTime(const bb_slot_queue_t *queue, double now)
 {
+    double all_s = BbSlotQueue_ServiceTime(queue, now), work_s = 0;
+    int open = 0;
+    GHashTableIter iter;
+    gpointer value;
+
     if (queue->waiting == 0) {
-        return BbSlotQueue_ServiceTime(queue, now);
+        return all_s;
+    }
+    g_hash_table_iter_init(&iter, queue->classes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const service_mean_t *mean = value;
+        if (mean->open > 0) {
+            open += mean->open;
+            work_s +=
+                mean->open *
+                (mean->measured_at > 0 ? current_mean(mean, now) : all_s);
+        }
     }
-    return queue->open_work_s / (queue->running + queue->waiting);
+    return open > 0 ? work_s / open : all_s;
 }
 
 double
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -109,9 +109,11 @@
 double BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now);
 
 /* Expected mean seconds of the calls that run and wait now, for load reports
- * while slots are short; ServiceTime() while none waits. The mean of the calls
- * that ended lately would be too low where short urgent calls go first: the
- * target would look fast while long calls fill its queue. */
+ * while slots are short; ServiceTime() while none waits or all are of one
+ * class. The mean of the calls that ended lately would be too low where short
+ * urgent calls go first: the target would look fast while long calls fill its
+ * queue.
+ */
 double BbSlotQueue_MixTime(const bb_slot_queue_t *queue, double now);
 
 /* The mean of a class, or that of all calls while the class is not known. */
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -6,6 +6,7 @@
 #include "bb_call_tree.h"
 #include "bb_fair_share.h"
 #include "bb_reserve.h"
+#include "bb_slot_queue.h"
 
 namespace {
 
@@ -148,3 +149,40 @@
     EXPECT_EQ(BbCallTree_RefusalShare(tree, "menu", now), 0);
     BbCallTree_Free(tree);
 }
+
+// Guards against a load report that changes where all calls are alike, and
+// against one that gives the time of the short calls that go first while long
+// calls wait.
+TEST(AdmissionLoadReport, GivesTheMixOfOpenCalls)
+{
+    bb_slot_queue_t *queue = BbSlotQueue_New();
+    bb_slot_ticket_t tickets[8] = {};
+    BbSlotQueue_SetSlots(queue, 1);
+    for (int i = 0; i < 8; i++) {
+        tickets[i].class_name = i < 6 ? "profile" : "price";
+        tickets[i].target_latency_s = tickets[i].due_at = 100;
+        tickets[i].expires_at = 200;
+    }
+    auto run = [&](bb_slot_ticket_t *ticket, double now, double took_s) {
+        ASSERT_EQ(BbSlotQueue_Offer(queue, ticket, now), BB_SLOT_RUNNING);
+        BbSlotQueue_Finish(queue, ticket, true, now + took_s);
+    };
+    run(&tickets[0], 1.0, 0.8);
+    run(&tickets[1], 2.0, 0.9);
+    BbSlotQueue_Offer(queue, &tickets[2], 3.0);
+    BbSlotQueue_Offer(queue, &tickets[3], 3.0);
+    EXPECT_DOUBLE_EQ(BbSlotQueue_MixTime(queue, 3.0),
+                     BbSlotQueue_ServiceTime(queue, 3.0));
+    BbSlotQueue_Finish(queue, &tickets[2], false, 3.1);
+    EXPECT_EQ(BbSlotQueue_Next(queue, 3.1), &tickets[3]);
+    BbSlotQueue_Finish(queue, &tickets[3], false, 3.1);
+    run(&tickets[6], 3.1, 0.1);
+    for (int i = 0; i < 60; i++) {
+        run(&tickets[7], 3.2 + i * 0.01, 0.01);
+    }
+    BbSlotQueue_Offer(queue, &tickets[4], 3.8);
+    BbSlotQueue_Offer(queue, &tickets[5], 3.8);
+    EXPECT_LT(BbSlotQueue_ServiceTime(queue, 3.8), 0.1);
+    EXPECT_GT(BbSlotQueue_MixTime(queue, 3.8), 0.7);
+    BbSlotQueue_Free(queue);
+}
