--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -103,7 +103,8 @@
     double rate_per_s;
     double burst;
     size_t slot;
-    bool has_news; /* in the list of its slot */
+    bool has_news;   /* in the list of its slot */
+    bool is_unowned; /* its owner has no limit for it */
     /* what the owner has said */
     uint32_t epoch; /* of the slot when the owner has last said something */
     double said_at;
@@ -166,7 +167,8 @@
     GArray *slots;       /* slot_t */
     size_t nodes;
     double last_call_at;
-    GString *lines; /* of the message that is being composed */
+    uint32_t last_epoch; /* of any slot; tickets of others are void */
+    GString *lines;      /* of the message that is being composed */
 };
 
 /* ---- hashing ---- */
@@ -322,6 +324,25 @@
 
 /* ---- slots and owners ---- */
 
+static void
+settle_report(entry_t *entry, bool is_delivered)
+{
+    if (entry->is_sent && !is_delivered) {
+        entry->credit += entry->sent_credit;
+        entry->wanted += entry->sent_wanted;
+        entry->returned += entry->sent_returned;
+    }
+    entry->is_sent = false;
+}
+
+static void
+settle_reports(slot_t *slot, bool is_delivered)
+{
+    for (guint i = 0; i < slot->news->len; i++) {
+        settle_report(g_ptr_array_index(slot->news, i), is_delivered);
+    }
+}
+
 static void
 clear_slot(gpointer data)
 {
@@ -360,8 +381,9 @@
     }
     g_array_set_size(quota->slots, 0);
     for (size_t i = 0; i < slots; i++) {
-        slot_t slot = {
-            .news = g_ptr_array_new(), .tight = g_ptr_array_new(), .epoch = 1};
+        slot_t slot = {.news = g_ptr_array_new(),
+                       .tight = g_ptr_array_new(),
+                       .epoch = ++quota->last_epoch};
         g_array_append_val(quota->slots, slot);
     }
     g_hash_table_foreach(quota->entries, assign_slot, quota);
@@ -424,7 +446,7 @@
     GHashTableIter iter;
     gpointer value;
 
-    slot->epoch++;
+    slot->epoch = ++quota->last_epoch;
     slot->has_responded = false;
     slot->is_owner_new = true;
     slot->lost_at = now;
@@ -469,6 +491,19 @@
     g_free(previous);
 }
 
+bool
+BbQuota_HasOwners(const bb_quota_t *quota, size_t slot_index,
+                  const char *const *names, size_t count)
+{
+    const slot_t *slot = slot_at(quota, slot_index);
+    bool is_same = slot->count == MIN(count, BB_QUOTA_CANDIDATES);
+
+    for (size_t i = 0; is_same && i < slot->count; i++) {
+        is_same = strcmp(slot->candidates[i].name, names[i]) == 0;
+    }
+    return is_same;
+}
+
 void
 BbQuota_SetOwners(bb_quota_t *quota, size_t slot_index,
                   const char *const *names, size_t count, double now)
@@ -477,6 +512,7 @@
     candidate_t candidates[BB_QUOTA_CANDIDATES] = {{0}};
     char *previous = g_strdup(BbQuota_Owner(quota, slot_index));
 
+    settle_reports(slot, false);
     count = MIN(count, BB_QUOTA_CANDIDATES);
     for (size_t i = 0; i < count; i++) {
         for (size_t j = 0; j < slot->count; j++) {
@@ -570,7 +606,7 @@
 }
 
 /* Admits from a local bucket, which is empty when the owner is lost. A part of
- * a token is a chance. */
+ * a token is a chance at a node that rarely gets a whole one. */
 static bool
 admit_share(const bb_quota_t *quota, entry_t *entry, const slot_t *slot,
             double now)
@@ -590,9 +626,14 @@
         entry->share_tokens -= 1.0;
         return true;
     }
-    if (BbRandom_Unit(quota->options.random) < entry->share_tokens) {
+    if (rate * LEASE_S < 1.0) {
+        /* The part is used up in any case: kept, it would raise the chance of
+         * the next call, and the sum would exceed the rate. */
+        double chance = entry->share_tokens;
         entry->share_tokens = 0;
-        return true;
+        if (BbRandom_Unit(quota->options.random) < chance) {
+            return true;
+        }
     }
     bool was_calm =
         entry->state == BB_QUOTA_CALM && entry->said_at > 0 &&
@@ -640,7 +681,8 @@
     add_news(quota, entry);
     expire_tokens(entry, now);
     bool is_known = entry->epoch == slot->epoch;
-    if (!slot->has_responded || (slot->is_owner_new && !is_known)) {
+    if (!slot->has_responded || entry->is_unowned ||
+        (slot->is_owner_new && !is_known)) {
         is_admitted = admit_share(quota, entry, slot, now);
         kind = TICKET_SHARE;
     }
@@ -921,25 +963,6 @@
 
 /* ---- responses ---- */
 
-static void
-settle_report(entry_t *entry, bool is_delivered)
-{
-    if (entry->is_sent && !is_delivered) {
-        entry->credit += entry->sent_credit;
-        entry->wanted += entry->sent_wanted;
-        entry->returned += entry->sent_returned;
-    }
-    entry->is_sent = false;
-}
-
-static void
-settle_reports(slot_t *slot, bool is_delivered)
-{
-    for (guint i = 0; i < slot->news->len; i++) {
-        settle_report(g_ptr_array_index(slot->news, i), is_delivered);
-    }
-}
-
 static void
 apply_grant(bb_quota_t *quota, slot_t *slot, size_t slot_index,
             const bb_quota_grant_t *grant, double sent_at, double now)
@@ -950,6 +973,10 @@
         return;
     }
     entry->epoch = slot->epoch;
+    entry->is_unowned = grant->state == BB_QUOTA_UNOWNED;
+    if (entry->is_unowned) {
+        return;
+    }
     entry->said_at = now;
     set_state(slot, entry, grant->state);
     entry->chance = (double)grant->chance_milli / 1000.0;
--- a/lib/account/bb_quota.h
+++ b/lib/account/bb_quota.h
@@ -86,8 +86,13 @@
  * which the accounts are distributed. */
 void BbQuota_SetFleet(bb_quota_t *quota, size_t nodes, size_t slots);
 
+/* Whether these are the candidates of a slot already. */
+bool BbQuota_HasOwners(const bb_quota_t *quota, size_t slot,
+                       const char *const *candidates, size_t count);
+
 /* Sets the candidates of a slot in the order of preference; copied. At most
- * BB_QUOTA_CANDIDATES are used. */
+ * BB_QUOTA_CANDIDATES are used. Messages under way in this slot must have been
+ * cancelled. */
 void BbQuota_SetOwners(bb_quota_t *quota, size_t slot,
                        const char *const *candidates, size_t count,
                        double now);
--- a/lib/account/bb_quota_io.c
+++ b/lib/account/bb_quota_io.c
@@ -239,11 +239,23 @@
 /* Responses to messages of the previous candidates must not be taken for those
  * of the new ones. */
 static void
-cancel_messages(bb_quota_io_t *io)
+cancel_messages(bb_quota_io_t *io, size_t slot)
 {
-    while (io->messages != NULL) {
-        BbH1Fetch_Cancel(io->messages->fetch);
-        free_message(io->messages);
+    message_t *message, *next;
+
+    DL_FOREACH_SAFE (io->messages, message, next) {
+        if (message->slot == slot) {
+            BbH1Fetch_Cancel(message->fetch);
+            free_message(message);
+        }
+    }
+}
+
+static void
+cancel_all_messages(bb_quota_io_t *io)
+{
+    for (size_t slot = 0; slot < io->slots; slot++) {
+        cancel_messages(io, slot);
     }
 }
 
@@ -256,7 +268,10 @@
     for (guint i = 0; i < list->len; i++) {
         names[i] = ((bb_endpoint_t *)g_ptr_array_index(list, i))->node;
     }
-    BbQuota_SetOwners(io->quota, slot, names, list->len, current_time(io));
+    if (!BbQuota_HasOwners(io->quota, slot, names, list->len)) {
+        cancel_messages(io, slot);
+        BbQuota_SetOwners(io->quota, slot, names, list->len, current_time(io));
+    }
     g_ptr_array_unref(list);
 }
 
@@ -270,9 +285,12 @@
         return;
     }
     io->generation = generation;
-    io->slots = BbQuotaOwners_SlotCount(fleet);
+    size_t slots = BbQuotaOwners_SlotCount(fleet);
     BbQuotaOwner_SetNodeCount(io->owner, BbFleet_NodeCount(fleet));
-    cancel_messages(io);
+    if (slots != io->slots) {
+        cancel_all_messages(io);
+        io->slots = slots;
+    }
     BbQuota_SetFleet(io->quota, BbFleet_NodeCount(fleet), io->slots);
     for (size_t slot = 0; slot < io->slots; slot++) {
         set_owners(io, slot);
@@ -383,7 +401,7 @@
         return;
     }
     ev_timer_stop(io->options.loop, &io->timer);
-    cancel_messages(io);
+    cancel_all_messages(io);
     BbQuota_Free(io->quota);
     BbQuotaOwner_Free(io->owner);
     g_string_free(io->text, TRUE);
--- a/lib/account/bb_quota_owner.c
+++ b/lib/account/bb_quota_owner.c
@@ -429,6 +429,9 @@
     account_t *account = find_account(owner, report->name, now);
 
     if (account == NULL) {
+        const bb_quota_grant_t unowned = {.state = BB_QUOTA_UNOWNED,
+                                          .name = report->name};
+        BbQuotaWire_AddGrant(response, &unowned);
         return;
     }
     refill(owner, account, now);
--- a/lib/account/bb_quota_wire.c
+++ b/lib/account/bb_quota_wire.c
@@ -159,7 +159,8 @@
     while ((line = take_line(cursor)) != NULL) {
         int64_t figures[3];
         bool is_known =
-            (line[0] == BB_QUOTA_CALM || line[0] == BB_QUOTA_TIGHT) &&
+            (line[0] == BB_QUOTA_CALM || line[0] == BB_QUOTA_TIGHT ||
+             line[0] == BB_QUOTA_UNOWNED) &&
             line[1] == ' ';
         const char *name =
             is_known ? parse_figures(line + 2, figures, G_N_ELEMENTS(figures))
--- a/lib/account/bb_quota_wire.h
+++ b/lib/account/bb_quota_wire.h
@@ -63,6 +63,7 @@
 typedef enum {
     BB_QUOTA_CALM = 'c',
     BB_QUOTA_TIGHT = 't',
+    BB_QUOTA_UNOWNED = 'u', /* the owner has no limit for the account */
 } bb_quota_state_t;
 
 typedef struct {
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -545,6 +545,17 @@
               0.02 * static_cast<double>(fleet.admitted.size()));
 }
 
+// Guards against an account without any limit while its owner lacks the
+// version that adds it.
+TEST(QuotaOwner, UnknownAccountsAreLimitedByShare)
+{
+    Fleet fleet(4, 40, 1);
+    BbQuotaOwner_SetAccounts(fleet.nodes[0].owner, nullptr);
+    fleet.Run(10, 400);
+    EXPECT_LE(fleet.WorstWindow(), Fleet::Bound(40));
+    EXPECT_GT(fleet.WorstWindow(104), 5 * 40 * 0.7);
+}
+
 // Guards against a crash or an endless loop on a message of another release.
 TEST(QuotaWire, SkipsMalformedLines)
 {
