--- a/lib/rollout/bb_rollout.c
+++ b/lib/rollout/bb_rollout.c
@@ -54,6 +54,9 @@
 /* Calls of the new version that are enough when few calls arrive. */
 #define FEW_CALLS 20
 
+/* Part of their share of the calls that new targets must have taken. */
+#define TAKEN_SHARE 0.25
+
 /* More nodes that have never reported are not named in the row. */
 #define MAX_UNHEARD 8
 
@@ -583,6 +586,7 @@
 
     if (node != NULL) {
         node->is_suspect = true;
+        rollout->verdict.target = node->node; /* outlives the evidence */
         BbRolloutEvidence_Exclude(rollout->evidence, node->node);
     }
 }
@@ -605,12 +609,16 @@
 }
 
 /* A service that has few calls, or none, is shifted late and without a full
- * verdict. */
+ * verdict, if the new targets have taken a part of their share. */
 static bool
 has_few_calls(const bb_rollout_t *rollout)
 {
-    return BbRolloutEvidence_NewRuns(rollout->evidence) >= FEW_CALLS ||
-           BbRolloutEvidence_AllRuns(rollout->evidence) < 2 * FEW_CALLS;
+    double all = (double)BbRolloutEvidence_AllRuns(rollout->evidence);
+    double new = (double)BbRolloutEvidence_NewRuns(rollout->evidence);
+    double share = SHARE_MARGIN * rollout->options.expose_share;
+
+    return new >= FEW_CALLS || all < 2 * FEW_CALLS ||
+           new >= TAKEN_SHARE *share *all;
 }
 
 static void
--- a/lib/rollout/bb_rollout.h
+++ b/lib/rollout/bb_rollout.h
@@ -138,7 +138,7 @@
  * "no_open_calls", "deadline" or "withdrawn". */
 const char *BbRollout_Reason(const bb_rollout_t *rollout);
 
-/* The last verdict in canary. */
+/* The last verdict in canary; valid until the next BbRollout_Tick(). */
 const bb_rollout_verdict_t *BbRollout_Verdict(const bb_rollout_t *rollout);
 
 /* Calls counted so far: of the new version, and of both. */
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include <algorithm>
 #include <cstring>
 
 #include "bb_rollout_local.h"
@@ -18,6 +19,7 @@
 
 const char kService[] = "prices";
 const double kStep = 0.025, kReport = 0.5, kDecide = 0.25;
+const double kLongestCall = 6; // calls are cut then
 
 struct Run {
     double ends_at;
@@ -94,7 +96,7 @@
     {
         const bb_rollout_row_t *known =
             BbRolloutLocal_Row(nodes.back()->local, kService);
-        bb_rollout_options_t decider = {name, 0.1, 50, 1.0};
+        bb_rollout_options_t decider = {name, 0.1, 50, kLongestCall};
         bb_rollout_t *next =
             BbRollout_New(&decider, &order_, known, now - ordered_at, 0, now);
         BbRollout_Free(rollout);
@@ -207,6 +209,7 @@
         if (Draw() < 0.01) {
             duration_s *= 5;
         }
+        duration_s = std::min(duration_s, kLongestCall);
         bool is_failed = Draw() < outcome.fail_share;
         target->runs.push_back(
             {now + duration_s, duration_s, route, is_failed});
@@ -276,6 +279,10 @@
         }
         BbRollout_SetTargets(rollout, targets.data(), targets.size(), now);
         bool is_changed = BbRollout_Tick(rollout, now);
+        const bb_rollout_verdict_t *verdict = BbRollout_Verdict(rollout);
+        if (verdict->kind == BB_VERDICT_SUSPECT) {
+            EXPECT_GE(strlen(verdict->target), 2u); // is still allocated
+        }
         if (BbRollout_NextRow(rollout, &next)) {
             if (is_store_up) {
                 if (next.phase == BB_ROLLOUT_COMPLETED) {
@@ -500,6 +507,10 @@
      [](const Fleet &, const SimNode &, const std::string &) {
          return Outcome();
      }},
+    {"few_calls", Small(4, 4),
+     [](const Fleet &, const SimNode &, const std::string &) {
+         return Outcome();
+     }},
     {"hardly_any_calls", Small(4, 1),
      [](const Fleet &, const SimNode &, const std::string &) {
          return Outcome();
