--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -372,7 +372,7 @@
 }
 
 void
-BbQuota_SetFleet(bb_quota_t *quota, size_t nodes, size_t slots)
+BbQuota_SetFleet(bb_quota_t *quota, size_t nodes, size_t slots, double now)
 {
     quota->nodes = MAX(nodes, 1);
     slots = MAX(slots, 1);
@@ -383,7 +383,8 @@
     for (size_t i = 0; i < slots; i++) {
         slot_t slot = {.news = g_ptr_array_new(),
                        .tight = g_ptr_array_new(),
-                       .epoch = ++quota->last_epoch};
+                       .epoch = ++quota->last_epoch,
+                       .lost_at = now};
         g_array_append_val(quota->slots, slot);
     }
     g_hash_table_foreach(quota->entries, assign_slot, quota);
@@ -562,15 +563,22 @@
     return spread(quota, CLAMP(excess, RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S));
 }
 
+/* Factor of the intervals that depend on the size of the fleet. */
+static double
+size_factor(const bb_quota_t *quota)
+{
+    return MAX((double)quota->nodes / FULL_PACE_NODES, 1.0);
+}
+
 /* Calls that may be admitted on credit while the account is calm. */
 static int64_t
-calm_credit(const slot_t *slot, const entry_t *entry, bool is_known,
-            double now)
+calm_credit(const bb_quota_t *quota, const slot_t *slot, const entry_t *entry,
+            bool is_known, double now)
 {
     bool is_recent = is_known && entry->credit_limit >= 0 &&
                      now - entry->said_at < CREDIT_RECENT_S;
 
-    if (now - slot->responded_at > STALE_S) {
+    if (now - slot->responded_at > STALE_S * size_factor(quota)) {
         return STALE_CREDIT; /* the account may have become tight */
     }
     int64_t unasked =
@@ -687,8 +695,8 @@
         kind = TICKET_SHARE;
     }
     else if (!is_known || entry->state == BB_QUOTA_CALM) {
-        is_admitted =
-            unreported_credit(entry) < calm_credit(slot, entry, is_known, now);
+        is_admitted = unreported_credit(entry) <
+                      calm_credit(quota, slot, entry, is_known, now);
         refused_in = REFUSED_CALM;
     }
     else if (entry->tokens > 0) {
@@ -743,13 +751,6 @@
 
 /* ---- reports ---- */
 
-/* Factor of the intervals that depend on the size of the fleet. */
-static double
-size_factor(const bb_quota_t *quota)
-{
-    return MAX((double)quota->nodes / FULL_PACE_NODES, 1.0);
-}
-
 static bool
 is_idle(const bb_quota_t *quota, double now)
 {
@@ -779,9 +780,10 @@
 /* Unreported calls of a calm account with which it is reported at once. The
  * rest of the credit lasts until the response, also for a burst. */
 static double
-early_credit(const slot_t *slot, const entry_t *entry, double now)
+early_credit(const bb_quota_t *quota, const slot_t *slot, const entry_t *entry,
+             double now)
 {
-    double credit = (double)calm_credit(slot, entry, true, now);
+    double credit = (double)calm_credit(quota, slot, entry, true, now);
     double demand = decayed_demand(entry, now);
     double expected = demand * RESPONSE_S;
 
@@ -811,7 +813,7 @@
                    ? TIGHT_INTERVAL_S
                    : CALM_INTERVAL_S;
     }
-    if ((double)entry->credit >= early_credit(slot, entry, now)) {
+    if ((double)entry->credit >= early_credit(quota, slot, entry, now)) {
         return 0.0;
     }
     bool is_lazy =
@@ -1129,7 +1131,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
     quota->slots = g_array_new(FALSE, TRUE, sizeof(slot_t));
     g_array_set_clear_func(quota->slots, clear_slot);
-    BbQuota_SetFleet(quota, 1, 1);
+    BbQuota_SetFleet(quota, 1, 1, options->now);
     return quota;
 }
 
--- a/lib/account/bb_quota.h
+++ b/lib/account/bb_quota.h
@@ -59,6 +59,7 @@
     const char *node;    /* name of this node; copied */
     int64_t incarnation; /* differs for each process of the node */
     bb_random_t *random; /* borrowed */
+    double now;          /* local buckets are empty at this time */
     /* The node that is asked as owner of a slot has changed; "" for none. May
      * be NULL. */
     void (*on_owner)(size_t slot, const char *previous, const char *owner,
@@ -84,7 +85,8 @@
 
 /* Number of nodes with a record, this one included, and number of slots over
  * which the accounts are distributed. */
-void BbQuota_SetFleet(bb_quota_t *quota, size_t nodes, size_t slots);
+void BbQuota_SetFleet(bb_quota_t *quota, size_t nodes, size_t slots,
+                      double now);
 
 /* Whether these are the candidates of a slot already. */
 bool BbQuota_HasOwners(const bb_quota_t *quota, size_t slot,
--- a/lib/account/bb_quota_io.c
+++ b/lib/account/bb_quota_io.c
@@ -19,6 +19,11 @@
 #define LOG_INTERVAL_S 1.0
 #define LOGGED_ACCOUNTS 5
 
+/* Number of nodes that is assumed until the records are received: as many as
+ * in a fleet with one owner. A smaller number would let all nodes that restart
+ * at the same time exceed the limit together. */
+#define ASSUMED_NODES 80
+
 /* A report under way. */
 typedef struct message {
     bb_quota_io_t *io;
@@ -275,13 +280,22 @@
     g_ptr_array_unref(list);
 }
 
+static bool
+is_fleet_known(const bb_quota_io_t *io)
+{
+    const bb_quota_io_options_t *options = &io->options;
+
+    return options->is_fleet_known == NULL ||
+           options->is_fleet_known(options->arg);
+}
+
 static void
 refresh_owners(bb_quota_io_t *io)
 {
     const bb_fleet_t *fleet = io->options.fleet;
     uint64_t generation = BbFleet_Generation(fleet);
 
-    if (io->generation == generation) {
+    if (io->generation == generation || !is_fleet_known(io)) {
         return;
     }
     io->generation = generation;
@@ -291,7 +305,8 @@
         cancel_all_messages(io);
         io->slots = slots;
     }
-    BbQuota_SetFleet(io->quota, BbFleet_NodeCount(fleet), io->slots);
+    BbQuota_SetFleet(io->quota, BbFleet_NodeCount(fleet), io->slots,
+                     current_time(io));
     for (size_t slot = 0; slot < io->slots; slot++) {
         set_owners(io, slot);
     }
@@ -318,6 +333,7 @@
 
     BbQuota_SetAccounts(io->quota, accounts);
     BbQuotaOwner_SetAccounts(io->owner, accounts);
+    refresh_owners(io);
     if (BbQuota_HasLimits(io->quota)) {
         ev_timer_start(io->options.loop, &io->timer);
     }
@@ -376,6 +392,7 @@
         .node = options->node,
         .incarnation = (int64_t)BbRandom_Below(options->random, INT32_MAX),
         .random = options->random,
+        .now = BbClock_Now(options->loop),
         .on_owner = handle_owner_changed,
         .arg = io,
     };
@@ -385,6 +402,7 @@
         .arg = io,
     };
     io->quota = BbQuota_New(&quota);
+    BbQuota_SetFleet(io->quota, ASSUMED_NODES, io->slots, quota.now);
     io->owner = BbQuotaOwner_New(&owner);
     /* The phases of the nodes differ, so that their reports are spread. */
     ev_timer_init(&io->timer, handle_timer,
--- a/lib/account/bb_quota_io.h
+++ b/lib/account/bb_quota_io.h
@@ -37,6 +37,10 @@
     bb_fleet_t *fleet;      /* borrowed */
     bb_random_t *random;    /* borrowed */
     const char *node;       /* name of this node */
+    /* Whether the records of the other nodes have been received. Until then
+     * this node does not take itself for the owner. NULL: always. */
+    bool (*is_fleet_known)(void *arg);
+    void *arg;
 } bb_quota_io_options_t;
 
 bb_quota_io_t *BbQuotaIo_New(const bb_quota_io_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -227,6 +227,16 @@
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
+/* At the first start of a fleet no records exist that could be missing. */
+static bool
+is_fleet_known(void *arg)
+{
+    const sidecar_t *sidecar = arg;
+
+    return sidecar->has_records || sidecar->peer_revision > 0 ||
+           sidecar->settings->is_first_start;
+}
+
 static int
 start_call_io(sidecar_t *sidecar)
 {
@@ -259,6 +269,8 @@
         .fleet = sidecar->fleet,
         .random = sidecar->random,
         .node = settings->name,
+        .is_fleet_known = is_fleet_known,
+        .arg = sidecar,
     };
     sidecar->quota_io = BbQuotaIo_New(&quota);
     const bb_call_quota_t call_quota = BbQuotaIo_Calls(sidecar->quota_io);
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -332,8 +332,10 @@
         fleet = BbFleet_New(name.c_str());
         random = BbRandom_New(1);
         bb_quota_io_options_t quota_options = {
-            loop->loop, BbHopClient_GetHttpClient(hop_client), fleet, random,
-            name.c_str()};
+            loop->loop,   BbHopClient_GetHttpClient(hop_client),
+            fleet,        random,
+            name.c_str(), nullptr,
+            nullptr};
         quota = BbQuotaIo_New(&quota_options);
         bb_call_quota_t call_quota = BbQuotaIo_Calls(quota);
         bb_repeat_budget_options_t budget_options = {1.0, 100};
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -58,13 +58,14 @@
         options.node = node.name.c_str();
         options.incarnation = static_cast<int64_t>(generator_());
         options.random = node.random;
+        options.now = now;
         node.quota = BbQuota_New(&options);
         bb_quota_owner_options_t owner = {};
         owner.random = node.random;
         node.owner = BbQuotaOwner_New(&owner);
         node.next_tick = now + Unit() * BB_QUOTA_TICK_S;
         node.is_dead = false;
-        BbQuota_SetFleet(node.quota, nodes.size(), 1);
+        BbQuota_SetFleet(node.quota, nodes.size(), 1, now);
         BbQuotaOwner_SetNodeCount(node.owner, nodes.size());
         SetOwners(index, nodes.size() < 4 ? std::vector<size_t>{0, 1}
                                           : std::vector<size_t>{0, 1, 2, 3});
