Drain: keep attempts that may be running; large responses stay in their data centre

An idempotent attempt that was sent is now kept while the node drains. The new test fails without the change.

Large responses now follow the rule of large bodies (0.9 of the target latency), and the factor is gone. The step of the link test that expected a remote node at 0.3 s of wait is replaced by two: near at 0.3 s, remote at 0.9 s.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -431,6 +431,7 @@
 void
 BbCallIo_SetDraining(bb_call_io_t *io)
 {
+    io->is_draining = true;
     BbH1Server_SetClosing(io->server);
 }
 
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -73,6 +73,7 @@
     bb_mesh_call_t *calls;
     int call_count;
     double last_call_at;
+    bool is_draining;
     bool is_refusing;
     GHashTable *longest_deadlines; /* by route name, in seconds */
     bb_link_sizes_t *sizes;        /* of responses, by route name */
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -227,7 +227,9 @@
 }
 
 /* The node has not acknowledged the call in time: retries the call if it may
- * be retried and another node can take it. */
+ * be retried and another node can take it. While this node drains, an attempt
+ * that may be running is kept: if no other node can take the call, giving it
+ * up would replace the response of its target by an error. */
 static bool
 call_unresponsive(bool may_have_run, void *arg)
 {
@@ -235,6 +237,9 @@
     bool may_have_run_before = call->may_have_run;
     bb_attempt_t *attempt = call->attempt;
 
+    if (may_have_run && call->io->is_draining) {
+        return false;
+    }
     call->may_have_run = may_have_run_before || may_have_run;
     call->targets_reached += may_have_run;
     call->is_new_turn = false;
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -45,22 +45,15 @@
  * by this. */
 #define REFUSED_SPILL_FACTOR 0.5
 
-/* Share of the target latency up to which a call with a large body stays in
- * its data centre: moving it costs as many bytes as many other calls. */
+/* Share of the target latency up to which a call with a large body or response
+ * stays in its data centre: moving it costs as many bytes as many other calls.
+ */
 #define LARGE_SPILL_SHARE 0.9
 
 /* The own target gets a call with a large response first while the response
  * would wait for the link for at most this share of the target latency. */
 #define LOCAL_LINK_WAIT_SHARE 0.1
 
-/* Factor of the wait at a link in the own data centre. It makes large
- * responses leave a data centre whose links fill up before its nodes refuse
- * them: a wait grows by the time of a response with each call that is placed
- * until the next report. In simulated runs with factors 1, 2 and 3, 0.91, 0.93
- * and 0.94 of the calls were in time where demand moved between data centres.
- */
-#define NEAR_LINK_WAIT_FACTOR 3.0
-
 #define BYTES_PER_MBIT (1e6 / 8.0)
 
 /* Time for which a node counts as full after a refusal for lack of capacity,
@@ -313,12 +306,10 @@
 /* Time that a response of this size adds to a call: the wait at the link and,
  * unless the target is on the own VM, the time on it. */
 static double
-response_time(const bb_endpoint_t *endpoint, double bytes, bool is_near,
-              double now)
+response_time(const bb_endpoint_t *endpoint, double bytes, double now)
 {
     double bytes_per_s = endpoint->record.link_mbps * BYTES_PER_MBIT;
-    double wait_s =
-        link_wait(endpoint, now) * (is_near ? NEAR_LINK_WAIT_FACTOR : 1.0);
+    double wait_s = link_wait(endpoint, now);
 
     return endpoint->is_local || bytes_per_s <= 0
                ? wait_s
@@ -437,8 +428,8 @@
         double transfer_s =
             request->has_large_body ? transfer_time(endpoint, stats->now) : 0;
         if (request->response_bytes > 0) {
-            transfer_s += response_time(endpoint, request->response_bytes,
-                                        is_near, stats->now);
+            transfer_s +=
+                response_time(endpoint, request->response_bytes, stats->now);
         }
         const bb_candidate_t candidate = {
             .endpoint = endpoint,
@@ -453,21 +444,26 @@
     return is_any_full;
 }
 
+static bool
+is_large(const bb_placement_request_t *request)
+{
+    return request->has_large_body || request->response_bytes > 0;
+}
+
 /* Factor of the limits that keep a call in its data centre, 0 to 1. Refusals
- * do not lower it for a large body. */
+ * do not lower it for a large call. */
 static double
 locality_factor(const bb_placement_request_t *request)
 {
-    return request->has_large_body
-               ? 1.0
-               : pow(REFUSED_SPILL_FACTOR, request->refusals);
+    return is_large(request) ? 1.0
+                             : pow(REFUSED_SPILL_FACTOR, request->refusals);
 }
 
 /* Predicted time up to which a call stays in its data centre. */
 static double
 near_limit_s(const bb_placement_request_t *request)
 {
-    double share = request->has_large_body
+    double share = is_large(request)
                        ? MAX(request->spill_share, LARGE_SPILL_SHARE)
                        : request->spill_share;
 
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -336,6 +336,38 @@
     EXPECT_EQ(target.RunCount("c1"), 1);
 }
 
+// Guards against a draining node that gives up a call at which a slow target
+// works and answers 502 in its place.
+TEST_F(MeshIo, DrainingNodesKeepCallsThatMayBeRunning)
+{
+    Target slow(&loop); // responds after the time limit for acknowledgements
+    std::vector<Target::Request> held;
+    slow.on_request = [&](const Target::Request &request) {
+        held.push_back(request);
+    };
+    bb_node_record_t record = {};
+    record.address = const_cast<char *>(slow.address.c_str());
+    record.data_centre = const_cast<char *>("a");
+    record.service = const_cast<char *>("orders");
+    record.target_id = const_cast<char *>("i-9");
+    record.slots = 50;
+    record.is_ready = true;
+    BbFleet_Merge(node.fleet, "slow", &record, 9, 0);
+    BbFleet_Find(node.fleet, "slow")->is_unverified = false;
+    BbFleet_Find(node.fleet, "n1")->record.data_centre[0] = 'z';
+    Caller caller(&loop, node.caller_address);
+    caller.connection.Send(Caller::Request("GET", "/safe/1", "c1"));
+    ASSERT_TRUE(loop.RunUntil([&] { return held.size() == 1; }));
+    BbCallIo_SetDraining(node.calls);
+    loop.RunFor(1.0);
+    EXPECT_EQ(target.requests.size(), 0u);
+    EXPECT_FALSE(held[0].connection->is_closed);
+    held[0].connection->Send(Target::Response("c1", "late"));
+    std::string response = caller.Wait(1);
+    EXPECT_EQ(Status(response), "200");
+    EXPECT_NE(response.find("late"), std::string::npos);
+}
+
 // Guards against a body that is changed when it is forwarded, and against
 // sending a body to a node that refuses its call.
 TEST_F(MeshIoTwoNodes, UploadsArriveCompleteAndOnlyIfAccepted)
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -356,10 +356,13 @@
     EXPECT_EQ(f.Choose(1.0), free);
     f.Report(own, 10, 15, 140, 1.0);
     EXPECT_EQ(f.Choose(1.0), free);
-    // Full links in the own data centre: another one has to help out.
+    // Bytes between data centres are costly: a response that is in time stays.
     bb_endpoint_t *remote = f.Add("remote", "b", 3, 10, 13);
     f.Report(remote, 5, 0, 140, 1.0);
     own->load.link_ms = free->load.link_ms = 300;
+    EXPECT_NE(f.Choose(1.0), remote);
+    // Full links in the own data centre: another one has to help out.
+    own->load.link_ms = free->load.link_ms = busy->load.link_ms = 900;
     EXPECT_EQ(f.Choose(1.0), remote);
 }
 
