Slow start of a target that has started or recovered

The node beside a target limits the calls that run at once after a start or a recovery, by comparing their times with those of the same class at the other targets (lib/pace). Load reports carry the time of the class of the call.

--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -64,6 +64,9 @@
      10,
      "share of a route's target latency up to which calls stay in the "
      "data centre"},
+    {"pace", "enabled", TYPE_FLAG, FIELD(is_pace_enabled), true, 0, 0, 0,
+     "slow start: a target that has started or recovered gets few calls at "
+     "first"},
 };
 
 static const setting_t *
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -45,6 +45,8 @@
     double repeat_ratio; /* retries per call of a service, over all nodes */
     double repeat_extra; /* further retries in a time window, over all nodes */
     double spill_share;  /* see bb_placement.h */
+    /* [pace] */
+    bool is_pace_enabled;
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -52,6 +52,7 @@
     bb_repeat_budget_t *budget;
     bb_random_t *random;
     double spill_share;              /* see bb_placement.h */
+    bool is_paced;                   /* see bb_placement.h */
     const bb_freshness_t *freshness; /* of the configuration; may be NULL */
 } bb_call_io_options_t;
 
--- a/lib/mesh/bb_fleet.c
+++ b/lib/mesh/bb_fleet.c
@@ -178,6 +178,7 @@
 reset_observations(bb_endpoint_t *endpoint, double now)
 {
     endpoint->load_at = 0;
+    endpoint->known_since = now;
     endpoint->fail_rate = 0;
     endpoint->avoid_until = 0;
     endpoint->is_unverified = !endpoint->is_local;
@@ -189,6 +190,19 @@
     g_clear_pointer(&endpoint->full_until, g_hash_table_destroy);
 }
 
+/* Number from 0 to 1 that depends on both nodes and the target. */
+static double
+draw_start(const bb_fleet_t *fleet, const bb_endpoint_t *endpoint,
+           const bb_node_record_t *record)
+{
+    const uint64_t mixer = UINT64_C(0x9e3779b97f4a7c15);
+    uint64_t hash = g_str_hash(fleet->own_node);
+
+    hash = (hash ^ g_str_hash(endpoint->node)) * mixer;
+    hash = (hash ^ (hash >> 32) ^ g_str_hash(record->target_id)) * mixer;
+    return (double)(hash >> 32) / (double)(UINT64_C(1) << 32);
+}
+
 /* Leaves the endpoint without an entry in the lists of services. */
 static void
 replace_record(bb_fleet_t *fleet, bb_endpoint_t *endpoint,
@@ -210,6 +224,7 @@
 
     if (is_new) {
         reset_observations(endpoint, now);
+        endpoint->start_draw = draw_start(fleet, endpoint, record);
     }
     replace_record(fleet, endpoint, record);
     endpoint->is_removed = false;
--- a/lib/mesh/bb_fleet.h
+++ b/lib/mesh/bb_fleet.h
@@ -63,6 +63,8 @@
     int in_flight_at_load;
     double fail_rate; /* moving average of own attempts that failed */
     double fail_rate_at;
+    double known_since;      /* when the record of this target came */
+    double start_draw;       /* 0 to 1, differs between nodes and targets */
     double avoid_until;      /* until then the node is a last resort: it gets
                                 calls only if no other node can */
     bool is_unverified;      /* no contact yet, or unreachable */
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -79,13 +79,15 @@
 }
 
 static void
-add_load_report(const bb_hop_server_t *server, bb_h1_fields_t *fields)
+add_load_report(const hop_call_t *call, bb_h1_fields_t *fields)
 {
+    const bb_hop_server_t *server = call->server;
     char text[BB_LOAD_TEXT];
     bb_load_t load = {.version =
                           server->options.config_version(server->options.arg)};
 
-    BbTargetIo_GetLoad(server->options.target, &load);
+    BbTargetIo_GetLoad(server->options.target, call->call_header.class_name,
+                       &load);
     load.transfer_ms = (int)(BbTransferGate_Wait(server->gate) * MS_PER_S);
     BbLoad_Format(&load, text, sizeof(text));
     BbH1Fields_Add(fields, BB_HOP_LOAD, text);
@@ -99,7 +101,7 @@
     char seconds[24];
 
     BbH1Fields_Init(&fields);
-    add_load_report(call->server, &fields);
+    add_load_report(call, &fields);
     BbH1Fields_Add(&fields, BB_HOP_OUTCOME, BbOutcome_Name(outcome));
     BbH1Fields_Add(&fields, BB_HOP_REASON, BbReason_Name(reason));
     g_ascii_formatd(seconds, sizeof(seconds), "%.3f", retry_after_s);
@@ -126,7 +128,7 @@
 
     BbH1Fields_Init(&end_to_end_fields);
     BbH1Fields_CopyEndToEnd(&end_to_end_fields, fields);
-    add_load_report(call->server, &end_to_end_fields);
+    add_load_report(call, &end_to_end_fields);
     BbH1_RespondStart(call->request, status, &end_to_end_fields,
                       content_length);
     BbH1Fields_Free(&end_to_end_fields);
--- a/lib/mesh/bb_load.h
+++ b/lib/mesh/bb_load.h
@@ -18,7 +18,7 @@
 extern "C" {
 #endif
 
-#define BB_LOAD_TEXT 96 /* buffer size for the longest text */
+#define BB_LOAD_TEXT 128 /* buffer size for the longest text */
 
 typedef struct {
     int running;       /* calls at the target */
@@ -28,6 +28,9 @@
     int fail_permille; /* of recent calls, refused or failed by the target */
     int transfer_ms;   /* until the node could receive a large body */
     int64_t version;   /* of the configuration in use there */
+    int link_ms;       /* wait of bulk data at the link; 0 if unknown */
+    int class_ms;      /* mean time at the target of calls of the class that
+                          the report comes with; 0 if unknown */
 } bb_load_t;
 
 void BbLoad_Format(const bb_load_t *load, char *out, size_t size);
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -13,6 +13,7 @@
     int64_t born_ms;
     int64_t sequence;
     int slots;
+    double cold_left_s;
     bb_local_state_t state;
     bool is_restored; /* ready only by the record of an earlier process */
     bool waits_for_record;
@@ -100,6 +101,7 @@
     target->sequence = heartbeat->sequence;
     target->is_restored = false;
     target->slots = heartbeat->slots;
+    target->cold_left_s = heartbeat->cold_left_s;
     target->state = state;
     return is_changed ? BB_HEARTBEAT_CHANGED : BB_HEARTBEAT_UNCHANGED;
 }
@@ -256,6 +258,12 @@
     return target->slots;
 }
 
+double
+BbLocalTarget_ColdLeft(const bb_local_target_t *target)
+{
+    return target->cold_left_s;
+}
+
 const char *
 BbLocalState_Name(bb_local_state_t state)
 {
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -113,6 +113,9 @@
 int64_t BbLocalTarget_DepartedBornMs(const bb_local_target_t *target);
 int BbLocalTarget_Slots(const bb_local_target_t *target);
 
+/* cold_left_s of the last heartbeat. */
+double BbLocalTarget_ColdLeft(const bb_local_target_t *target);
+
 /* "unknown", "ready", "draining" or "gone". */
 const char *BbLocalState_Name(bb_local_state_t state);
 
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -4,6 +4,8 @@
 #include "bb_mesh_call.h"
 #include "bb_transfer_gate.h"
 
+#include <string.h>
+
 /* A response up to this size is buffered until it is complete. A larger one
  * is streamed. */
 #define MAX_BUFFERED_RESPONSE_BYTES (1024 * 1024)
@@ -35,9 +37,14 @@
     bb_load_t load = call->load_report.load;
     bool has_load = call->load_report.has_load;
     if (call->endpoint->is_local) {
-        BbTargetIo_GetLoad(call->io->options.target, &load);
+        BbTargetIo_GetLoad(call->io->options.target, NULL, &load);
         has_load = true;
     }
+    else if (has_load && outcome == BB_ATTEMPT_SERVED &&
+             strcmp(call->service, call->io->service) == 0) {
+        BbTargetIo_OnLoadElsewhere(call->io->options.target, call->route->name,
+                                   &load);
+    }
     BbPlacement_EndAttempt(call->endpoint, outcome, has_load ? &load : NULL,
                            BbMeshCall_Now(call));
     BbEndpoint_Unref(call->endpoint);
@@ -301,6 +308,7 @@
         .target_latency_s = call->route->target_latency_s,
         .spill_share = options->spill_share,
         .refusals = call->full_refusals,
+        .is_paced = options->is_paced,
         .tried_count = call->tried_count,
     };
 
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -48,6 +48,12 @@
 #define FULL_S 0.08
 #define MAX_FULL_CLASSES 64
 
+/* Calls in flight over all nodes to a target that has become known just now,
+ * as share of its slots, and the time in which this share doubles. A started
+ * target that is twice as slow as usual holds half of its slots well. */
+#define START_SHARE 0.5
+#define START_DOUBLE_S 0.5
+
 /* Number of targets that are drawn at random for each call. Taking the best of
  * all would send the calls of every node to the same few targets. */
 #define DRAWN_CANDIDATES 3
@@ -68,6 +74,8 @@
     double remote_load;
     double fail_share;       /* of recent calls of the service */
     const char *data_centre; /* own; NULL: every node is remote */
+    guint targets;           /* that are ready */
+    guint reported;          /* of them with a report */
 } service_stats_t;
 
 static double
@@ -151,9 +159,12 @@
 {
     report_mean_t near = {.weight = IDLE_WEIGHT};
     report_mean_t remote = {.weight = IDLE_WEIGHT};
+    guint targets = 0, reported = 0;
 
     for (guint i = 0; list != NULL && i < list->len; i++) {
         const bb_endpoint_t *endpoint = g_ptr_array_index(list, i);
+        targets += endpoint->record.is_ready;
+        reported += endpoint->record.is_ready && endpoint->load_at > 0;
         if (endpoint->load_at > 0) {
             add_report(is_in_data_centre(endpoint, data_centre) ? &near
                                                                 : &remote,
@@ -168,6 +179,8 @@
         .fail_share =
             (near.failed + remote.failed) / (near.weight + remote.weight),
         .data_centre = data_centre,
+        .targets = targets,
+        .reported = reported,
     };
 }
 
@@ -344,14 +357,33 @@
     }
 }
 
+/* Whether the node must not get more calls before its first report. An
+ * unverified node is not held: it gets calls only as a last resort, and must
+ * stay a candidate for probes. */
+static bool
+is_held(const bb_endpoint_t *endpoint, const service_stats_t *stats,
+        size_t nodes)
+{
+    if (endpoint->load_at > 0 || endpoint->is_local ||
+        endpoint->is_unverified || stats->reported * 2 < stats->targets) {
+        return false;
+    }
+    double since_s = MAX(stats->now - endpoint->known_since, 0);
+    double share = START_SHARE * slot_count(endpoint) / MAX(nodes, 1) *
+                   exp2(MIN(since_s / START_DOUBLE_S, 30));
+    return endpoint->in_flight >= floor(share + endpoint->start_draw);
+}
+
 /* Sorts the nodes that may get the call into groups. Returns whether a node
- * was skipped for lack of capacity. */
+ * was skipped for lack of capacity. Sets *is_any_held when one was skipped
+ * because it has no report yet. */
 static bool
-collect_candidates(const GPtrArray *list,
+collect_candidates(const bb_fleet_t *fleet, const GPtrArray *list,
                    const bb_placement_request_t *request,
                    const service_stats_t *stats, bb_random_t *random,
-                   bb_candidates_t groups[GROUP_COUNT])
+                   bb_candidates_t groups[GROUP_COUNT], bool *is_any_held)
 {
+    size_t nodes = BbFleet_NodeCount(fleet);
     bool is_any_full = false;
 
     for (guint i = 0; list != NULL && i < list->len; i++) {
@@ -366,6 +398,10 @@
         if (is_tried(request, endpoint)) {
             continue;
         }
+        if (request->is_paced && is_held(endpoint, stats, nodes)) {
+            *is_any_held = true;
+            continue;
+        }
         const prediction_t predicted = predict(endpoint, stats);
         double transfer_s =
             request->has_large_body ? transfer_time(endpoint, stats->now) : 0;
@@ -476,8 +512,9 @@
     const service_stats_t stats =
         compute_service_stats(list, request->data_centre, now);
     bb_candidates_t groups[GROUP_COUNT] = {0};
-    bool is_any_full =
-        collect_candidates(list, request, &stats, random, groups);
+    bool is_any_held = false;
+    bool is_any_full = collect_candidates(fleet, list, request, &stats, random,
+                                          groups, &is_any_held);
     if (!is_any_full) {
         merge_unverified(groups);
     }
@@ -486,6 +523,7 @@
         chosen == NULL || chosen->cost_s > near_limit_s(request) ||
         !is_in_data_centre(chosen->endpoint, request->data_centre);
     request_probes(groups, is_spilling, random);
+    is_any_full = is_any_full || (chosen == NULL && is_any_held);
     if (chosen == NULL && !is_any_full) {
         chosen = choose_last_resort(groups, random);
     }
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -20,6 +20,13 @@
  * next ones too, and asking all nodes again for each call costs bytes and
  * serves none.
  *
+ * With is_paced, the calls of all nodes in flight to a target without a report
+ * are bounded too: a new target would look idle to every node until its first
+ * response. Each node has a share of the target's slots, which doubles each
+ * half second; below one call it is the probability that the node may send
+ * one. The bound does not apply while most targets of the service have no
+ * report, as after a restart of this node or of all targets.
+ *
  * Failing targets are detected by their responses: a high share of failed
  * calls adds to the predicted time. An unreachable node gets calls as a last
  * resort only, until a probe (bb_probe) or a response shows that it is
@@ -53,6 +60,7 @@
     double target_latency_s; /* 0 when the route has none */
     double spill_share;      /* share of target_latency_s, see above */
     int refusals;            /* of this call so far, for lack of capacity */
+    bool is_paced;           /* few calls to targets without a report */
     const bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
 } bb_placement_request_t;
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -23,6 +23,9 @@
 #define MEAN_FRESH_S 1.0
 #define MEAN_DECAY_S 2.0
 
+/* An older mean of a class is not reported to other nodes. */
+#define MEASURED_MAX_AGE_S 10.0
+
 /* Moving average of the service time of calls. */
 typedef struct {
     double mean_s;
@@ -95,6 +98,18 @@
     return current_mean(mean != NULL ? mean : &queue->all, now);
 }
 
+double
+BbSlotQueue_MeasuredTime(const bb_slot_queue_t *queue, const char *name,
+                         double now)
+{
+    const service_mean_t *mean =
+        name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
+
+    return mean != NULL && now - mean->measured_at <= MEASURED_MAX_AGE_S
+               ? mean->mean_s
+               : 0;
+}
+
 static double
 latest_start(const bb_slot_ticket_t *ticket)
 {
@@ -237,6 +252,33 @@
     mean->measured_at = now;
 }
 
+static service_mean_t *
+class_mean(bb_slot_queue_t *queue, const char *name)
+{
+    service_mean_t *mean = g_hash_table_lookup(queue->classes, name);
+
+    if (mean == NULL) {
+        mean = g_new0(service_mean_t, 1);
+        g_hash_table_insert(queue->classes, g_strdup(name), mean);
+    }
+    return mean;
+}
+
+void
+BbSlotQueue_AssumeTime(bb_slot_queue_t *queue, const char *name,
+                       double seconds, double now)
+{
+    if (name == NULL || seconds <= 0) {
+        return;
+    }
+    service_mean_t *mean = class_mean(queue, name);
+    mean->mean_s = seconds;
+    mean->measured_at = now;
+    if (queue->all.measured_at <= 0) {
+        queue->all = *mean;
+    }
+}
+
 void
 BbSlotQueue_Finish(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket,
                    bool is_measured, double now)
@@ -250,17 +292,9 @@
         return;
     }
     add_measurement(&queue->all, took_s, now);
-    if (ticket->class_name == NULL) {
-        return;
-    }
-    service_mean_t *mean =
-        g_hash_table_lookup(queue->classes, ticket->class_name);
-    if (mean == NULL) {
-        mean = g_new0(service_mean_t, 1);
-        g_hash_table_insert(queue->classes, g_strdup(ticket->class_name),
-                            mean);
+    if (ticket->class_name != NULL) {
+        add_measurement(class_mean(queue, ticket->class_name), took_s, now);
     }
-    add_measurement(mean, took_s, now);
 }
 
 void
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -98,6 +98,16 @@
 double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
                              double now);
 
+/* The mean of a class without decay, 0 if it was not measured for some
+ * seconds. */
+double BbSlotQueue_MeasuredTime(const bb_slot_queue_t *queue, const char *name,
+                                double now);
+
+/* Sets the time of a class. For a target that has just started, whose own
+ * mean is unknown or from before: calls would be admitted to wait too long. */
+void BbSlotQueue_AssumeTime(bb_slot_queue_t *queue, const char *name,
+                            double seconds, double now);
+
 /* Seconds until a call that arrives now would start. */
 double BbSlotQueue_PredictWait(const bb_slot_queue_t *queue, double now);
 
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -24,6 +24,11 @@
 
 #define MAX_IDLE_CONNECTIONS 64
 
+/* A target that was started longer ago than this before the first heartbeat
+ * that this process received has been running beside an earlier process, and
+ * is not new. */
+#define STARTED_BEFORE_MS 5000
+
 /* Weight of the newest call in the moving average of the failure rate. */
 #define FAIL_RATE_WEIGHT 0.05
 
@@ -48,6 +53,10 @@
     char *service;
     const bb_header_names_t *names;
     bb_local_target_t *target;
+    bb_pace_t *pace;
+    char paced_id[BB_TARGET_ID_TEXT + 1]; /* last incarnation that was ready */
+    int64_t paced_born_ms;
+    bool was_ready;
     bb_slot_queue_t *queue;
     bb_h1_client_t *client;
     target_call_t *calls;
@@ -59,6 +68,131 @@
 
 static void run_queue(bb_target_io_t *io);
 
+/* ---- slow start, see bb_pace.h ---- */
+
+static void
+log_pace(const bb_target_io_t *io, const char *state)
+{
+    if (BbEvent_Allows(BB_EVENT_PACE)) {
+        BbEvent_Write(BB_EVENT_PACE,
+                      json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:f}",
+                                "target", BbLocalTarget_Id(io->target),
+                                "state", state, "reason",
+                                BbPace_ReasonName(io->pace), "limit",
+                                BbPace_Limit(io->pace), "slots",
+                                BbLocalTarget_Slots(io->target), "running",
+                                BbSlotQueue_Running(io->queue), "slowness",
+                                BbPace_Slowness(io->pace)));
+    }
+}
+
+static void
+apply_pace(bb_target_io_t *io, bb_pace_change_t change)
+{
+    BbSlotQueue_SetSlots(io->queue, BbPace_Limit(io->pace));
+    switch (change) {
+    case BB_PACE_BEGUN:
+        BbCounters_Add(BB_COUNTER_PACE_BEGUN, 1);
+        log_pace(io, "begun");
+        break;
+    case BB_PACE_LOWERED:
+        BbCounters_Add(BB_COUNTER_PACE_LOWERED, 1);
+        log_pace(io, "lowered");
+        break;
+    case BB_PACE_ENDED:
+        BbCounters_Add(BB_COUNTER_PACE_ENDED, 1);
+        log_pace(io, "full");
+        break;
+    case BB_PACE_UNCHANGED:
+        break;
+    }
+}
+
+static void
+pace_response(bb_target_io_t *io, const target_call_t *call)
+{
+    if (io->pace != NULL) {
+        double now = BbClock_Now(io->loop);
+        apply_pace(io, BbPace_OnResponse(io->pace, call->request.class_name,
+                                         call->ticket.started_at,
+                                         BbSlotQueue_Running(io->queue), now));
+    }
+}
+
+static void
+pace_failure(bb_target_io_t *io, const target_call_t *call, bool is_timeout)
+{
+    if (io->pace != NULL) {
+        apply_pace(io, BbPace_OnFailure(io->pace, call->ticket.started_at,
+                                        is_timeout, BbClock_Now(io->loop)));
+    }
+}
+
+/* Before a call is offered: applies the time, and predicts with the time that
+ * its class takes elsewhere, because the own mean follows too slowly. */
+static void
+pace_offer(bb_target_io_t *io, const bb_attempt_request_t *request)
+{
+    double now = BbClock_Now(io->loop);
+
+    if (io->pace == NULL || !BbPace_IsActive(io->pace)) {
+        return;
+    }
+    apply_pace(io, BbPace_Update(io->pace, now));
+    BbSlotQueue_AssumeTime(
+        io->queue, request->class_name,
+        BbPace_Reference(io->pace, request->class_name, now) *
+            BbPace_Slowness(io->pace),
+        now);
+}
+
+/* Whether the ready target was running before this process started. */
+static bool
+is_target_old(const bb_target_io_t *io)
+{
+    int64_t born_ms = BbLocalTarget_BornMs(io->target);
+
+    return io->paced_id[0] == '\0' && born_ms > 0 &&
+           g_get_real_time() / 1000 - born_ms > STARTED_BEFORE_MS;
+}
+
+/* Begins the slow start of a target that has become ready. */
+static void
+pace_target(bb_target_io_t *io)
+{
+    bool is_ready = BbLocalTarget_State(io->target) == BB_LOCAL_READY;
+    bool was_ready = io->was_ready;
+    const char *id = BbLocalTarget_Id(io->target);
+
+    BbPace_SetSlots(io->pace, BbLocalTarget_Slots(io->target));
+    io->was_ready = is_ready;
+    if (!is_ready) {
+        return;
+    }
+    bool is_same = strcmp(id, io->paced_id) == 0 &&
+                   BbLocalTarget_BornMs(io->target) == io->paced_born_ms;
+    bool is_old = is_target_old(io);
+    g_strlcpy(io->paced_id, id, sizeof(io->paced_id));
+    io->paced_born_ms = BbLocalTarget_BornMs(io->target);
+    double cold_left_s = BbLocalTarget_ColdLeft(io->target);
+    if ((!is_same && !is_old) || cold_left_s > 0) {
+        apply_pace(io, BbPace_Begin(io->pace, BB_PACE_STARTED, cold_left_s,
+                                    BbClock_Now(io->loop)));
+    }
+    else if (is_same && !was_ready) {
+        apply_pace(io, BbPace_Begin(io->pace, BB_PACE_RETURNED, 0,
+                                    BbClock_Now(io->loop)));
+    }
+}
+
+/* Calls that the target may run at once now. */
+static int
+current_slots(const bb_target_io_t *io)
+{
+    return io->pace != NULL ? BbPace_Limit(io->pace)
+                            : BbLocalTarget_Slots(io->target);
+}
+
 /* ---- ending a call ---- */
 
 static void
@@ -112,8 +246,8 @@
                 "{s:s, s:s, s:i, s:i, s:i, s:f}", "call",
                 call->request.call_id, "reason", BbReason_Name(reason),
                 "running", BbSlotQueue_Running(io->queue), "waiting",
-                BbSlotQueue_Waiting(io->queue), "slots",
-                BbLocalTarget_Slots(io->target), "service_s",
+                BbSlotQueue_Waiting(io->queue), "slots", current_slots(io),
+                "service_s",
                 BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop))));
     }
 }
@@ -152,6 +286,7 @@
                                 error != 0 ? BbError_Name(error) : ""));
     }
     record_result(io, true);
+    pace_failure(io, call, reason == BB_REASON_CALL_TIMEOUT);
     release_ticket(call, reason == BB_REASON_CALL_TIMEOUT);
     free_call(call);
     handler->on_lost(reason, arg);
@@ -226,9 +361,11 @@
             BbLocalTarget_OnMismatch(io->target);
         }
         record_result(io, true);
+        pace_failure(io, call, false);
         refuse(call, call->refusal);
         return;
     }
+    pace_response(io, call);
     release_ticket(call, true);
     free_call(call);
     handler->on_end(owner);
@@ -243,6 +380,7 @@
     call->exchange = NULL;
     if (call->refusal != BB_REASON_NONE || !is_sent) {
         record_result(call->io, true);
+        pace_failure(call->io, call, false);
         refuse(call, call->refusal != BB_REASON_NONE
                          ? call->refusal
                          : BB_REASON_TARGET_CONNECT);
@@ -491,6 +629,7 @@
     if (reason != BB_REASON_NONE) {
         return report_refusal(io, request, reason);
     }
+    pace_offer(io, request);
     target_call_t *call = g_new0(target_call_t, 1);
     call->base.ops = &attempt_ops;
     call->io = io;
@@ -527,7 +666,10 @@
 void
 BbTargetIo_TargetChanged(bb_target_io_t *io)
 {
-    BbSlotQueue_SetSlots(io->queue, BbLocalTarget_Slots(io->target));
+    if (io->pace != NULL) {
+        pace_target(io);
+    }
+    BbSlotQueue_SetSlots(io->queue, current_slots(io));
     bb_reason_t reason = state_refusal_reason(io);
     while (reason != BB_REASON_NONE && reason != BB_REASON_NODE_DRAINING) {
         bb_slot_ticket_t *ticket = BbSlotQueue_FirstWaiting(io->queue);
@@ -546,14 +688,32 @@
 }
 
 void
-BbTargetIo_GetLoad(const bb_target_io_t *io, bb_load_t *load)
+BbTargetIo_GetLoad(const bb_target_io_t *io, const char *class_name,
+                   bb_load_t *load)
 {
+    double now = BbClock_Now(io->loop);
+
     load->running = BbSlotQueue_Running(io->queue);
     load->waiting = BbSlotQueue_Waiting(io->queue);
-    load->slots = BbLocalTarget_Slots(io->target);
-    load->service_ms = (int)lrint(
-        BbSlotQueue_ServiceTime(io->queue, BbClock_Now(io->loop)) * 1000);
+    load->slots = current_slots(io);
+    load->service_ms =
+        (int)lrint(BbSlotQueue_ServiceTime(io->queue, now) * 1000);
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
+    load->class_ms =
+        io->pace != NULL
+            ? (int)lrint(BbSlotQueue_MeasuredTime(io->queue, class_name, now) *
+                         1000)
+            : 0;
+}
+
+void
+BbTargetIo_OnLoadElsewhere(bb_target_io_t *io, const char *class_name,
+                           const bb_load_t *load)
+{
+    if (io->pace != NULL) {
+        BbPace_OnReference(io->pace, class_name, load->class_ms / 1000.0,
+                           BbClock_Now(io->loop));
+    }
 }
 
 double
@@ -583,6 +743,7 @@
     io->service = g_strdup(options->service);
     io->names = options->names;
     io->target = options->target;
+    io->pace = options->pace;
     io->queue = BbSlotQueue_New();
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -20,6 +20,7 @@
 
 #include "bb_attempt.h"
 #include "bb_local_target.h"
+#include "bb_pace.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -33,6 +34,7 @@
     const char *service;
     const bb_header_names_t *names;
     bb_local_target_t *target; /* borrowed */
+    bb_pace_t *pace;           /* borrowed; NULL without slow start */
 } bb_target_io_options_t;
 
 bb_target_io_t *BbTargetIo_New(const bb_target_io_options_t *options);
@@ -63,8 +65,15 @@
 /* This node shuts down: new calls are refused, waiting calls still run. */
 void BbTargetIo_SetNodeDraining(bb_target_io_t *io);
 
-/* Fills in the load that is reported to other nodes, except its version. */
-void BbTargetIo_GetLoad(const bb_target_io_t *io, bb_load_t *load);
+/* Fills in the load that is reported to other nodes with a response to a call
+ * of the class (may be NULL), except its version. */
+void BbTargetIo_GetLoad(const bb_target_io_t *io, const char *class_name,
+                        bb_load_t *load);
+
+/* To be called when another target of the service has responded to a call of
+ * the class; load is the report that came with the response. */
+void BbTargetIo_OnLoadElsewhere(bb_target_io_t *io, const char *class_name,
+                                const bb_load_t *load);
 
 int BbTargetIo_OpenCallCount(const bb_target_io_t *io);
 
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -216,6 +216,7 @@
         .names = Platform_HeaderNames(),
     };
 
+    sidecar->pace = settings->is_pace_enabled ? BbPace_New() : NULL;
     sidecar->random = BbRandom_New(0);
     sidecar->fleet = BbFleet_New(settings->name);
     sidecar->readers = BbReaders_New(sidecar->fleet);
@@ -224,6 +225,7 @@
     sidecar->target = BbLocalTarget_New(&target);
     bb_target_io_options_t options = target_io;
     options.target = sidecar->target;
+    options.pace = sidecar->pace;
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
@@ -264,6 +266,7 @@
         .budget = sidecar->budget,
         .random = sidecar->random,
         .spill_share = settings->spill_share,
+        .is_paced = settings->is_pace_enabled,
         .freshness = &sidecar->freshness,
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
@@ -357,6 +360,7 @@
     BbHopServer_Free(sidecar->hop_server);
     BbHopClient_Free(sidecar->hop_client);
     BbTargetIo_Free(sidecar->target_io);
+    BbPace_Free(sidecar->pace);
     BbLocalTarget_Free(sidecar->target);
     BbRepeatBudget_Free(sidecar->budget);
     BbMeshConfig_Unref(sidecar->config);
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -304,8 +304,9 @@
                                            false};
         local_target = BbLocalTarget_New(&local);
         bb_target_io_options_t target_options = {
-            loop->loop, target->address.c_str(), "orders", &kHeaderNames,
-            local_target};
+            loop->loop,   target->address.c_str(),
+            "orders",     &kHeaderNames,
+            local_target, nullptr};
         target_io = BbTargetIo_New(&target_options);
         bb_hop_server_options_t server_options = {};
         server_options.loop = loop->loop;
