--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -1103,7 +1103,17 @@
     EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,40,7", &load), 0);
     EXPECT_EQ(load.version, 7);
     EXPECT_EQ(load.transfer_ms, 40);
-    EXPECT_EQ(BbLoad_Parse("1,2,18", &load), BB_ERR_PARSE);
+    EXPECT_EQ(load.class_ms, 0);
+    EXPECT_EQ(BbLoad_Parse("1,2,18,160,30,40,7,20,350", &load), 0);
+    EXPECT_EQ(load.link_ms, 20);
+    EXPECT_EQ(load.class_ms, 350);
+    char report[BB_LOAD_TEXT];
+    BbLoad_Format(&load, report, sizeof(report));
+    EXPECT_STREQ(report, "1,2,18,160,30,40,7,20,350");
+    for (const char *bad : {"1,2,18,160,30,40,7,", "1,2,18,160,30,40,7,20,-1",
+                            "1,2,18,160,30,40,7,20,350,", "1,2,18"}) {
+        EXPECT_EQ(BbLoad_Parse(bad, &load), BB_ERR_PARSE) << bad;
+    }
     EXPECT_EQ(BbLoad_Parse("-1,2,18,160,30,40,7", &load), BB_ERR_PARSE);
     EXPECT_EQ(BbLoad_Parse(nullptr, &load), BB_ERR_PARSE);
 }
--- a/tests/unit/pace_test.cc
+++ b/tests/unit/pace_test.cc
@@ -150,3 +150,124 @@
         EXPECT_LE(fleet.targets[7].lowered, 3) << slowness;
     }
 }
+
+namespace {
+
+// Responses to calls that take took_s, with the limit in use, for one second.
+bb_pace_change_t
+Respond(bb_pace_t *pace, const char *class_name, double took_s, double *now)
+{
+    bb_pace_change_t last = BB_PACE_UNCHANGED;
+    for (int i = 0; i < 20; i++) {
+        *now += 0.05;
+        bb_pace_change_t change = BbPace_OnResponse(
+            pace, class_name, *now - took_s, BbPace_Limit(pace), *now);
+        last = change != BB_PACE_UNCHANGED ? change : last;
+    }
+    return last;
+}
+
+} // namespace
+
+// Guards against a long class that is taken for a slow target, a nested call's
+// timeout that is taken for a target that is down, and failures of an earlier
+// process that lower the limit of the new one.
+TEST(Pace, TellsSlowTargetsFromLongClassesAndOldFailures)
+{
+    double now = 1000;
+    bb_pace_t *pace = BbPace_New();
+    BbPace_SetSlots(pace, 18);
+    BbPace_OnReference(pace, "profile", 0.87, now);
+    BbPace_OnReference(pace, "price", 0.14, now);
+    EXPECT_EQ(BbPace_Limit(pace), 18);
+    BbPace_Begin(pace, BB_PACE_STARTED, 0, now);
+    EXPECT_EQ(BbPace_Limit(pace), 9);
+    EXPECT_EQ(BbPace_OnFailure(pace, now - 1, false, now), BB_PACE_UNCHANGED);
+    now += 1; // calls of 0.87 s that start after the limit has begun
+    Respond(pace, "profile", 0.87, &now);
+    EXPECT_EQ(BbPace_Limit(pace), 18);
+    EXPECT_EQ(Respond(pace, "price", 0.14, &now), BB_PACE_ENDED);
+    for (int i = 0; i < 5; i++) {
+        EXPECT_EQ(BbPace_OnFailure(pace, now, true, now), BB_PACE_UNCHANGED);
+    }
+    BbPace_Free(pace);
+}
+
+// Guards against a target that breaks down, or comes back from a pause with a
+// backlog, and still gets all its slots.
+TEST(Pace, BeginsAfterFailuresAndSilence)
+{
+    double now = 1000;
+    bb_pace_t *pace = BbPace_New();
+    BbPace_SetSlots(pace, 18);
+    BbPace_OnReference(pace, "price", 0.14, now);
+    Respond(pace, "price", 0.14, &now);
+    EXPECT_EQ(BbPace_OnFailure(pace, now, false, now), BB_PACE_UNCHANGED);
+    EXPECT_EQ(BbPace_OnFailure(pace, now, false, now), BB_PACE_UNCHANGED);
+    EXPECT_EQ(BbPace_OnFailure(pace, now, false, now), BB_PACE_BEGUN);
+    EXPECT_EQ(BbPace_Limit(pace), 2);
+    EXPECT_EQ(BbPace_OnFailure(pace, now, false, now + 1), BB_PACE_LOWERED);
+    EXPECT_EQ(BbPace_Limit(pace), 1);
+    now += 1;
+    EXPECT_EQ(Respond(pace, "price", 0.14, &now), BB_PACE_UNCHANGED);
+    EXPECT_EQ(BbPace_Limit(pace), 18);
+    EXPECT_EQ(Respond(pace, "price", 0.14, &now), BB_PACE_ENDED);
+    now += 1.5;
+    EXPECT_EQ(BbPace_OnResponse(pace, "price", now - 1.5, 18, now),
+              BB_PACE_BEGUN);
+    EXPECT_STREQ(BbPace_ReasonName(pace), "silent");
+    BbPace_Free(pace);
+}
+
+// Guards against nodes that all send calls to a target which none has a report
+// of: over all nodes, only a part of its slots is used at once.
+TEST(Pace, FewCallsBeforeTheFirstReport)
+{
+    bb_random_t *random = BbRandom_New(1);
+    int first = 0, later = 0;
+    for (int node = 0; node < 78; node++) {
+        bb_fleet_t *fleet = BbFleet_New(("n" + std::to_string(node)).c_str());
+        for (int i = 0; i < 78; i++) {
+            std::string name = "t" + std::to_string(i);
+            bb_node_record_t record = {};
+            record.address = const_cast<char *>("127.0.0.1:1");
+            record.data_centre = const_cast<char *>("dc");
+            record.service = const_cast<char *>(i < 40 ? "f" : "d");
+            record.target_id = const_cast<char *>(name.c_str());
+            record.slots = 18;
+            record.is_ready = true;
+            BbFleet_Merge(fleet, name.c_str(), &record, i + 1, 1000);
+            bb_endpoint_t *endpoint = BbFleet_Find(fleet, name.c_str());
+            BbPlacement_SetReachable(endpoint);
+            endpoint->load = {18, 9, 18, 400, 0, 0, 1, 0, 0};
+            endpoint->load_at = i > 0 ? 1000 : 0;
+        }
+        bb_placement_request_t request = {};
+        request.service = "f";
+        request.data_centre = "dc";
+        request.target_latency_s = 1;
+        request.is_paced = true;
+        bb_endpoint_t *fresh = BbFleet_Find(fleet, "t0");
+        for (int i = 0; i < 60; i++) {
+            if (BbPlacement_Choose(fleet, &request, random, 1000, nullptr) ==
+                fresh) {
+                BbPlacement_BeginAttempt(fresh);
+                first++;
+            }
+        }
+        for (int i = 0; i < 60; i++) {
+            if (BbPlacement_Choose(fleet, &request, random, 1002, nullptr) ==
+                fresh) {
+                BbPlacement_BeginAttempt(fresh);
+                later++;
+            }
+        }
+        BbFleet_Free(fleet);
+    }
+    printf("in flight without report: %d at once, %d more after 2 s\n", first,
+           later);
+    EXPECT_GE(first, 2);
+    EXPECT_LE(first, 18);
+    EXPECT_GE(later, 78);
+    BbRandom_Free(random);
+}
