--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -67,6 +67,8 @@
     {"pace", "enabled", TYPE_FLAG, FIELD(is_pace_enabled), true, 0, 0, 0,
      "slow start: a target that has started or recovered gets few calls at "
      "first"},
+    {"target_load", "enabled", TYPE_FLAG, FIELD(is_target_load_enabled), true,
+     0, 0, 0, "predictions use the load that the target reports"},
 };
 
 static const setting_t *
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -47,6 +47,8 @@
     double spill_share;  /* see bb_placement.h */
     /* [pace] */
     bool is_pace_enabled;
+    /* [target_load] */
+    bool is_target_load_enabled;
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -32,6 +32,7 @@
     const char *not_run;         /* set when the target did not run the call */
     const char *account_key;     /* key of the caller's client account */
     const char *account;         /* name of that account, for the target */
+    const char *target_load;     /* load of a target, see bb_target_load.h */
 } bb_header_names_t;
 
 /* Header names used between nodes. */
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -5,6 +5,8 @@
 #include <math.h>
 #include <utlist.h>
 
+#include "bb_target_load.h"
+
 /* A call goes before one of the next more urgent rank after waiting this
  * much longer. */
 #define RANK_AGING_S 0.4
@@ -47,6 +49,7 @@
     int running;
     int waiting;
     service_mean_t all;
+    bb_work_factor_t work_factor;
     GHashTable *classes;       /* name to service_mean_t */
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
 };
@@ -89,13 +92,28 @@
     return mean->mean_s * mean_weight(mean, now);
 }
 
+/* The mean, corrected by what the target reports of its hardware. */
+static double
+predicted_mean(const bb_slot_queue_t *queue, const service_mean_t *mean,
+               double now)
+{
+    return current_mean(mean, now) *
+           BbWorkFactor_Scale(&queue->work_factor, now);
+}
+
+void
+BbSlotQueue_SetWorkPercent(bb_slot_queue_t *queue, double percent, double now)
+{
+    BbWorkFactor_Add(&queue->work_factor, percent, now);
+}
+
 double
 BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
                       double now)
 {
     const service_mean_t *mean =
         name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
-    return current_mean(mean != NULL ? mean : &queue->all, now);
+    return predicted_mean(queue, mean != NULL ? mean : &queue->all, now);
 }
 
 double
@@ -148,7 +166,8 @@
     if (queue->running < queue->slots && work_s <= 0) {
         return 0;
     }
-    return (work_s + current_mean(&queue->all, now)) / MAX(queue->slots, 1);
+    return (work_s + predicted_mean(queue, &queue->all, now)) /
+           MAX(queue->slots, 1);
 }
 
 static double
@@ -364,5 +383,5 @@
 double
 BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now)
 {
-    return current_mean(&queue->all, now);
+    return predicted_mean(queue, &queue->all, now);
 }
--- a/lib/mesh/bb_slot_queue.h
+++ b/lib/mesh/bb_slot_queue.h
@@ -98,6 +98,11 @@
 double BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
                              double now);
 
+/* How long work takes on the target's hardware at this moment, 100 being
+ * normal; see bb_target_load.h. */
+void BbSlotQueue_SetWorkPercent(bb_slot_queue_t *queue, double percent,
+                                double now);
+
 /* The mean of a class without decay, 0 if it was not measured for some
  * seconds. */
 double BbSlotQueue_MeasuredTime(const bb_slot_queue_t *queue, const char *name,
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -10,6 +10,7 @@
 #include "bb_event.h"
 #include "bb_histogram.h"
 #include "bb_slot_queue.h"
+#include "bb_target_load.h"
 
 /* The deadline given to the target is this much earlier than the time at which
  * the node that received the call stops waiting. */
@@ -24,6 +25,9 @@
 
 #define MAX_IDLE_CONNECTIONS 64
 
+/* Time for which a number of calls that the target reports is used. */
+#define TARGET_LOAD_KEEP_S 0.3
+
 /* A target that was started longer ago than this before the first heartbeat
  * that this process received has been running beside an earlier process, and
  * is not new. */
@@ -61,6 +65,9 @@
     bb_h1_client_t *client;
     target_call_t *calls;
     int call_count;
+    bool uses_target_load;
+    int foreign_running; /* calls at the target that are not from this node */
+    double foreign_at;   /* when the target reported them */
     double fail_rate;
     bool is_node_draining;
     ev_timer queue_timer;
@@ -295,6 +302,28 @@
 
 /* ---- response from the target ---- */
 
+static void
+read_target_load(bb_target_io_t *io, const bb_h1_fields_t *fields)
+{
+    bb_target_load_t load;
+    double now = BbClock_Now(io->loop);
+
+    if (!io->uses_target_load ||
+        BbTargetLoad_Parse(BbH1Fields_Get(fields, io->names->target_load),
+                           &load) != 0) {
+        return;
+    }
+    if (load.percent > 0) {
+        BbSlotQueue_SetWorkPercent(io->queue, load.percent, now);
+    }
+    io->foreign_running =
+        MAX(load.running - BbSlotQueue_Running(io->queue), 0);
+    io->foreign_at = now;
+    if (io->foreign_running > 0) {
+        BbCounters_Add(BB_COUNTER_TARGET_LOAD_DIFFERS, 1);
+    }
+}
+
 static bool
 has_matching_call_id(const bb_h1_fields_t *fields, void *arg)
 {
@@ -311,6 +340,7 @@
     target_call_t *call = arg;
     const bb_header_names_t *names = call->io->names;
 
+    read_target_load(call->io, fields);
     if (status == 421) {
         call->refusal = BB_REASON_TARGET_REPLACED;
         return;
@@ -694,6 +724,9 @@
     double now = BbClock_Now(io->loop);
 
     load->running = BbSlotQueue_Running(io->queue);
+    if (now - io->foreign_at < TARGET_LOAD_KEEP_S) {
+        load->running += io->foreign_running;
+    }
     load->waiting = BbSlotQueue_Waiting(io->queue);
     load->slots = current_slots(io);
     load->service_ms =
@@ -744,6 +777,7 @@
     io->names = options->names;
     io->target = options->target;
     io->pace = options->pace;
+    io->uses_target_load = options->uses_target_load;
     io->queue = BbSlotQueue_New();
     io->client = BbH1Client_New(&client_options);
     ev_init(&io->queue_timer, handle_queue_timer);
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -35,6 +35,7 @@
     const bb_header_names_t *names;
     bb_local_target_t *target; /* borrowed */
     bb_pace_t *pace;           /* borrowed; NULL without slow start */
+    bool uses_target_load;     /* reads names->target_load of responses */
 } bb_target_io_options_t;
 
 bb_target_io_t *BbTargetIo_New(const bb_target_io_options_t *options);
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -226,6 +226,7 @@
     bb_target_io_options_t options = target_io;
     options.target = sidecar->target;
     options.pace = sidecar->pace;
+    options.uses_target_load = settings->is_target_load_enabled;
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -28,7 +28,7 @@
 // caller service, seal, not run, account key and account.
 const bb_header_names_t kHeaderNames = {"Call-Id", "Left-Ms", "Want-Target",
                                         "Caller",  "Seal",    "Not-Run",
-                                        "Key",     "Account"};
+                                        "Key",     "Account", "Target-Load"};
 
 // Ports of tests, below those of the scripted tests and the ephemeral ports,
 // so that no outgoing connection takes a port before it is bound.
@@ -306,7 +306,8 @@
         bb_target_io_options_t target_options = {
             loop->loop,   target->address.c_str(),
             "orders",     &kHeaderNames,
-            local_target, nullptr};
+            local_target, nullptr,
+            false};
         target_io = BbTargetIo_New(&target_options);
         bb_hop_server_options_t server_options = {};
         server_options.loop = loop->loop;
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -25,6 +25,7 @@
 #include "bb_reaper.h"
 #include "bb_repeat_budget.h"
 #include "bb_slot_queue.h"
+#include "bb_target_load.h"
 #include "bb_transfer_gate.h"
 #include "bb_versions.h"
 
@@ -1222,3 +1223,27 @@
     ASSERT_GT(size, 100);
     EXPECT_EQ(text[0], '{');
 }
+
+// Guards against malformed load texts of targets that are taken for figures,
+// and against a figure that stays in force after the hardware has changed.
+TEST(TargetLoad, IsReadAndFadesOut)
+{
+    bb_target_load_t load;
+    EXPECT_EQ(BbTargetLoad_Parse("3,0,9", &load), 0);
+    EXPECT_EQ(load.percent, 0);
+    EXPECT_EQ(BbTargetLoad_Parse("3, 1, 9, 180", &load), 0);
+    EXPECT_EQ(load.running, 3);
+    EXPECT_EQ(load.percent, 180);
+    for (const char *bad : {"", "3", "3,0", "3,0,9,", "3,0,9,x", "3,0,9,nan",
+                            "3,0,9,-5", "-1,0,9", "3,0,9,100,1", "3;0;9"}) {
+        EXPECT_EQ(BbTargetLoad_Parse(bad, &load), BB_ERR_PARSE) << bad;
+    }
+    EXPECT_EQ(BbTargetLoad_Parse(nullptr, &load), BB_ERR_PARSE);
+    bb_work_factor_t factor = {};
+    EXPECT_EQ(BbWorkFactor_Scale(&factor, 10), 1.0);
+    BbWorkFactor_Add(&factor, 100, 10);
+    BbWorkFactor_Add(&factor, 200, 10);
+    EXPECT_NEAR(BbWorkFactor_Scale(&factor, 10), 1.9, 0.05);
+    EXPECT_NEAR(BbWorkFactor_Scale(&factor, 10.15), 1.45, 0.05);
+    EXPECT_EQ(BbWorkFactor_Scale(&factor, 10.3), 1.0);
+}
