--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -69,6 +69,8 @@
      "first"},
     {"target_load", "enabled", TYPE_FLAG, FIELD(is_target_load_enabled), true,
      0, 0, 0, "predictions use the load that the target reports"},
+    {"hedge", "enabled", TYPE_FLAG, FIELD(is_hedge_enabled), true, 0, 0, 0,
+     "late idempotent calls get a second attempt at another node"},
 };
 
 static const setting_t *
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -49,6 +49,8 @@
     bool is_pace_enabled;
     /* [target_load] */
     bool is_target_load_enabled;
+    /* [hedge] */
+    bool is_hedge_enabled;
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -27,6 +27,7 @@
     bb_call_io_t *io = call->io;
 
     ev_timer_stop(io->options.loop, &call->deadline_timer);
+    BbMeshCall_CancelHedge(call);
     DL_DELETE(io->calls, call);
     io->call_count--;
     for (size_t i = 0; i < call->tried_count; i++) {
@@ -252,6 +253,9 @@
     }
     call->service = BbMeshRoute_NextService(route);
     BbRepeatBudget_OnCall(io->options.budget, call->service);
+    if (io->options.hedge != NULL) {
+        BbHedge_OnCall(io->options.hedge, route->name);
+    }
     fill_request(call);
     BbMeshCall_StartNextAttempt(call);
 }
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -27,6 +27,7 @@
 #include "bb_fleet.h"
 #include "bb_freshness.h"
 #include "bb_h1_server.h"
+#include "bb_hedge.h"
 #include "bb_hop_client.h"
 #include "bb_mesh_config.h"
 #include "bb_placement.h"
@@ -53,6 +54,7 @@
     bb_random_t *random;
     double spill_share;              /* see bb_placement.h */
     bool is_paced;                   /* see bb_placement.h */
+    bb_hedge_t *hedge;               /* NULL without hedged calls */
     const bb_freshness_t *freshness; /* of the configuration; may be NULL */
 } bb_call_io_options_t;
 
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -4,6 +4,7 @@
  * Internal to lib/mesh, shared by the files that process a call:
  *   bb_call_io           reads requests: route lookup, deadline, body
  *   bb_mesh_call_attempt chooses nodes, runs attempts, decides on retries
+ *   bb_mesh_call_hedge   runs the second attempt of a hedged call
  *   bb_mesh_call_response sends responses, buffered or streamed
  *
  * Times are seconds of BbClock_Now().
@@ -49,6 +50,11 @@
     bool may_have_run;
     bb_reason_t last_reason;
     double retry_after_s;
+    double attempt_started_at;
+    ev_timer hedge_timer;
+    struct bb_hedge_attempt *hedge; /* second attempt of a hedged call */
+    bool has_failed_response; /* the first attempt ended with status 5xx while
+                                 the second one was running */
     /* response */
     int status;
     bb_h1_fields_t response_fields;
@@ -92,6 +98,44 @@
  * the node shuts down: cancels the running attempt and sends an error. */
 void BbMeshCall_TimeOut(bb_mesh_call_t *call, bb_attempt_outcome_t outcome);
 
+/* Opens an attempt. Returns BB_REASON_NONE and sets *attempt, or the reason
+ * for which the local target does not take the call. */
+bb_reason_t BbMeshCall_OpenAttempt(bb_mesh_call_t *call,
+                                   bb_endpoint_t *endpoint,
+                                   const bb_attempt_handler_t *handler,
+                                   void *arg, bb_hop_load_report_t *report,
+                                   double *retry_after_s,
+                                   bb_attempt_t **attempt);
+
+/* Chooses the node of the next attempt; NULL when none is left. */
+bb_endpoint_t *BbMeshCall_ChooseEndpoint(bb_mesh_call_t *call, bool *is_full);
+
+/* Applies a refusal by a node to the state of the node and of the call.
+ * Returns the outcome of the attempt. */
+bb_attempt_outcome_t BbMeshCall_ApplyRefusal(bb_mesh_call_t *call,
+                                             bb_endpoint_t *endpoint,
+                                             bb_reason_t reason,
+                                             double retry_after_s);
+
+/* The call's handler, with the call as argument. */
+extern const bb_attempt_handler_t BbMeshCall_Handler;
+
+/* Continues after the last running attempt was refused or lost. */
+void BbMeshCall_RetryOrFail(bb_mesh_call_t *call, bb_reason_t reason,
+                            bool reached_target);
+
+/* ---- bb_mesh_call_hedge ---- */
+
+/* Schedules the second attempt when the first one has been started. */
+void BbMeshCall_ScheduleHedge(bb_mesh_call_t *call);
+
+/* Whether the second attempt is running: a failure of the first one then does
+ * not end the call. */
+bool BbMeshCall_IsHedged(const bb_mesh_call_t *call);
+
+/* Cancels the second attempt, if any, and its timer. */
+void BbMeshCall_CancelHedge(bb_mesh_call_t *call);
+
 /* ---- bb_mesh_call_response ---- */
 
 /* Name of the node of the last attempt, "" before the first. */
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -50,6 +50,10 @@
     BbEndpoint_Unref(call->endpoint);
     call->endpoint = NULL;
     call->attempt = NULL;
+    if (call->io->options.hedge != NULL && outcome == BB_ATTEMPT_SERVED) {
+        BbHedge_OnResponse(call->io->options.hedge, call->route->name,
+                           BbMeshCall_Now(call) - call->attempt_started_at);
+    }
 }
 
 /* ---- results of attempts ---- */
@@ -84,15 +88,13 @@
            BbRepeatBudget_Take(io->options.budget, call->service);
 }
 
-static bb_endpoint_t *choose_endpoint(bb_mesh_call_t *call, bool *is_full);
-
 /* Whether the best node left is predicted to finish the call within the
  * target latency. A call that failed because its target lacked capacity must
  * not be retried on a node that lacks it too. */
 static bool
 can_finish_in_time(bb_mesh_call_t *call)
 {
-    bb_endpoint_t *endpoint = choose_endpoint(call, NULL);
+    bb_endpoint_t *endpoint = BbMeshCall_ChooseEndpoint(call, NULL);
     double now = BbMeshCall_Now(call);
 
     return endpoint != NULL && now + BbPlacement_Predict(endpoint, now) <=
@@ -120,10 +122,14 @@
     BbMeshCall_StartNextAttempt(call);
 }
 
-static void
-retry_or_fail(bb_mesh_call_t *call, bb_reason_t reason, bool reached_target)
+void
+BbMeshCall_RetryOrFail(bb_mesh_call_t *call, bb_reason_t reason,
+                       bool reached_target)
 {
-    if (may_retry(call, reached_target)) {
+    if (call->has_failed_response) {
+        BbMeshCall_RespondFromTarget(call);
+    }
+    else if (may_retry(call, reached_target)) {
         retry_call(call, reason);
     }
     else {
@@ -131,11 +137,10 @@
     }
 }
 
-static void
-call_refused(bb_reason_t reason, double retry_after_s, void *arg)
+bb_attempt_outcome_t
+BbMeshCall_ApplyRefusal(bb_mesh_call_t *call, bb_endpoint_t *endpoint,
+                        bb_reason_t reason, double retry_after_s)
 {
-    bb_mesh_call_t *call = arg;
-    bb_endpoint_t *endpoint = call->endpoint;
     bool refused_by_target =
         reason == BB_REASON_TARGET_SHED || reason == BB_REASON_TARGET_REPLACED;
     bb_attempt_outcome_t outcome = BB_ATTEMPT_REFUSED;
@@ -163,6 +168,10 @@
     if (reason == BB_REASON_QUEUE_FULL || reason == BB_REASON_QUEUE_EXPIRED ||
         reason == BB_REASON_TOO_LATE) {
         call->full_refusals++;
+        if (call->io->options.hedge != NULL) {
+            BbHedge_OnRefusal(call->io->options.hedge, call->service,
+                              BbMeshCall_Now(call));
+        }
     }
     if (reason == BB_REASON_QUEUE_FULL) {
         BbPlacement_SetFull(endpoint, call->route->name, BbMeshCall_Now(call));
@@ -171,8 +180,22 @@
         (call->retry_after_s <= 0 || retry_after_s < call->retry_after_s)) {
         call->retry_after_s = retry_after_s;
     }
-    BbMeshCall_EndAttempt(call, outcome);
-    retry_or_fail(call, reason, refused_by_target);
+    return outcome;
+}
+
+static void
+call_refused(bb_reason_t reason, double retry_after_s, void *arg)
+{
+    bb_mesh_call_t *call = arg;
+    int targets_reached = call->targets_reached;
+
+    BbMeshCall_EndAttempt(
+        call,
+        BbMeshCall_ApplyRefusal(call, call->endpoint, reason, retry_after_s));
+    if (!BbMeshCall_IsHedged(call)) {
+        BbMeshCall_RetryOrFail(call, reason,
+                               call->targets_reached > targets_reached);
+    }
 }
 
 static void
@@ -185,7 +208,9 @@
     BbMeshCall_EndAttempt(call, reason == BB_REASON_RESPONSE_LOST
                                     ? BB_ATTEMPT_UNREACHABLE
                                     : BB_ATTEMPT_FAILED);
-    retry_or_fail(call, reason, true);
+    if (!BbMeshCall_IsHedged(call)) {
+        BbMeshCall_RetryOrFail(call, reason, true);
+    }
 }
 
 /* The node has not acknowledged the call in time: retries the call if it may
@@ -197,9 +222,12 @@
     bool may_have_run_before = call->may_have_run;
     bb_attempt_t *attempt = call->attempt;
 
+    if (BbMeshCall_IsHedged(call)) {
+        return false; /* the second attempt is running already */
+    }
     call->may_have_run = may_have_run_before || may_have_run;
     call->targets_reached += may_have_run;
-    if (choose_endpoint(call, NULL) == NULL ||
+    if (BbMeshCall_ChooseEndpoint(call, NULL) == NULL ||
         !may_retry(call, may_have_run)) {
         call->may_have_run = may_have_run_before;
         call->targets_reached -= may_have_run;
@@ -216,6 +244,9 @@
 static void
 start_streaming(bb_mesh_call_t *call)
 {
+    if (BbMeshCall_IsHedged(call)) {
+        BbMeshCall_CancelHedge(call);
+    }
     call->is_streaming = true;
     BbH1_RespondStart(call->request, call->status, &call->response_fields,
                       call->response_length);
@@ -261,6 +292,12 @@
     call->targets_reached++;
     BbMeshCall_EndAttempt(call,
                           is_failure ? BB_ATTEMPT_FAILED : BB_ATTEMPT_SERVED);
+    if (is_failure && BbMeshCall_IsHedged(call)) {
+        call->may_have_run = true;
+        call->has_failed_response = true;
+        return;
+    }
+    BbMeshCall_CancelHedge(call);
     if (is_failure && call->route->is_idempotent && !call->is_streaming) {
         call->may_have_run = true;
         if (can_finish_in_time(call) && may_retry(call, true)) {
@@ -282,7 +319,7 @@
     }
 }
 
-static const bb_attempt_handler_t call_handler = {
+const bb_attempt_handler_t BbMeshCall_Handler = {
     .on_refused = call_refused,
     .on_head = call_head,
     .on_data = call_data,
@@ -294,8 +331,8 @@
 
 /* ---- placement ---- */
 
-static bb_endpoint_t *
-choose_endpoint(bb_mesh_call_t *call, bool *is_full)
+bb_endpoint_t *
+BbMeshCall_ChooseEndpoint(bb_mesh_call_t *call, bool *is_full)
 {
     const bb_call_io_options_t *options = &call->io->options;
     bb_placement_request_t request = {
@@ -339,10 +376,29 @@
     }
 }
 
+bb_reason_t
+BbMeshCall_OpenAttempt(bb_mesh_call_t *call, bb_endpoint_t *endpoint,
+                       const bb_attempt_handler_t *handler, void *arg,
+                       bb_hop_load_report_t *report, double *retry_after_s,
+                       bb_attempt_t **attempt)
+{
+    const bb_call_io_options_t *options = &call->io->options;
+
+    *retry_after_s = 0;
+    if (!endpoint->is_local) {
+        *attempt =
+            BbHopClient_Start(options->hop, endpoint->record.address,
+                              &call->attempt_request, handler, arg, report);
+        return BB_REASON_NONE;
+    }
+    return BbTargetIo_Submit(options->target, &call->attempt_request, handler,
+                             arg, retry_after_s, attempt);
+}
+
 static void
 start_attempt(bb_mesh_call_t *call, bb_endpoint_t *endpoint)
 {
-    const bb_call_io_options_t *options = &call->io->options;
+    double retry_after_s;
 
     call->attempts++;
     call->tried[call->tried_count++] = BbEndpoint_Ref(endpoint);
@@ -350,16 +406,10 @@
     call->load_report.has_load = false;
     log_placed(call);
     BbPlacement_BeginAttempt(endpoint);
-    if (!endpoint->is_local) {
-        call->attempt = BbHopClient_Start(
-            options->hop, endpoint->record.address, &call->attempt_request,
-            &call_handler, call, &call->load_report);
-        return;
-    }
-    double retry_after_s = 0;
-    bb_reason_t reason =
-        BbTargetIo_Submit(options->target, &call->attempt_request,
-                          &call_handler, call, &retry_after_s, &call->attempt);
+    call->attempt_started_at = BbMeshCall_Now(call);
+    bb_reason_t reason = BbMeshCall_OpenAttempt(
+        call, endpoint, &BbMeshCall_Handler, call, &call->load_report,
+        &retry_after_s, &call->attempt);
     if (reason != BB_REASON_NONE) {
         call_refused(reason, retry_after_s, call);
     }
@@ -372,7 +422,7 @@
     bool is_full = false;
 
     if (call->tried_count < BB_PLACEMENT_MAX_TRIED) {
-        endpoint = choose_endpoint(call, &is_full);
+        endpoint = BbMeshCall_ChooseEndpoint(call, &is_full);
     }
     if (endpoint == NULL) {
         bb_reason_t reason =
@@ -380,6 +430,9 @@
         BbMeshCall_Fail(call, call->attempts > 0 ? call->last_reason : reason);
         return;
     }
+    if (call->attempts == 0) {
+        BbMeshCall_ScheduleHedge(call);
+    }
     start_attempt(call, endpoint);
 }
 
@@ -388,6 +441,8 @@
 void
 BbMeshCall_TimeOut(bb_mesh_call_t *call, bb_attempt_outcome_t outcome)
 {
+    call->may_have_run = call->may_have_run || BbMeshCall_IsHedged(call);
+    BbMeshCall_CancelHedge(call);
     if (call->attempt != NULL) {
         bb_attempt_t *attempt = call->attempt;
         call->may_have_run = true;
--- a/lib/mesh/bb_placement.c
+++ b/lib/mesh/bb_placement.c
@@ -54,6 +54,10 @@
 #define START_SHARE 0.5
 #define START_DOUBLE_S 0.5
 
+/* A target with at most this share of its slots in use has room: with more,
+ * the calls that other nodes have sent since its report may fill it. */
+#define ROOM_SHARE 0.7
+
 /* Number of targets that are drawn at random for each call. Taking the best of
  * all would send the calls of every node to the same few targets. */
 #define DRAWN_CANDIDATES 3
@@ -264,6 +268,20 @@
     return predict(endpoint, &stats).total_s;
 }
 
+bool
+BbPlacement_HasRoom(const bb_fleet_t *fleet, const bb_endpoint_t *endpoint,
+                    const char *data_centre, double now, double *predicted_s)
+{
+    const service_stats_t stats = compute_service_stats(
+        BbFleet_ListEndpoints(fleet, endpoint->record.service), data_centre,
+        now);
+    const prediction_t predicted = predict(endpoint, &stats);
+
+    *predicted_s = predicted.total_s;
+    return endpoint->load_at > 0 &&
+           predicted.load <= slot_count(endpoint) * ROOM_SHARE;
+}
+
 /* Time until the node could receive a large body; the reported time decays
  * with its age. */
 static double
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -81,6 +81,13 @@
  * transfer time of a large body. */
 double BbPlacement_Predict(const bb_endpoint_t *endpoint, double now);
 
+/* Whether the target probably has free slots, with a margin for calls of other
+ * nodes. Sets *predicted_s to the predicted seconds of an attempt there. */
+bool BbPlacement_HasRoom(const bb_fleet_t *fleet,
+                         const bb_endpoint_t *endpoint,
+                         const char *data_centre, double now,
+                         double *predicted_s);
+
 typedef enum {
     BB_ATTEMPT_SERVED,      /* the target responded, also with an error that
                                the request itself caused */
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -216,6 +216,7 @@
         .names = Platform_HeaderNames(),
     };
 
+    sidecar->hedge = settings->is_hedge_enabled ? BbHedge_New() : NULL;
     sidecar->pace = settings->is_pace_enabled ? BbPace_New() : NULL;
     sidecar->random = BbRandom_New(0);
     sidecar->fleet = BbFleet_New(settings->name);
@@ -268,6 +269,7 @@
         .random = sidecar->random,
         .spill_share = settings->spill_share,
         .is_paced = settings->is_pace_enabled,
+        .hedge = sidecar->hedge,
         .freshness = &sidecar->freshness,
     };
     return BbCallIo_New(&calls, &sidecar->call_io);
@@ -362,6 +364,7 @@
     BbHopClient_Free(sidecar->hop_client);
     BbTargetIo_Free(sidecar->target_io);
     BbPace_Free(sidecar->pace);
+    BbHedge_Free(sidecar->hedge);
     BbLocalTarget_Free(sidecar->target);
     BbRepeatBudget_Free(sidecar->budget);
     BbMeshConfig_Unref(sidecar->config);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -31,7 +31,8 @@
     bb_freshness_t freshness; /* of config */
     bb_local_target_t *target;
     bb_target_io_t *target_io;
-    bb_pace_t *pace; /* NULL without slow start */
+    bb_pace_t *pace;   /* NULL without slow start */
+    bb_hedge_t *hedge; /* NULL without hedged calls */
     bb_hop_server_t *hop_server;
     bb_hop_client_t *hop_client;
     bb_call_io_t *call_io;
--- a/tests/unit/target_simulation.h
+++ b/tests/unit/target_simulation.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "bb_hedge.h"
 #include "bb_pace.h"
 #include "bb_placement.h"
 #include "bb_slot_queue.h"
@@ -22,16 +23,20 @@
 struct Class {
     const char *name;
     double work_s, target_latency_s, deadline_s, calls_per_s;
+    bool is_idempotent = true;
 };
 
 struct Options {
     int targets = 40, slots = 18, data_centres = 2;
     // Classes of service F of docs/hard-load.md.
     std::vector<Class> classes = {{"history", 0.35, 1.0, 2.5, 820},
-                                  {"corrections", 0.45, 1.2, 3.0, 314}};
+                                  {"corrections", 0.45, 1.2, 3.0, 314, false}};
     double spread = 0.4; // sigma of the lognormal distribution of work
     double length_s = 12;
     bool is_paced = false;
+    bool is_hedged = false;
+    double slow_runs = 0; // share of the runs that take slow_factor times
+    double slow_factor = 7;
     // A slow target runs fewer calls at the usual speed, or all of them
     // slowly.
     bool does_slow_hold_fewer = false;
@@ -40,7 +45,8 @@
 
 struct Result {
     int calls = 0, in_time = 0, late = 0, failed = 0, attempts = 0;
-    std::vector<double> times;
+    int hedged = 0, hedges_won = 0;
+    std::vector<double> times; // of idempotent calls
     std::map<int, int> by_target;
     double InTime() const
     {
@@ -69,6 +75,11 @@
         bb_slot_ticket_t ticket;
         Target *target = nullptr;
         std::vector<bb_endpoint_t *> tried;
+        double placed_at = 0;
+        std::shared_ptr<bool> is_answered = std::make_shared<bool>(false);
+        // The other attempt of a hedged call; may be over.
+        std::weak_ptr<Call> other;
+        bool is_hedge = false;
     };
 
     explicit Fleet(const Options &options)
@@ -77,6 +88,7 @@
     {
         for (int i = 0; i < options.targets; i++) {
             targets[i].index = i;
+            hedges_.push_back(BbHedge_New());
             BbSlotQueue_SetSlots(targets[i].queue, options.slots);
             BbPace_SetSlots(targets[i].pace, options.slots);
             fleets_.push_back(BbFleet_New(Name(i).c_str()));
@@ -94,6 +106,7 @@
             BbSlotQueue_Free(target.queue);
             BbPace_Free(target.pace);
             BbFleet_Free(fleets_[target.index]);
+            BbHedge_Free(hedges_[target.index]);
         }
         BbRandom_Free(random_);
     }
@@ -208,7 +221,9 @@
                 call->arrived_at = now;
                 call->work_s = DrawWork(*kind);
                 result.calls++;
+                BbHedge_OnCall(hedges_[call->node], kind->name);
                 Place(call);
+                ScheduleHedge(call);
             });
         }
     }
@@ -218,29 +233,77 @@
         return kind.work_s * std::lognormal_distribution<double>(
                                  -sigma * sigma / 2, sigma)(engine);
     }
-    void Place(const CallPtr &call)
+    std::string CentreName(int node) const
+    {
+        return "dc" + std::to_string(node % options.data_centres);
+    }
+    void ScheduleHedge(const CallPtr &call)
+    {
+        double delay_s = BbHedge_Delay(hedges_[call->node], call->kind->name);
+        if (options.is_hedged && call->kind->is_idempotent && delay_s > 0) {
+            At(now + delay_s, [this, call] { TryHedge(call); });
+        }
+    }
+    void TryHedge(const CallPtr &first)
+    {
+        if (*first->is_answered || first->tried.size() != 1) {
+            return;
+        }
+        bb_endpoint_t *endpoint = Choose(*first);
+        if (endpoint == nullptr) {
+            return;
+        }
+        bb_hedge_request_t request = {};
+        request.class_name = first->kind->name;
+        request.service = "f";
+        request.due_at =
+            first->arrived_at + 1000 + first->kind->target_latency_s;
+        request.has_room = BbPlacement_HasRoom(fleets_[first->node], endpoint,
+                                               CentreName(first->node).c_str(),
+                                               Clock(), &request.predicted_s);
+        if (!BbHedge_Take(hedges_[first->node], &request, Clock())) {
+            return;
+        }
+        auto call = std::make_shared<Call>(*first);
+        call->is_hedge = true;
+        call->other = first;
+        first->other = call;
+        result.hedged++;
+        Send(call, endpoint);
+    }
+    bb_endpoint_t *Choose(const Call &call)
     {
         std::string centre =
-            "dc" + std::to_string(call->node % options.data_centres);
+            "dc" + std::to_string(call.node % options.data_centres);
         bb_placement_request_t request = {};
         request.service = "f";
-        request.class_name = call->kind->name;
+        request.class_name = call.kind->name;
         request.data_centre = centre.c_str();
-        request.target_latency_s = call->kind->target_latency_s;
+        request.target_latency_s = call.kind->target_latency_s;
         request.spill_share = 0.65;
-        request.refusals = call->refusals;
+        request.refusals = call.refusals;
         request.is_paced = options.is_paced;
-        for (bb_endpoint_t *endpoint : call->tried) {
+        for (bb_endpoint_t *endpoint : call.tried) {
             request.tried[request.tried_count++] = endpoint;
         }
-        bb_endpoint_t *endpoint = BbPlacement_Choose(
-            fleets_[call->node], &request, random_, Clock(), nullptr);
-        if (endpoint == nullptr || call->tried.size() >= 4) {
+        return BbPlacement_Choose(fleets_[call.node], &request, random_,
+                                  Clock(), nullptr);
+    }
+    void Place(const CallPtr &call)
+    {
+        bb_endpoint_t *endpoint =
+            call->tried.size() < 4 ? Choose(*call) : nullptr;
+        if (endpoint == nullptr) {
             result.failed++;
             return;
         }
+        Send(call, endpoint);
+    }
+    void Send(const CallPtr &call, bb_endpoint_t *endpoint)
+    {
         call->tried.push_back(endpoint);
         call->target = &targets[atoi(endpoint->node + 1)];
+        call->placed_at = now;
         result.attempts++;
         BbPlacement_BeginAttempt(endpoint);
         At(now + 0.001, [this, call] { Offer(call); });
@@ -302,6 +365,10 @@
         target.running.push_back(call);
         result.by_target[target.index]++;
         int incarnation = target.incarnation;
+        if (std::uniform_real_distribution<double>()(engine) <
+            options.slow_runs) {
+            factor *= options.slow_factor;
+        }
         At(now + call->work_s * factor, [this, call, &target, incarnation] {
             if (target.incarnation == incarnation) {
                 Finish(call);
@@ -364,11 +431,27 @@
     {
         bb_endpoint_t *endpoint = call->tried.back();
         BbPlacement_EndAttempt(endpoint, outcome, &load, Clock());
+        bb_hedge_t *hedge = hedges_[call->node];
+        if (outcome == BB_ATTEMPT_REFUSED) {
+            BbHedge_OnRefusal(hedge, "f", Clock());
+        }
+        else {
+            BbHedge_OnResponse(hedge, call->kind->name, now - call->placed_at);
+        }
+        bool is_other_open = !call->other.expired();
+        if (*call->is_answered ||
+            (is_other_open && outcome != BB_ATTEMPT_SERVED)) {
+            return;
+        }
         if (outcome == BB_ATTEMPT_SERVED) {
+            *call->is_answered = true;
+            result.hedges_won += call->is_hedge;
             double took_s = now - call->arrived_at;
             bool is_in_time = took_s <= call->kind->target_latency_s;
             (is_in_time ? result.in_time : result.late)++;
-            result.times.push_back(took_s);
+            if (call->kind->is_idempotent) {
+                result.times.push_back(took_s);
+            }
             if (!endpoint->is_local) {
                 BbPace_OnReference(targets[call->node].pace, call->kind->name,
                                    load.class_ms / 1000.0, Clock());
@@ -388,6 +471,7 @@
 
     bb_random_t *random_;
     std::vector<bb_fleet_t *> fleets_;
+    std::vector<bb_hedge_t *> hedges_;
     std::priority_queue<Event> events_;
     std::map<bb_slot_ticket_t *, CallPtr> waiting_;
     long order_ = 0;
