--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -1,6 +1,7 @@
 // Tests of lib/http and lib/mesh over loopback: which responses callers get
 // and which calls targets run when targets, nodes or callers fail or
 // misbehave.
+#include "bb_clock.h"
 #include "bb_probe.h"
 #include "bb_sync_client.h"
 #include "bb_sync_server.h"
@@ -103,6 +104,81 @@
     }
 }
 
+// Guards against a hedged call that gets two responses or none: the first
+// complete one wins, the other attempt is cancelled, and the failure of one
+// attempt does not end the call.
+TEST_F(MeshIoTwoNodes, LateIdempotentCallsRunAtTwoTargets)
+{
+    Caller caller(&loop, node.caller_address);
+    // Ends a request after a time: with a response, or by closing.
+    auto end_after = [&](double after_s, bool is_lost) {
+        return [this, after_s, is_lost](const Target::Request &request) {
+            using Held = std::pair<Target::Request, bool>;
+            ev_once(
+                loop.loop, -1, 0, after_s,
+                [](int, void *arg) {
+                    std::unique_ptr<Held> held(static_cast<Held *>(arg));
+                    if (held->second) {
+                        held->first.connection->Close(true);
+                    }
+                    else {
+                        held->first.connection->Send(
+                            Target::Response(held->first.id, "ok"));
+                    }
+                },
+                new Held(request, is_lost));
+        };
+    };
+    // Sends a call that is late after 50 ms, and returns its status. Checks
+    // that it ran as often as expected and that no attempt stays open.
+    auto send = [&](const std::string &id, const std::string &path,
+                    int expected_runs = 2) {
+        for (int i = 0; i < 100; i++) {
+            BbHedge_OnCall(node.hedge, "safe");
+            BbHedge_OnCall(node.hedge, "once");
+            BbHedge_OnResponse(node.hedge, "safe", 0.05);
+            BbHedge_OnResponse(node.hedge, "once", 0.05);
+        }
+        // Both nodes look idle, so the first attempt is at the local target.
+        for (const char *name : {"n1", "n2"}) {
+            bb_endpoint_t *endpoint = BbFleet_Find(node.fleet, name);
+            BbPlacement_SetReachable(endpoint);
+            endpoint->load = {0, 0, 4, 10, 0, 0, 3, 0, 0};
+            endpoint->load_at = BbClock_Now(loop.loop);
+            endpoint->fail_rate = 0;
+        }
+        std::string status = Status(caller.Call(
+            "GET " + path + " HTTP/1.1\r\nHost: h\r\nCall-Id: " + id +
+            "\r\nLeft-Ms: 900\r\n\r\n"));
+        EXPECT_EQ(target.RunCount(id) + other_target.RunCount(id),
+                  expected_runs)
+            << id;
+        EXPECT_TRUE(loop.RunUntil([&] {
+            return BbTargetIo_OpenCallCount(node.target_io) == 0 &&
+                   BbTargetIo_OpenCallCount(other.target_io) == 0 &&
+                   BbCallIo_OpenCalls(node.calls) == 0;
+        })) << id;
+        return status;
+    };
+    target.on_request = [](const Target::Request &) {};
+    EXPECT_EQ(send("second-wins", "/safe/1"), "200");
+    other_target.on_request = [](const Target::Request &) {};
+    target.on_request = end_after(0.15, false);
+    EXPECT_EQ(send("first-wins", "/safe/1"), "200");
+    other_target.on_request = end_after(0.01, true);
+    EXPECT_EQ(send("second-lost", "/safe/1"), "200");
+    target.on_request = end_after(0.1, true);
+    other_target.on_request = end_after(0.15, false);
+    EXPECT_EQ(send("first-lost", "/safe/1"), "200");
+    other_target.on_request = end_after(0.1, true);
+    EXPECT_EQ(send("both-lost", "/safe/1"), "502");
+    target.on_request = end_after(0.15, false);
+    EXPECT_EQ(send("once", "/once/1", 1), "200");
+    target.on_request = [](const Target::Request &) {};
+    other_target.on_request = target.on_request;
+    EXPECT_EQ(send("both-silent", "/safe/1"), "504");
+}
+
 // Guards against a refusal that is passed to the caller while another target
 // could take the call, and against status 503 for a call that has run.
 TEST_F(MeshIoTwoNodes, CallsThatDidNotRunAreRetriedOnAnotherNode)
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -338,6 +338,7 @@
         options.random = random;
         options.spill_share = 0.9;
         options.freshness = &freshness;
+        options.hedge = hedge;
         EXPECT_EQ(BbCallIo_New(&options, &calls), 0);
         config_ = MakeConfig();
         BbCallIo_SetConfig(calls, config_);
@@ -351,6 +352,7 @@
         BbHopClient_Free(hop_client);
         BbTargetIo_Free(target_io);
         BbLocalTarget_Free(local_target);
+        BbHedge_Free(hedge);
         BbRepeatBudget_Free(budget);
         BbRandom_Free(random);
         BbFleet_Free(fleet);
@@ -405,6 +407,7 @@
     bb_fleet_t *fleet;
     bb_random_t *random;
     bb_repeat_budget_t *budget;
+    bb_hedge_t *hedge = BbHedge_New(); // inert until it knows a class
     bb_freshness_t freshness = {};
     bb_call_io_t *calls;
 };
--- a/tests/unit/pace_test.cc
+++ b/tests/unit/pace_test.cc
@@ -2,6 +2,7 @@
 // load in virtual time, with and without slow start on the same seeds.
 #include <gtest/gtest.h>
 
+#include "bb_target_io.h"
 #include "target_simulation.h"
 
 using simulation::Fleet;
@@ -271,3 +272,37 @@
     EXPECT_GE(later, 78);
     BbRandom_Free(random);
 }
+
+// Guards against a limit that the node beside the target does not apply or
+// report, and against a slow start of a target that runs since before the
+// node.
+TEST(Pace, NodeReportsTheLimitAsSlots)
+{
+    const bb_header_names_t names = {};
+    for (bool is_new : {true, false}) {
+        bb_local_target_options_t target_options = {"127.0.0.1:1", "f", false};
+        bb_local_target_t *target = BbLocalTarget_New(&target_options);
+        bb_pace_t *pace = BbPace_New();
+        struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+        bb_target_io_options_t options = {loop,   "127.0.0.1:1", "f",  &names,
+                                          target, pace,          false};
+        bb_target_io_t *io = BbTargetIo_New(&options);
+        bb_heartbeat_t heartbeat = {};
+        heartbeat.id = "t";
+        heartbeat.address = "127.0.0.1:1";
+        heartbeat.service = "f";
+        heartbeat.slots = 18;
+        heartbeat.sequence = 1;
+        heartbeat.born_ms = g_get_real_time() / 1000 - (is_new ? 0 : 60000);
+        BbLocalTarget_Heartbeat(target, &heartbeat);
+        BbTargetIo_TargetChanged(io);
+        bb_load_t load = {};
+        BbTargetIo_GetLoad(io, "history", &load);
+        EXPECT_EQ(load.slots, is_new ? 9 : 18);
+        EXPECT_EQ(load.class_ms, 0);
+        BbTargetIo_Free(io);
+        ev_loop_destroy(loop);
+        BbPace_Free(pace);
+        BbLocalTarget_Free(target);
+    }
+}
