--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -729,8 +729,11 @@
     }
     load->waiting = BbSlotQueue_Waiting(io->queue);
     load->slots = current_slots(io);
-    load->service_ms =
-        (int)lrint(BbSlotQueue_ServiceTime(io->queue, now) * 1000);
+    double service_s = io->pace != NULL ? BbPace_ServiceTime(io->pace) : 0;
+    if (service_s <= 0) {
+        service_s = BbSlotQueue_ServiceTime(io->queue, now);
+    }
+    load->service_ms = (int)lrint(service_s * 1000);
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
     load->class_ms =
         io->pace != NULL
--- a/lib/pace/bb_pace.c
+++ b/lib/pace/bb_pace.c
@@ -59,6 +59,12 @@
 #define PACE_SLOW_S 6.0
 #define PACE_RELEASE_S 2.0
 
+/* Slowness that the load report shows at most. Placement prefers fast targets
+ * while they have free slots: with its real slowness a target gets hardly any
+ * calls, and does not show for seconds that it has become warm. The limit
+ * bounds what it gets. */
+#define MAX_REPORTED_SLOWNESS 1.2
+
 /* Weight of the newest report in the time of a class elsewhere, and the age
  * from which that time is not used. */
 #define REFERENCE_WEIGHT 0.1
@@ -77,7 +83,8 @@
     bb_pace_reason_t reason;
     double limit;
     double slowness;
-    double started_at; /* last start of an incarnation */
+    double elsewhere_s; /* mean time elsewhere of the calls that responded */
+    double started_at;  /* last start of an incarnation */
     double begun_at;
     double calm_since; /* begin of the limit, or the last failure */
     double cold_until;
@@ -134,6 +141,7 @@
     pace->is_active = true;
     pace->reason = reason;
     pace->slowness = is_started ? START_SLOWNESS : 1;
+    pace->elsewhere_s = 0;
     pace->begun_at = now;
     pace->calm_since = now;
     pace->cold_until = now + MAX(cold_left_s, 0);
@@ -208,11 +216,18 @@
 }
 
 static void
-add_slowness(bb_pace_t *pace, double slowness)
+add_response(bb_pace_t *pace, double slowness, double reference_s)
 {
     double weight = CLAMP(2 / (pace->limit + 1), MIN_WEIGHT, MAX_WEIGHT);
     double counted = MIN(slowness, pace->slowness + MAX_STEP);
 
+    if (reference_s > 0) {
+        pace->elsewhere_s =
+            pace->elsewhere_s > 0
+                ? pace->elsewhere_s +
+                      weight * (reference_s - pace->elsewhere_s)
+                : reference_s;
+    }
     pace->slowness += weight * (counted - pace->slowness);
 }
 
@@ -225,14 +240,16 @@
 }
 
 static bb_pace_change_t
-adapt_to_response(bb_pace_t *pace, double slowness, int running, double now)
+adapt_to_response(bb_pace_t *pace, double took_s, double reference_s,
+                  int running, double now)
 {
+    double slowness = reference_s > 0 ? took_s / reference_s : 1.0;
     double all = MAX(pace->slots, 1);
     bool is_used = running >= pace->limit * MIN_USED_SHARE;
 
-    add_slowness(pace, slowness);
+    add_response(pace, slowness, reference_s);
     if (is_released(pace, now)) {
-        return BB_PACE_UNCHANGED;
+        return BbPace_Update(pace, now);
     }
     double held = pace->slowness > FAST_SLOWNESS
                       ? MAX(all / pace->slowness, FLOOR)
@@ -281,8 +298,7 @@
         return BB_PACE_UNCHANGED;
     }
     pace->round_trip_s = MAX(took_s, reference_s);
-    return adapt_to_response(
-        pace, reference_s > 0 ? took_s / reference_s : 1.0, running, now);
+    return adapt_to_response(pace, took_s, reference_s, running, now);
 }
 
 bb_pace_change_t
@@ -337,6 +353,14 @@
     return pace->slowness;
 }
 
+double
+BbPace_ServiceTime(const bb_pace_t *pace)
+{
+    return pace->is_active
+               ? pace->elsewhere_s * MIN(pace->slowness, MAX_REPORTED_SLOWNESS)
+               : 0;
+}
+
 const char *
 BbPace_ReasonName(const bb_pace_t *pace)
 {
--- a/lib/pace/bb_pace.h
+++ b/lib/pace/bb_pace.h
@@ -94,6 +94,10 @@
 /* Recent time of calls relative to elsewhere; 1 is as fast. */
 double BbPace_Slowness(const bb_pace_t *pace);
 
+/* Seconds of a call that the load report shows; 0 without a limit in force or
+ * before the first response: then the mean of the slot queue is reported. */
+double BbPace_ServiceTime(const bb_pace_t *pace);
+
 /* Why the limit in force, or the last one, has begun: "started", "returned",
  * "failed" or "silent". */
 const char *BbPace_ReasonName(const bb_pace_t *pace);
--- a/tests/unit/pace_test.cc
+++ b/tests/unit/pace_test.cc
@@ -56,8 +56,9 @@
     const char *name;
     double load; // share of the usual load
     Scenario scenario;
-    // Half of the fleet at half speed is short of capacity: a bounded loss.
-    double tolerance = 0;
+    // Required gain in the share of calls in time. The default allows for the
+    // noise of 41,000 calls, two standard deviations.
+    double min_gain = -0.001;
 };
 
 std::vector<Case>
@@ -73,13 +74,15 @@
              for (int i = 0; i < 13; i++) {
                  Replace(fleet, i, 2 + 0.6 * i);
              }
-         }},
+         },
+         0.005},
         {"a third replaced, busy", 1.35,
          [](Fleet &fleet) {
              for (int i = 0; i < 13; i++) {
                  Replace(fleet, i, 2 + 0.6 * i);
              }
-         }},
+         },
+         0.005},
         {"flapping target", 1.0,
          [](Fleet &fleet) {
              for (int i = 0; i < 6; i++) {
@@ -103,7 +106,8 @@
                  }
              });
          },
-         0.005},
+         // Half of the fleet at half speed is short of capacity.
+         -0.005},
         {"slow for good", 1.0,
          [](Fleet &fleet) {
              fleet.At(2, [&fleet] { fleet.Start(fleet.targets[7], 3, 100); });
@@ -127,7 +131,7 @@
             Result without = RunScenario(item.name, options, item.scenario);
             options.is_paced = true;
             Result paced = RunScenario(item.name, options, item.scenario);
-            EXPECT_GE(paced.InTime(), without.InTime() - item.tolerance)
+            EXPECT_GE(paced.InTime(), without.InTime() + item.min_gain)
                 << item.name;
         }
     }
@@ -138,17 +142,23 @@
 // and down.
 TEST(Pace, LimitEnds)
 {
-    for (double slowness : {1.0, 2.0, 3.0}) {
+    struct Start {
+        double slowness, for_s, longest_s;
+    };
+    for (const Start &start :
+         {Start{1, 0, 2.0}, {2, 3, 7.0}, {2, 100, 8.5}, {3, 100, 8.5}}) {
         Options options;
         options.is_paced = true;
         Fleet fleet(options);
-        fleet.At(2, [&] { fleet.Start(fleet.targets[7], slowness, 100); });
+        Fleet::Target &target = fleet.targets[7];
+        fleet.At(2, [&] { fleet.Start(target, start.slowness, start.for_s); });
         fleet.Run();
-        printf("slowness %.0f full at %.2f lowered %d\n", slowness,
-               fleet.targets[7].full_at - 2, fleet.targets[7].lowered);
-        EXPECT_GT(fleet.targets[7].full_at, 0) << slowness;
-        EXPECT_LE(fleet.targets[7].full_at - 2, slowness > 1 ? 8.5 : 2.5);
-        EXPECT_LE(fleet.targets[7].lowered, 3) << slowness;
+        printf("slowness %.0f for %.0f s: full after %.2f s, lowered %d\n",
+               start.slowness, start.for_s, target.full_at - 2,
+               target.lowered);
+        EXPECT_GT(target.full_at, 0);
+        EXPECT_LE(target.full_at - 2, start.longest_s);
+        EXPECT_LE(target.lowered, 3);
     }
 }
 
--- a/tests/unit/target_simulation.h
+++ b/tests/unit/target_simulation.h
@@ -418,8 +418,11 @@
         load.waiting = BbSlotQueue_Waiting(queue);
         load.slots = options.is_paced ? BbPace_Limit(call->target->pace)
                                       : options.slots;
-        load.service_ms =
-            static_cast<int>(BbSlotQueue_ServiceTime(queue, Clock()) * 1000);
+        double paced_s =
+            options.is_paced ? BbPace_ServiceTime(call->target->pace) : 0;
+        load.service_ms = static_cast<int>(
+            1000 *
+            (paced_s > 0 ? paced_s : BbSlotQueue_ServiceTime(queue, Clock())));
         load.class_ms = static_cast<int>(
             BbSlotQueue_MeasuredTime(queue, call->kind->name, Clock()) * 1000);
         waiting_.erase(&call->ticket);
