--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -71,6 +71,13 @@
      1e6, "calls for a bad version besides"},
     {"rollout", "rollback_s", TYPE_NUMBER, FIELD(rollback_s), true, 5, 0.5,
      600, "seconds within which a bad version gets no more calls"},
+    {"pace", "enabled", TYPE_FLAG, FIELD(is_pace_enabled), true, 0, 0, 0,
+     "slow start: a target that has started or recovered gets few calls at "
+     "first"},
+    {"target_load", "enabled", TYPE_FLAG, FIELD(is_target_load_enabled), true,
+     0, 0, 0, "predictions use the load that the target reports"},
+    {"hedge", "enabled", TYPE_FLAG, FIELD(is_hedge_enabled), true, 0, 0, 0,
+     "late idempotent calls get a second attempt at another node"},
 };
 
 static const setting_t *
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -35,6 +35,7 @@
     /* between the id of a call and the suffix of calls nested in it; NULL
      * where ids do not show that */
     const char *call_id_separator;
+    const char *target_load; /* load of a target, see bb_target_load.h */
 } bb_header_names_t;
 
 /* Header names used between nodes. */
--- a/lib/mesh/bb_local_target.c
+++ b/lib/mesh/bb_local_target.c
@@ -14,6 +14,7 @@
     int64_t sequence;
     int slots;
     char *version; /* NULL while unknown */
+    double cold_left_s;
     bb_local_state_t state;
     bool is_restored; /* ready only by the record of an earlier process */
     bool waits_for_record;
@@ -104,6 +105,7 @@
     target->is_restored = false;
     target->slots = heartbeat->slots;
     BbLocalTarget_RestoreVersion(target, heartbeat->version);
+    target->cold_left_s = heartbeat->cold_left_s;
     target->state = state;
     return is_changed ? BB_HEARTBEAT_CHANGED : BB_HEARTBEAT_UNCHANGED;
 }
@@ -275,6 +277,12 @@
     return target->slots;
 }
 
+double
+BbLocalTarget_ColdLeft(const bb_local_target_t *target)
+{
+    return target->cold_left_s;
+}
+
 const char *
 BbLocalState_Name(bb_local_state_t state)
 {
--- a/lib/mesh/bb_placement.h
+++ b/lib/mesh/bb_placement.h
@@ -24,6 +24,12 @@
  * and takes time on it. Both are added to the predicted time, for other nodes:
  * the response of the target on the own VM has to pass the own link only once,
  * so that target comes first while it has a free slot and its link is free.
+ * With is_paced, the calls of all nodes in flight to a target without a report
+ * are bounded too: a new target would look idle to every node until its first
+ * response. Each node has a share of the target's slots, which doubles each
+ * half second; below one call it is the probability that the node may send
+ * one. The bound does not apply while most targets of the service have no
+ * report, as after a restart of this node or of all targets.
  *
  * Failing targets are detected by their responses: a high share of failed
  * calls adds to the predicted time. An unreachable node gets calls as a last
@@ -59,6 +65,7 @@
     double target_latency_s; /* 0 when the route has none */
     double spill_share;      /* share of target_latency_s, see above */
     int refusals;            /* of this call so far, for lack of capacity */
+    bool is_paced;           /* few calls to targets without a report */
     const bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
     /* Whether a roll-out lets the call go to this node; NULL without one.
@@ -84,6 +91,13 @@
  * transfer time of a large body or response. */
 double BbPlacement_Predict(const bb_endpoint_t *endpoint, double now);
 
+/* Whether the target probably has free slots, with a margin for calls of other
+ * nodes. Sets *predicted_s to the predicted seconds of an attempt there. */
+bool BbPlacement_HasRoom(const bb_fleet_t *fleet,
+                         const bb_endpoint_t *endpoint,
+                         const char *data_centre, double now,
+                         double *predicted_s);
+
 typedef enum {
     BB_ATTEMPT_SERVED,      /* the target responded, also with an error that
                                the request itself caused */
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -10,6 +10,7 @@
 #include "bb_event.h"
 #include "bb_histogram.h"
 #include "bb_slot_queue.h"
+#include "bb_target_load.h"
 
 /* The deadline given to the target is this much earlier than the time at which
  * the node that received the call stops waiting. */
@@ -27,6 +28,14 @@
 /* Longer waits at the link are reported as this: no call is placed there. */
 #define MAX_REPORTED_LINK_S 60.0
 
+/* Time for which a number of calls that the target reports is used. */
+#define TARGET_LOAD_KEEP_S 0.3
+
+/* A target that was started longer ago than this before the first heartbeat
+ * that this process received has been running beside an earlier process, and
+ * is not new. */
+#define STARTED_BEFORE_MS 5000
+
 /* Weight of the newest call in the moving average of the failure rate. */
 #define FAIL_RATE_WEIGHT 0.05
 
@@ -62,6 +71,10 @@
     const bb_dropped_keys_t *dropped_keys;
     bb_link_admission_t *link;          /* may be NULL */
     const bb_target_rollout_t *rollout; /* may be NULL */
+    bb_pace_t *pace;
+    char paced_id[BB_TARGET_ID_TEXT + 1]; /* last incarnation that was ready */
+    int64_t paced_born_ms;
+    bool was_ready;
     bb_slot_queue_t *queue;
     bb_reserve_t *reserve;
     bb_fair_share_t *share;
@@ -69,6 +82,9 @@
     bb_h1_client_t *client;
     target_call_t *calls;
     int call_count;
+    bool uses_target_load;
+    int foreign_running; /* calls at the target that are not from this node */
+    double foreign_at;   /* when the target reported them */
     double fail_rate;
     bool is_node_draining;
     ev_timer queue_timer;
@@ -76,6 +92,131 @@
 
 static void run_queue(bb_target_io_t *io);
 
+/* ---- slow start, see bb_pace.h ---- */
+
+static void
+log_pace(const bb_target_io_t *io, const char *state)
+{
+    if (BbEvent_Allows(BB_EVENT_PACE)) {
+        BbEvent_Write(BB_EVENT_PACE,
+                      json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:f}",
+                                "target", BbLocalTarget_Id(io->target),
+                                "state", state, "reason",
+                                BbPace_ReasonName(io->pace), "limit",
+                                BbPace_Limit(io->pace), "slots",
+                                BbLocalTarget_Slots(io->target), "running",
+                                BbSlotQueue_Running(io->queue), "slowness",
+                                BbPace_Slowness(io->pace)));
+    }
+}
+
+static void
+apply_pace(bb_target_io_t *io, bb_pace_change_t change)
+{
+    BbSlotQueue_SetSlots(io->queue, BbPace_Limit(io->pace));
+    switch (change) {
+    case BB_PACE_BEGUN:
+        BbCounters_Add(BB_COUNTER_PACE_BEGUN, 1);
+        log_pace(io, "begun");
+        break;
+    case BB_PACE_LOWERED:
+        BbCounters_Add(BB_COUNTER_PACE_LOWERED, 1);
+        log_pace(io, "lowered");
+        break;
+    case BB_PACE_ENDED:
+        BbCounters_Add(BB_COUNTER_PACE_ENDED, 1);
+        log_pace(io, "full");
+        break;
+    case BB_PACE_UNCHANGED:
+        break;
+    }
+}
+
+static void
+pace_response(bb_target_io_t *io, const target_call_t *call)
+{
+    if (io->pace != NULL) {
+        double now = BbClock_Now(io->loop);
+        apply_pace(io, BbPace_OnResponse(io->pace, call->request.class_name,
+                                         call->ticket.started_at,
+                                         BbSlotQueue_Running(io->queue), now));
+    }
+}
+
+static void
+pace_failure(bb_target_io_t *io, const target_call_t *call, bool is_timeout)
+{
+    if (io->pace != NULL) {
+        apply_pace(io, BbPace_OnFailure(io->pace, call->ticket.started_at,
+                                        is_timeout, BbClock_Now(io->loop)));
+    }
+}
+
+/* Before a call is offered: applies the time, and predicts with the time that
+ * its class takes elsewhere, because the own mean follows too slowly. */
+static void
+pace_offer(bb_target_io_t *io, const bb_attempt_request_t *request)
+{
+    double now = BbClock_Now(io->loop);
+
+    if (io->pace == NULL || !BbPace_IsActive(io->pace)) {
+        return;
+    }
+    apply_pace(io, BbPace_Update(io->pace, now));
+    BbSlotQueue_AssumeTime(
+        io->queue, request->class_name,
+        BbPace_Reference(io->pace, request->class_name, now) *
+            BbPace_Slowness(io->pace),
+        now);
+}
+
+/* Whether the ready target was running before this process started. */
+static bool
+is_target_old(const bb_target_io_t *io)
+{
+    int64_t born_ms = BbLocalTarget_BornMs(io->target);
+
+    return io->paced_id[0] == '\0' && born_ms > 0 &&
+           g_get_real_time() / 1000 - born_ms > STARTED_BEFORE_MS;
+}
+
+/* Begins the slow start of a target that has become ready. */
+static void
+pace_target(bb_target_io_t *io)
+{
+    bool is_ready = BbLocalTarget_State(io->target) == BB_LOCAL_READY;
+    bool was_ready = io->was_ready;
+    const char *id = BbLocalTarget_Id(io->target);
+
+    BbPace_SetSlots(io->pace, BbLocalTarget_Slots(io->target));
+    io->was_ready = is_ready;
+    if (!is_ready) {
+        return;
+    }
+    bool is_same = strcmp(id, io->paced_id) == 0 &&
+                   BbLocalTarget_BornMs(io->target) == io->paced_born_ms;
+    bool is_old = is_target_old(io);
+    g_strlcpy(io->paced_id, id, sizeof(io->paced_id));
+    io->paced_born_ms = BbLocalTarget_BornMs(io->target);
+    double cold_left_s = BbLocalTarget_ColdLeft(io->target);
+    if ((!is_same && !is_old) || cold_left_s > 0) {
+        apply_pace(io, BbPace_Begin(io->pace, BB_PACE_STARTED, cold_left_s,
+                                    BbClock_Now(io->loop)));
+    }
+    else if (is_same && !was_ready) {
+        apply_pace(io, BbPace_Begin(io->pace, BB_PACE_RETURNED, 0,
+                                    BbClock_Now(io->loop)));
+    }
+}
+
+/* Calls that the target may run at once now. */
+static int
+current_slots(const bb_target_io_t *io)
+{
+    return io->pace != NULL ? BbPace_Limit(io->pace)
+                            : BbLocalTarget_Slots(io->target);
+}
+
 /* ---- ending a call ---- */
 
 static void
@@ -148,7 +289,7 @@
                       call->request.call_id, "reason", BbReason_Name(reason),
                       "running", BbSlotQueue_Running(io->queue), "waiting",
                       BbSlotQueue_Waiting(io->queue), "slots",
-                      BbLocalTarget_Slots(io->target), "service_s",
+                      current_slots(io), "service_s",
                       BbSlotQueue_ServiceTime(io->queue, now), "link_s",
                       BbLinkAdmission_Wait(io->link, now)));
     }
@@ -191,6 +332,7 @@
     /* A call that was cut at its deadline may have started late. Its duration
      * tells a slow target, and a failure would tell only an overloaded one. */
     report_run(call, reason != BB_REASON_CALL_TIMEOUT);
+    pace_failure(io, call, reason == BB_REASON_CALL_TIMEOUT);
     release_ticket(call, reason == BB_REASON_CALL_TIMEOUT);
     free_call(call);
     handler->on_lost(reason, arg);
@@ -199,6 +341,28 @@
 
 /* ---- response from the target ---- */
 
+static void
+read_target_load(bb_target_io_t *io, const bb_h1_fields_t *fields)
+{
+    bb_target_load_t load;
+    double now = BbClock_Now(io->loop);
+
+    if (!io->uses_target_load ||
+        BbTargetLoad_Parse(BbH1Fields_Get(fields, io->names->target_load),
+                           &load) != 0) {
+        return;
+    }
+    if (load.percent > 0) {
+        BbSlotQueue_SetWorkPercent(io->queue, load.percent, now);
+    }
+    io->foreign_running =
+        MAX(load.running - BbSlotQueue_Running(io->queue), 0);
+    io->foreign_at = now;
+    if (io->foreign_running > 0) {
+        BbCounters_Add(BB_COUNTER_TARGET_LOAD_DIFFERS, 1);
+    }
+}
+
 static bool
 has_matching_call_id(const bb_h1_fields_t *fields, void *arg)
 {
@@ -215,6 +379,7 @@
     target_call_t *call = arg;
     const bb_header_names_t *names = call->io->names;
 
+    read_target_load(call->io, fields);
     if (status == 421) {
         call->refusal = BB_REASON_TARGET_REPLACED;
         return;
@@ -267,6 +432,7 @@
             BbLocalTarget_OnMismatch(io->target);
         }
         record_result(io, true);
+        pace_failure(io, call, false);
         refuse(call, call->refusal);
         return;
     }
@@ -275,6 +441,7 @@
                                 call->response_bytes, BbClock_Now(io->loop));
     }
     report_run(call, call->status >= 500);
+    pace_response(io, call);
     release_ticket(call, true);
     free_call(call);
     handler->on_end(owner);
@@ -289,6 +456,7 @@
     call->exchange = NULL;
     if (call->refusal != BB_REASON_NONE || !is_sent) {
         record_result(call->io, true);
+        pace_failure(call->io, call, false);
         refuse(call, call->refusal != BB_REASON_NONE
                          ? call->refusal
                          : BB_REASON_TARGET_CONNECT);
@@ -616,6 +784,7 @@
     if (reason != BB_REASON_NONE) {
         return report_refusal(io, request, reason);
     }
+    pace_offer(io, request);
     if (!is_link_available(io, request, retry_after_s)) {
         return report_refusal(io, request, BB_REASON_LINK_FULL);
     }
@@ -651,7 +820,7 @@
         start_call(call);
     }
     else {
-        if (BbSlotQueue_Running(io->queue) < BbLocalTarget_Slots(io->target)) {
+        if (BbSlotQueue_Running(io->queue) < current_slots(io)) {
             BbCounters_Add(BB_COUNTER_RESERVE_WAITS, 1);
         }
         schedule_queue_timer(io);
@@ -664,7 +833,10 @@
 void
 BbTargetIo_TargetChanged(bb_target_io_t *io)
 {
-    BbSlotQueue_SetSlots(io->queue, BbLocalTarget_Slots(io->target));
+    if (io->pace != NULL) {
+        pace_target(io);
+    }
+    BbSlotQueue_SetSlots(io->queue, current_slots(io));
     bb_reason_t reason = state_refusal_reason(io);
     while (reason != BB_REASON_NONE && reason != BB_REASON_NODE_DRAINING) {
         bb_slot_ticket_t *ticket = BbSlotQueue_FirstWaiting(io->queue);
@@ -683,18 +855,42 @@
 }
 
 void
-BbTargetIo_GetLoad(const bb_target_io_t *io, bb_load_t *load)
+BbTargetIo_GetLoad(const bb_target_io_t *io, const char *class_name,
+                   bb_load_t *load)
 {
+    double now = BbClock_Now(io->loop);
+
     load->running = BbSlotQueue_Running(io->queue);
+    if (now - io->foreign_at < TARGET_LOAD_KEEP_S) {
+        load->running += io->foreign_running;
+    }
     load->waiting = BbSlotQueue_Waiting(io->queue);
-    load->slots = BbLocalTarget_Slots(io->target);
-    load->service_ms = (int)lrint(
-        BbSlotQueue_MixTime(io->queue, BbClock_Now(io->loop)) * 1000);
+    load->slots = current_slots(io);
+    double service_s = io->pace != NULL ? BbPace_ServiceTime(io->pace) : 0;
+    if (service_s <= 0) {
+        service_s = BbSlotQueue_MixTime(io->queue, now);
+    }
+    load->service_ms = (int)lrint(service_s * 1000);
     load->fail_permille = (int)lrint(io->fail_rate * 1000);
     /* Bytes that are sent while the next call runs do not delay it. */
-    double link_s = BbLinkAdmission_Wait(io->link, BbClock_Now(io->loop)) -
-                    load->service_ms / 1000.0;
+    double link_s =
+        BbLinkAdmission_Wait(io->link, now) - load->service_ms / 1000.0;
     load->link_ms = (int)lrint(CLAMP(link_s, 0.0, MAX_REPORTED_LINK_S) * 1000);
+    load->class_ms =
+        io->pace != NULL
+            ? (int)lrint(BbSlotQueue_MeasuredTime(io->queue, class_name, now) *
+                         1000)
+            : 0;
+}
+
+void
+BbTargetIo_OnLoadElsewhere(bb_target_io_t *io, const char *class_name,
+                           const bb_load_t *load)
+{
+    if (io->pace != NULL) {
+        BbPace_OnReference(io->pace, class_name, load->class_ms / 1000.0,
+                           BbClock_Now(io->loop));
+    }
 }
 
 bb_call_tree_t *
@@ -733,6 +929,8 @@
     io->dropped_keys = options->dropped_keys;
     io->link = options->link;
     io->rollout = options->rollout;
+    io->pace = options->pace;
+    io->uses_target_load = options->uses_target_load;
     io->queue = BbSlotQueue_New();
     io->reserve = BbReserve_New();
     BbSlotQueue_SetReserve(io->queue, io->reserve);
--- a/programs/bbsidecar/sidecar_internal.h
+++ b/programs/bbsidecar/sidecar_internal.h
@@ -36,6 +36,8 @@
     bb_target_io_t *target_io;
     bb_link_pacer_t *pacer;
     bb_link_admission_t *link_admission;
+    bb_pace_t *pace;   /* NULL without slow start */
+    bb_hedge_t *hedge; /* NULL without hedged calls */
     bb_hop_server_t *hop_server;
     bb_hop_client_t *hop_client;
     bb_quota_io_t *quota_io;
