--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -107,6 +107,10 @@
                                    double *retry_after_s,
                                    bb_attempt_t **attempt);
 
+/* Logs that an attempt is sent to the node. */
+void BbMeshCall_LogPlaced(const bb_mesh_call_t *call,
+                          const bb_endpoint_t *endpoint);
+
 /* Chooses the node of the next attempt; NULL when none is left. */
 bb_endpoint_t *BbMeshCall_ChooseEndpoint(bb_mesh_call_t *call, bool *is_full);
 
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -356,10 +356,9 @@
                               BbMeshCall_Now(call), is_full);
 }
 
-static void
-log_placed(const bb_mesh_call_t *call)
+void
+BbMeshCall_LogPlaced(const bb_mesh_call_t *call, const bb_endpoint_t *endpoint)
 {
-    const bb_endpoint_t *endpoint = call->endpoint;
     double now = BbMeshCall_Now(call);
 
     if (BbEvent_Allows(BB_EVENT_CALL_PLACED)) {
@@ -404,7 +403,7 @@
     call->tried[call->tried_count++] = BbEndpoint_Ref(endpoint);
     call->endpoint = BbEndpoint_Ref(endpoint);
     call->load_report.has_load = false;
-    log_placed(call);
+    BbMeshCall_LogPlaced(call, endpoint);
     BbPlacement_BeginAttempt(endpoint);
     call->attempt_started_at = BbMeshCall_Now(call);
     bb_reason_t reason = BbMeshCall_OpenAttempt(
--- a/lib/mesh/bb_mesh_call_hedge.c
+++ b/lib/mesh/bb_mesh_call_hedge.c
@@ -282,6 +282,7 @@
     call->attempts++;
     call->tried[call->tried_count++] = BbEndpoint_Ref(endpoint);
     BbCounters_Add(BB_COUNTER_HEDGES, 1);
+    BbMeshCall_LogPlaced(call, endpoint);
     BbPlacement_BeginAttempt(endpoint);
     bb_reason_t reason = BbMeshCall_OpenAttempt(
         call, endpoint, &hedge_handler, hedge, &hedge->load_report,
--- a/lib/pace/bb_pace.c
+++ b/lib/pace/bb_pace.c
@@ -165,7 +165,7 @@
     reference_t *known = g_hash_table_lookup(pace->references, class_name);
     if (known == NULL) {
         if (g_hash_table_size(pace->references) >= MAX_CLASSES) {
-            return;
+            g_hash_table_remove_all(pace->references);
         }
         known = g_new0(reference_t, 1);
         g_hash_table_insert(pace->references, g_strdup(class_name), known);
