--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -430,10 +430,9 @@
         rollout->is_new_turn(call->service, call->route->name, rollout->arg);
 }
 
-static void
-log_placed(const bb_mesh_call_t *call)
+void
+BbMeshCall_LogPlaced(const bb_mesh_call_t *call, const bb_endpoint_t *endpoint)
 {
-    const bb_endpoint_t *endpoint = call->endpoint;
     double now = BbMeshCall_Now(call);
 
     if (BbEvent_Allows(BB_EVENT_CALL_PLACED)) {
@@ -478,7 +477,7 @@
     call->tried[call->tried_count++] = BbEndpoint_Ref(endpoint);
     call->endpoint = BbEndpoint_Ref(endpoint);
     call->load_report.has_load = false;
-    log_placed(call);
+    BbMeshCall_LogPlaced(call, endpoint);
     BbPlacement_BeginAttempt(endpoint);
     call->attempt_started_at = BbMeshCall_Now(call);
     bb_reason_t reason = BbMeshCall_OpenAttempt(
