--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -49,6 +49,12 @@
     double expose_share; /* of all calls, for a bad version; 0: no roll-outs */
     double expose_extra; /* further calls */
     double rollback_s;   /* from its first bad responses to its last call */
+    /* [pace] */
+    bool is_pace_enabled;
+    /* [target_load] */
+    bool is_target_load_enabled;
+    /* [hedge] */
+    bool is_hedge_enabled;
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/mesh/bb_load.h
+++ b/lib/mesh/bb_load.h
@@ -18,7 +18,7 @@
 extern "C" {
 #endif
 
-#define BB_LOAD_TEXT 112 /* buffer size for the longest text */
+#define BB_LOAD_TEXT 128 /* buffer size for the longest text */
 
 typedef struct {
     int running;       /* calls at the target */
@@ -29,13 +29,16 @@
     int transfer_ms;   /* until the node could receive a large body */
     int64_t version;   /* of the configuration in use there */
     int link_ms;       /* wait of a large response at the outbound link */
+    int class_ms;      /* mean time at the target of calls of the class that
+                          the report comes with; 0 if unknown */
 } bb_load_t;
 
-/* A link_ms of 0 is left out, because earlier releases do not know it. */
+/* A class_ms of 0 is left out, and so is a link_ms of 0 then, because earlier
+ * releases do not know them. */
 void BbLoad_Format(const bb_load_t *load, char *out, size_t size);
 
-/* Returns 0 or BB_ERR_PARSE, also when text is NULL. A report without link_ms
- * has 0 for it. */
+/* Returns 0 or BB_ERR_PARSE, also when text is NULL. Without link_ms or
+ * class_ms in the report they are 0. */
 int BbLoad_Parse(const char *text, bb_load_t *out);
 
 #ifdef __cplusplus
--- a/lib/mesh/bb_local_target.h
+++ b/lib/mesh/bb_local_target.h
@@ -121,6 +121,8 @@
  * given; NULL if it has none. */
 void BbLocalTarget_RestoreVersion(bb_local_target_t *target,
                                   const char *version);
+/* cold_left_s of the last heartbeat. */
+double BbLocalTarget_ColdLeft(const bb_local_target_t *target);
 
 /* "unknown", "ready", "draining" or "gone". */
 const char *BbLocalState_Name(bb_local_state_t state);
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -5,6 +5,8 @@
 #include <math.h>
 #include <utlist.h>
 
+#include "bb_target_load.h"
+
 /* A call goes before one of the next more urgent rank after waiting this
  * much longer. */
 #define RANK_AGING_S 0.4
@@ -36,6 +38,9 @@
 #define MEAN_FRESH_S 1.0
 #define MEAN_DECAY_S 2.0
 
+/* An older mean of a class is not reported to other nodes. */
+#define MEASURED_MAX_AGE_S 10.0
+
 /* Moving average of the service time of calls. */
 typedef struct {
     double mean_s;
@@ -70,6 +75,7 @@
     int running;
     int waiting;
     service_mean_t all;
+    bb_work_factor_t work_factor;
     GHashTable *classes;       /* name to service_mean_t */
     bb_slot_ticket_t *tickets; /* waiting calls, by arrival */
     start_share_t roots;       /* calls that are not nested */
@@ -117,6 +123,21 @@
     return mean->mean_s * mean_weight(mean, now);
 }
 
+/* The mean, corrected by what the target reports of its hardware. */
+static double
+predicted_mean(const bb_slot_queue_t *queue, const service_mean_t *mean,
+               double now)
+{
+    return current_mean(mean, now) *
+           BbWorkFactor_Scale(&queue->work_factor, now);
+}
+
+void
+BbSlotQueue_SetWorkPercent(bb_slot_queue_t *queue, double percent, double now)
+{
+    BbWorkFactor_Add(&queue->work_factor, percent, now);
+}
+
 double
 BbSlotQueue_ClassTime(const bb_slot_queue_t *queue, const char *name,
                       double now)
@@ -124,11 +145,23 @@
     const service_mean_t *mean =
         name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
     bool is_known = mean != NULL && mean->measured_at > 0;
-    return current_mean(is_known ? mean : &queue->all, now);
+    return predicted_mean(queue, is_known ? mean : &queue->all, now);
+}
+
+double
+BbSlotQueue_MeasuredTime(const bb_slot_queue_t *queue, const char *name,
+                         double now)
+{
+    const service_mean_t *mean =
+        name != NULL ? g_hash_table_lookup(queue->classes, name) : NULL;
+
+    return mean != NULL && now - mean->measured_at <= MEASURED_MAX_AGE_S
+               ? mean->mean_s
+               : 0;
 }
 
 static service_mean_t *
-add_class(bb_slot_queue_t *queue, const char *name)
+class_mean(bb_slot_queue_t *queue, const char *name)
 {
     service_mean_t *mean = g_hash_table_lookup(queue->classes, name);
 
@@ -143,7 +176,7 @@
 add_open(bb_slot_queue_t *queue, const bb_slot_ticket_t *ticket, int count)
 {
     if (ticket->class_name != NULL) {
-        add_class(queue, ticket->class_name)->open += count;
+        class_mean(queue, ticket->class_name)->open += count;
     }
 }
 
@@ -328,7 +361,7 @@
         (ticket == NULL || is_unreserved(queue, ticket, now))) {
         return 0;
     }
-    return (work_s + current_mean(&queue->all, now)) /
+    return (work_s + predicted_mean(queue, &queue->all, now)) /
            usable_slots(queue, ticket, now);
 }
 
@@ -447,6 +480,21 @@
     mean->measured_at = now;
 }
 
+void
+BbSlotQueue_AssumeTime(bb_slot_queue_t *queue, const char *name,
+                       double seconds, double now)
+{
+    if (name == NULL || seconds <= 0) {
+        return;
+    }
+    service_mean_t *mean = class_mean(queue, name);
+    mean->mean_s = seconds;
+    mean->measured_at = now;
+    if (queue->all.measured_at <= 0) {
+        queue->all = *mean;
+    }
+}
+
 void
 BbSlotQueue_Finish(bb_slot_queue_t *queue, bb_slot_ticket_t *ticket,
                    bool is_measured, double now)
@@ -464,10 +512,9 @@
         return;
     }
     add_measurement(&queue->all, took_s, now);
-    if (ticket->class_name == NULL) {
-        return;
+    if (ticket->class_name != NULL) {
+        add_measurement(class_mean(queue, ticket->class_name), took_s, now);
     }
-    add_measurement(add_class(queue, ticket->class_name), took_s, now);
 }
 
 void
@@ -569,9 +616,9 @@
         const service_mean_t *mean = value;
         if (mean->open > 0) {
             open += mean->open;
-            work_s +=
-                mean->open *
-                (mean->measured_at > 0 ? current_mean(mean, now) : all_s);
+            work_s += mean->open * (mean->measured_at > 0
+                                        ? predicted_mean(queue, mean, now)
+                                        : all_s);
         }
     }
     return open > 0 ? work_s / open : all_s;
@@ -580,5 +627,5 @@
 double
 BbSlotQueue_ServiceTime(const bb_slot_queue_t *queue, double now)
 {
-    return current_mean(&queue->all, now);
+    return predicted_mean(queue, &queue->all, now);
 }
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -219,6 +219,8 @@
     if (settings->expose_share > 0) {
         sidecar->rollouts = SidecarRollouts_New(sidecar);
     }
+    sidecar->hedge = settings->is_hedge_enabled ? BbHedge_New() : NULL;
+    sidecar->pace = settings->is_pace_enabled ? BbPace_New() : NULL;
     sidecar->random = BbRandom_New(0);
     sidecar->fleet = BbFleet_New(settings->name);
     sidecar->readers = BbReaders_New(sidecar->fleet);
@@ -234,6 +236,8 @@
         BbLinkAdmission_New(BbLinkPacer_Queue(sidecar->pacer));
     options.link = sidecar->link_admission;
     options.rollout = SidecarRollouts_TargetHooks(sidecar->rollouts);
+    options.pace = sidecar->pace;
+    options.uses_target_load = settings->is_target_load_enabled;
     sidecar->target_io = BbTargetIo_New(&options);
 }
 
@@ -298,6 +302,8 @@
         .budget = sidecar->budget,
         .random = sidecar->random,
         .spill_share = settings->spill_share,
+        .is_paced = settings->is_pace_enabled,
+        .hedge = sidecar->hedge,
         .freshness = &sidecar->freshness,
         .dropped_keys = sidecar->dropped_keys,
         .pacer = sidecar->pacer,
@@ -399,6 +405,8 @@
     BbTargetIo_Free(sidecar->target_io);
     BbLinkAdmission_Free(sidecar->link_admission);
     BbLinkPacer_Free(sidecar->pacer);
+    BbPace_Free(sidecar->pace);
+    BbHedge_Free(sidecar->hedge);
     BbLocalTarget_Free(sidecar->target);
     BbDroppedKeys_Free(sidecar->dropped_keys);
     BbRepeatBudget_Free(sidecar->budget);
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -27,9 +27,9 @@
 
 // In the order of bb_header_names_t: call id, deadline, expected target,
 // caller service, seal, not run, account key and account.
-const bb_header_names_t kHeaderNames = {"Call-Id", "Left-Ms", "Want-Target",
-                                        "Caller",  "Seal",    "Not-Run",
-                                        "Key",     "Account", "."};
+const bb_header_names_t kHeaderNames = {
+    "Call-Id", "Left-Ms", "Want-Target", "Caller", "Seal",
+    "Not-Run", "Key",     "Account",     ".",      "Target-Load"};
 
 // Ports of tests, below those of the scripted tests and the ephemeral ports,
 // so that no outgoing connection takes a port before it is bound.
@@ -367,6 +367,7 @@
         options.dropped_keys = dropped_keys;
         options.pacer = pacer;
         options.quota = &call_quota;
+        options.hedge = hedge;
         EXPECT_EQ(BbCallIo_New(&options, &calls), 0);
         config_ = MakeConfig();
         BbCallIo_SetConfig(calls, config_);
@@ -383,6 +384,7 @@
         BbLinkAdmission_Free(link_admission);
         BbLinkPacer_Free(pacer);
         BbLocalTarget_Free(local_target);
+        BbHedge_Free(hedge);
         BbRepeatBudget_Free(budget);
         BbRandom_Free(random);
         BbFleet_Free(fleet);
@@ -448,6 +450,7 @@
     bb_repeat_budget_t *budget;
     bb_quota_io_t *quota;
     std::vector<std::string> peer_messages;
+    bb_hedge_t *hedge = BbHedge_New(); // inert until it knows a class
     bb_freshness_t freshness = {};
     bb_dropped_keys_t *dropped_keys = BbDroppedKeys_New();
     bb_call_io_t *calls;
