--- a/lib/account/bb_account.c
+++ b/lib/account/bb_account.c
@@ -143,6 +143,21 @@
     return g_hash_table_size(table->by_key);
 }
 
+size_t
+BbAccountTable_AccountKeyCount(const bb_account_table_t *table,
+                               const bb_account_t *account)
+{
+    GHashTableIter iter;
+    gpointer holder;
+    size_t count = 0;
+
+    g_hash_table_iter_init(&iter, table->by_key);
+    while (g_hash_table_iter_next(&iter, NULL, &holder)) {
+        count += holder == account;
+    }
+    return count;
+}
+
 uint64_t
 BbAccount_KeyDigest(const char *key)
 {
--- a/lib/account/bb_account.h
+++ b/lib/account/bb_account.h
@@ -58,6 +58,9 @@
                                               const char *name);
 
 size_t BbAccountTable_Count(const bb_account_table_t *table);
+/* Number of keys of one account of the table. */
+size_t BbAccountTable_AccountKeyCount(const bb_account_table_t *table,
+                                      const bb_account_t *account);
 size_t BbAccountTable_KeyCount(const bb_account_table_t *table);
 
 /* The first 8 bytes of the digest of a key: identifies it between nodes. */
--- a/lib/mesh/bb_mesh_config.c
+++ b/lib/mesh/bb_mesh_config.c
@@ -203,6 +203,51 @@
     return &config->limits;
 }
 
+const bb_mesh_route_t *
+BbMeshConfig_RouteAt(const bb_mesh_config_t *config, size_t index)
+{
+    return g_ptr_array_index(config->route_list, index);
+}
+
+const bb_mesh_route_t *
+BbMeshConfig_FindExact(const bb_mesh_config_t *config, const char *host,
+                       const char *prefix)
+{
+    char *key = g_strconcat(host, " ", prefix, NULL);
+    const bb_mesh_route_t *route = g_hash_table_lookup(config->routes, key);
+
+    g_free(key);
+    return route;
+}
+
+bool
+BbMeshConfig_HasService(const bb_mesh_config_t *config, const char *name)
+{
+    return g_hash_table_contains(config->services, name);
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    return strcmp(a, b);
+}
+
+void
+BbMeshConfig_ForEachService(const bb_mesh_config_t *config,
+                            void (*visit)(const char *name,
+                                          int max_connections, void *arg),
+                            void *arg)
+{
+    GList *names =
+        g_list_sort(g_hash_table_get_keys(config->services), compare_names);
+
+    for (const GList *item = names; item != NULL; item = item->next) {
+        visit(item->data, BbMeshConfig_MaxConnections(config, item->data),
+              arg);
+    }
+    g_list_free(names);
+}
+
 int
 BbMeshConfig_MaxConnections(const bb_mesh_config_t *config,
                             const char *service)
--- a/lib/mesh/bb_mesh_config.h
+++ b/lib/mesh/bb_mesh_config.h
@@ -102,6 +102,23 @@
 size_t BbMeshConfig_RouteCount(const bb_mesh_config_t *config);
 const bb_mesh_limits_t *BbMeshConfig_Limits(const bb_mesh_config_t *config);
 
+/* Returns a route by its position, below BbMeshConfig_RouteCount(). */
+const bb_mesh_route_t *BbMeshConfig_RouteAt(const bb_mesh_config_t *config,
+                                            size_t index);
+
+/* Returns the route that is in force for this host and prefix, or NULL. */
+const bb_mesh_route_t *BbMeshConfig_FindExact(const bb_mesh_config_t *config,
+                                              const char *host,
+                                              const char *prefix);
+
+bool BbMeshConfig_HasService(const bb_mesh_config_t *config, const char *name);
+
+/* Calls visit for each service, in the order of the names. */
+void BbMeshConfig_ForEachService(const bb_mesh_config_t *config,
+                                 void (*visit)(const char *name,
+                                               int max_connections, void *arg),
+                                 void *arg);
+
 /* NULL if the configuration has no client accounts. */
 const bb_account_table_t *
 BbMeshConfig_Accounts(const bb_mesh_config_t *config);
--- a/programs/bbsidecar/main.c
+++ b/programs/bbsidecar/main.c
@@ -2,7 +2,7 @@
  * bbsidecar - the mesh node that runs beside a target
  *
  * Exit codes: 0 after a shutdown or a successful check, 1 when it cannot
- * start, 2 for wrong options or settings.
+ * start, 2 for wrong options, settings or an invalid configuration.
  */
 #include <ev.h>
 #include <glib.h>
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "bb_config_review.h"
 #include "bb_error.h"
 #include "bb_event.h"
 #include "bb_sidecar_settings.h"
@@ -24,6 +25,8 @@
 
 typedef struct {
     char *settings_path;
+    char *config_path;
+    char *in_force_path;
     gboolean check_settings;
     gboolean print_settings;
     gboolean print_events;
@@ -40,6 +43,13 @@
          "FILE"},
         {"check-settings", 0, 0, G_OPTION_ARG_NONE, &options->check_settings,
          "Check the settings and exit", NULL},
+        {"check-config", 0, 0, G_OPTION_ARG_FILENAME, &options->config_path,
+         "Check the configuration in FILE, as the operator would send it, and "
+         "exit",
+         "FILE"},
+        {"in-force", 0, 0, G_OPTION_ARG_FILENAME, &options->in_force_path,
+         "With --check-config: print how it differs from the one in FILE",
+         "FILE"},
         {"print-settings", 0, 0, G_OPTION_ARG_NONE, &options->print_settings,
          "Print the reference of all settings (Markdown) and exit", NULL},
         {"print-events", 0, 0, G_OPTION_ARG_NONE, &options->print_events,
@@ -89,6 +99,56 @@
     return error;
 }
 
+/* Returns the configuration in the file, or NULL after printing why there is
+ * none. */
+static bb_mesh_config_t *
+read_config(const char *path)
+{
+    GError *error = NULL;
+    char *text = NULL;
+    gsize size = 0;
+    bb_mesh_config_t *config = NULL;
+    bb_findings_t findings;
+
+    if (!g_file_get_contents(path, &text, &size, &error)) {
+        fprintf(stderr, "bbsidecar: %s\n", error->message);
+        g_error_free(error);
+        return NULL;
+    }
+    BbFindings_Init(&findings);
+    if (Platform_DecodeConfig(text, size, &findings, &config) != 0) {
+        printf("error: %s is not valid:\n", path);
+        BbFindings_Print(&findings, stdout);
+    }
+    BbFindings_Free(&findings);
+    g_free(text);
+    return config;
+}
+
+static int
+check_config(const char *path, const char *in_force_path)
+{
+    bb_mesh_config_t *config = read_config(path);
+    bb_mesh_config_t *in_force =
+        in_force_path != NULL ? read_config(in_force_path) : NULL;
+    bool is_valid =
+        config != NULL && (in_force_path == NULL || in_force != NULL);
+
+    if (is_valid) {
+        size_t warnings = BbConfigReview_Warn(config, stdout);
+        size_t differences =
+            in_force != NULL ? BbConfigReview_Compare(in_force, config, stdout)
+                             : 0;
+        printf("version %" G_GINT64_FORMAT
+               ": %zu routes, %zu warnings, %zu differences\n",
+               (gint64)BbMeshConfig_Version(config),
+               BbMeshConfig_RouteCount(config), warnings, differences);
+    }
+    BbMeshConfig_Unref(config);
+    BbMeshConfig_Unref(in_force);
+    return is_valid ? EXIT_STOPPED : EXIT_BAD_SETTINGS;
+}
+
 static int
 run_sidecar(const bb_sidecar_settings_t *settings, const char *path)
 {
@@ -128,6 +188,9 @@
         BbEvent_PrintReference(stdout);
         return EXIT_STOPPED;
     }
+    if (options.config_path != NULL) {
+        return check_config(options.config_path, options.in_force_path);
+    }
     signal(SIGPIPE, SIG_IGN);
     int status = EXIT_BAD_SETTINGS;
     if (load_settings(options.settings_path, &settings) == 0) {
