Accounts: reject names, keys and quotas that cannot be transmitted

Cause: an account name with a line break was left out of the reports to its quota owner, while the node took them as delivered, so the account was not limited; in X-Tenant it would end the field. Outer spaces of a name are lost in a field. A NUL cut a key off and made its beginning valid. A quota of 1e300 overflows the conversions to integers.

Change: such versions are rejected with a finding.

--- a/lib/account/bb_account.h
+++ b/lib/account/bb_account.h
@@ -27,6 +27,10 @@
 extern "C" {
 #endif
 
+/* Largest rate_per_s and burst. Quota modules convert products of these
+ * figures, such as 1,000 times the rate, to 64-bit integers. */
+#define BB_ACCOUNT_QUOTA_MAX 1e9
+
 typedef struct {
     char *name;
     int rank;          /* of the account's calls; 0 is the most urgent */
--- a/tests/unit/account_test.cc
+++ b/tests/unit/account_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 #include "bb_account.h"
 #include "bb_error.h"
@@ -134,6 +135,29 @@
     }
 }
 
+// Guards against names that end a header field or a line of a quota report,
+// which would put the account beyond its limit; against limits that overflow
+// an integer; and against a key of which the part before a NUL is accepted.
+TEST(AccountConfig, RejectsValuesThatCannotBeTransmitted)
+{
+    const std::string good = kConfig;
+    std::vector<std::string> bad = {
+        Replace(good, "\"k3\"", "\"k3\\u0000x\""),
+        Replace(good, "\"rate_per_s\":7", "\"rate_per_s\":1e300"),
+        Replace(good, "\"burst\":9", "\"burst\":1e300"),
+    };
+    for (const char *name :
+         {"t\\n2", "t\\r2", "t\\u00002", " t2", "t2 ", ""}) {
+        bad.push_back(Replace(good, "\"name\":\"t2\"",
+                              std::string("\"name\":\"") + name + "\""));
+    }
+    for (const auto &text : bad) {
+        bb_mesh_config_t *config = nullptr;
+        ASSERT_NE(text, good);
+        EXPECT_EQ(Decode(text, &config), BB_ERR_INVALID) << text;
+    }
+}
+
 // Guards against keys that reach a target, and against accounts that a caller
 // has forged.
 TEST_F(AccountIo, TargetsGetTheAccountAndNoKey)
