Quota messages: bound what the figures and names of another node can do

Cause: figures of reports and responses were used as received. Large ones overflowed integers; a negative interval or demand gave negative leases, which raised the bucket; a large credit blocked an account for long, a negative one raised its bucket above the burst until the next refill. Names of reporting nodes were kept without limit, each for as long as its message asked.

Change: the parser clips figures, the owner keeps a bucket between the debt of one window and its capacity, accepts intervals up to 60 s and keeps 10,000 nodes.

--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -989,7 +989,7 @@
     else {
         entry->credit_limit = -1;
         expire_tokens(entry, now);
-        entry->tokens += MAX(grant->tokens, 0);
+        entry->tokens += grant->tokens;
         if (grant->tokens > 0) {
             entry->tokens_until = sent_at + LEASE_S;
             add_news(quota, entry);
--- a/lib/account/bb_quota_owner.c
+++ b/lib/account/bb_quota_owner.c
@@ -49,6 +49,18 @@
 /* A node that has not reported for this long after it was due is forgotten. */
 #define FORGET_S 5.0
 
+/* Longest accepted time within which a node says that its next message
+ * follows. It is 11 s in a fleet of 3,400 nodes. */
+#define RETURN_MAX_S 60.0
+
+/* Nodes that are kept: three times the largest fleet. The names come from
+ * messages, so their number must be limited. */
+#define NODES_MAX 10000
+
+/* Calls that ran longer ago than the window of the bound do not count in it: a
+ * larger debt than the calls of one window would only block the account. */
+#define DEBT_MAX_S 5.0
+
 /* Interval at which the nodes heard from are counted. */
 #define COUNT_INTERVAL_S 0.05
 
@@ -116,6 +128,12 @@
     return account->burst + BB_QUOTA_EXTRA_CALLS;
 }
 
+static double
+debt_max(const account_t *account)
+{
+    return account->rate_per_s * DEBT_MAX_S + capacity(account);
+}
+
 static void
 add_limit(const bb_account_t *account, void *arg)
 {
@@ -255,7 +273,7 @@
 }
 
 /* Notes the report of a node. Returns whether the node has seen the response
- * to its previous report. */
+ * to its previous report; false for a node beyond the most that are kept. */
 static bool
 note_node(bb_quota_owner_t *owner, const bb_quota_report_head_t *head,
           double now)
@@ -263,6 +281,9 @@
     node_t *node = g_hash_table_lookup(owner->nodes, head->node);
 
     if (node == NULL) {
+        if (g_hash_table_size(owner->nodes) >= NODES_MAX) {
+            return false;
+        }
         node = g_new0(node_t, 1);
         g_hash_table_insert(owner->nodes, g_strdup(head->node), node);
     }
@@ -271,7 +292,9 @@
     node->incarnation = head->incarnation;
     node->sequence = head->sequence;
     node->is_idle = head->is_idle;
-    node->heard_until = now + HEARD_FACTOR * (double)head->return_ms / 1000.0;
+    double return_s =
+        CLAMP((double)head->return_ms / 1000.0, 0.0, RETURN_MAX_S);
+    node->heard_until = now + HEARD_FACTOR * return_s;
     return is_in_order;
 }
 
@@ -438,10 +461,12 @@
     account->level -= (double)report->credit;
     if (is_in_order) {
         /* A repeated report must not return tokens twice. */
-        account->level += (double)MAX(report->returned, 0);
+        account->level += (double)report->returned;
     }
+    account->level =
+        CLAMP(account->level, -debt_max(account), capacity(account));
     account->demand = current_demand(account, now) +
-                      (double)MAX(report->wanted, 0) / demand_time_s(account);
+                      (double)report->wanted / demand_time_s(account);
     account->demand_at = now;
     update_state(owner, account, now);
     bb_quota_grant_t grant = describe(owner, account, now);
--- a/lib/account/bb_quota_wire.c
+++ b/lib/account/bb_quota_wire.c
@@ -5,6 +5,11 @@
 
 #define WIRE_VERSION 1
 
+/* Figures of accounts are limited to this absolute value. It exceeds the
+ * largest valid one, 1,000 times BB_ACCOUNT_QUOTA_MAX, and sums of such
+ * figures do not overflow 64 bits. */
+#define FIGURE_MAX ((int64_t)1000000000000)
+
 static bool
 is_name_usable(const char *name)
 {
@@ -89,6 +94,12 @@
     return *line != '\0' ? line : NULL;
 }
 
+static int64_t
+clamp_figure(int64_t figure, int64_t least)
+{
+    return CLAMP(figure, least, FIGURE_MAX);
+}
+
 bool
 BbQuotaWire_ParseReportHead(char **cursor, bb_quota_report_head_t *out)
 {
@@ -120,13 +131,14 @@
         int64_t figures[6];
         const char *name = parse_figures(line, figures, G_N_ELEMENTS(figures));
         if (name != NULL) {
-            *out = (bb_quota_report_t){.credit = figures[0],
-                                       .wanted = figures[1],
-                                       .returned = figures[2],
-                                       .held = figures[3],
-                                       .demand_milli = figures[4],
-                                       .since_ms = figures[5],
-                                       .name = name};
+            *out = (bb_quota_report_t){
+                .credit = clamp_figure(figures[0], -FIGURE_MAX),
+                .wanted = clamp_figure(figures[1], 0),
+                .returned = clamp_figure(figures[2], 0),
+                .held = clamp_figure(figures[3], -1),
+                .demand_milli = clamp_figure(figures[4], 0),
+                .since_ms = clamp_figure(figures[5], 0),
+                .name = name};
             return true;
         }
     }
@@ -166,11 +178,12 @@
             is_known ? parse_figures(line + 2, figures, G_N_ELEMENTS(figures))
                      : NULL;
         if (name != NULL) {
-            *out = (bb_quota_grant_t){.state = (bb_quota_state_t)line[0],
-                                      .tokens = figures[0],
-                                      .chance_milli = figures[1],
-                                      .demand_milli = figures[2],
-                                      .name = name};
+            *out =
+                (bb_quota_grant_t){.state = (bb_quota_state_t)line[0],
+                                   .tokens = clamp_figure(figures[0], 0),
+                                   .chance_milli = clamp_figure(figures[1], 0),
+                                   .demand_milli = clamp_figure(figures[2], 0),
+                                   .name = name};
             return true;
         }
     }
--- a/lib/account/bb_quota_wire.h
+++ b/lib/account/bb_quota_wire.h
@@ -15,7 +15,8 @@
  *
  * LIMITS
  *   The names of accounts and nodes must not contain a line break; such an
- *   account is left out. Lines that cannot be parsed are skipped.
+ *   account is left out. Lines that cannot be parsed are skipped. Figures out
+ *   of the valid range, as another node may send them, are clipped to it.
  */
 #ifndef BB_QUOTA_WIRE_H
 #define BB_QUOTA_WIRE_H
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -578,4 +578,112 @@
     EXPECT_FALSE(BbQuotaWire_ParseReportHead(&cursor, &head));
 }
 
+const char kHuge[] = "9223372036854775807";
+
+// Guards against integer overflows and negative leases by figures that another
+// node has sent.
+TEST(QuotaWire, ClipsFigures)
+{
+    const std::string huge = kHuge;
+    std::string text = "-" + huge + " -5 -5 -9 -7 -7 a\n" + huge + " " + huge +
+                       " " + huge + " " + huge + " " + huge + " " + huge +
+                       " b\n";
+    char *cursor = text.data();
+    bb_quota_report_t report;
+    const int64_t most = 1000000000000;
+
+    ASSERT_TRUE(BbQuotaWire_NextReport(&cursor, &report));
+    EXPECT_EQ(report.credit, -most);
+    EXPECT_EQ(report.wanted, 0);
+    EXPECT_EQ(report.returned, 0);
+    EXPECT_EQ(report.held, -1);
+    EXPECT_EQ(report.demand_milli, 0);
+    EXPECT_EQ(report.since_ms, 0);
+    ASSERT_TRUE(BbQuotaWire_NextReport(&cursor, &report));
+    EXPECT_EQ(report.credit, most);
+    EXPECT_EQ(report.held, most);
+    EXPECT_EQ(report.demand_milli, most);
+    bb_quota_grant_t grant;
+    text = "t -3 -1 -1 a\nt " + huge + " " + huge + " " + huge + " b\n";
+    cursor = text.data();
+    ASSERT_TRUE(BbQuotaWire_NextGrant(&cursor, &grant));
+    EXPECT_EQ(grant.tokens, 0);
+    EXPECT_EQ(grant.chance_milli, 0);
+    ASSERT_TRUE(BbQuotaWire_NextGrant(&cursor, &grant));
+    EXPECT_EQ(grant.tokens, most);
+}
+
+class OwnerOfOneAccount : public ::testing::Test {
+  protected:
+    OwnerOfOneAccount() : random(BbRandom_New(7)), text(g_string_new(nullptr))
+    {
+        bb_quota_owner_options_t options = {};
+        options.random = random;
+        owner = BbQuotaOwner_New(&options);
+        BbQuotaOwner_SetNodeCount(owner, 1);
+        SetLimit(kRate, kBurst);
+    }
+    ~OwnerOfOneAccount()
+    {
+        BbQuotaOwner_Free(owner);
+        BbRandom_Free(random);
+        g_string_free(text, TRUE);
+    }
+    void SetLimit(double rate, double burst)
+    {
+        bb_account_table_t *table = BbAccountTable_New();
+        bb_account_t account = {const_cast<char *>("a"), 1, rate, burst};
+        BbAccountTable_Add(table, &account);
+        BbQuotaOwner_SetAccounts(owner, table);
+        BbAccountTable_Free(table);
+    }
+    double Level() const
+    {
+        return BbQuotaOwner_Level(owner, "a");
+    }
+    // Returns the response to a report.
+    std::string Report(std::string report, double now)
+    {
+        g_string_truncate(text, 0);
+        EXPECT_TRUE(
+            BbQuotaOwner_HandleReport(owner, report.data(), now, text));
+        return text->str;
+    }
+    static constexpr double kRate = 10, kBurst = 20;
+    bb_random_t *random;
+    bb_quota_owner_t *owner;
+    GString *text;
+};
+
+// Guards against reports of a faulty node that block an account for long, or
+// raise its bucket above the burst.
+TEST_F(OwnerOfOneAccount, BoundsDebtAndSurplus)
+{
+    const std::string huge = kHuge;
+    Report("1 5 1 0 250 0 0 n\n" + huge + " 1 0 0 0 100 a\n", 10);
+    EXPECT_GE(Level(), -(5 * kRate + kBurst + BB_QUOTA_EXTRA_CALLS));
+    Report("1 5 2 1 250 0 0 n\n-" + huge + " 1 0 0 0 100 a\n", 10.2);
+    EXPECT_LE(Level(), kBurst + BB_QUOTA_EXTRA_CALLS);
+    Report("1 5 3 2 250 0 0 n\n0 1 " + huge + " 0 0 100 a\n", 10.4);
+    EXPECT_LE(Level(), kBurst + BB_QUOTA_EXTRA_CALLS);
+}
+
+// Guards against memory that grows with the names in foreign messages, and
+// against names that are kept for as long as their message asks for.
+TEST_F(OwnerOfOneAccount, BoundsTheNodesThatItKeeps)
+{
+    const std::string first = "1 0 1 0 9223372036854775807 0 0 ";
+    const std::string second = "1 0 2 1 9223372036854775807 0 0 ";
+    const std::string returns = "last\n0 1 5 -1 0 100 a\n";
+    for (int i = 0; i < 10000; i++) {
+        Report(first + std::to_string(i) + "\n", 10);
+    }
+    Report(first + returns, 11.2);
+    EXPECT_NEAR(Level(), 1.2 * kRate, 0.01);
+    double forgotten = 10 + 60 * 1.6 + 5 + 0.1;
+    Report(first + "last\n", forgotten);
+    Report(second + returns, forgotten + 1.2);
+    EXPECT_NEAR(Level(), 1.2 * kRate + 5, 0.01);
+}
+
 } // namespace
