Quota: a report to itself that fails counts as failed; check an index before use

Cause 1: when the owner in the same process rejected a report, the message stayed under way, and the slot was never reported on again. Cause 2: the address of a candidate was formed before its index was checked; the check stood twice. A member of bb_quota_io was not used.

Change: such a report fails as one to another node does; one function returns the candidate of a message under way. Without a test: a report that this node has composed is only rejected if both modules disagree on the format.

--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -1011,17 +1011,26 @@
     }
 }
 
+/* The candidate if a message to it is under way, otherwise NULL. */
+static candidate_t *
+candidate_under_way(slot_t *slot, size_t index)
+{
+    return index < slot->count && slot->candidates[index].is_under_way
+               ? &slot->candidates[index]
+               : NULL;
+}
+
 void
 BbQuota_HandleResponse(bb_quota_t *quota, size_t slot_index, size_t index,
                        char *text, double now)
 {
     slot_t *slot = slot_at(quota, slot_index);
-    candidate_t *candidate = &slot->candidates[index];
+    candidate_t *candidate = candidate_under_way(slot, index);
     bb_quota_grant_head_t head;
     bb_quota_grant_t grant;
     char *cursor = text;
 
-    if (index >= slot->count || !candidate->is_under_way) {
+    if (candidate == NULL) {
         return;
     }
     if (!BbQuotaWire_ParseGrantHead(&cursor, &head) ||
@@ -1053,9 +1062,9 @@
                       double now)
 {
     slot_t *slot = slot_at(quota, slot_index);
-    candidate_t *candidate = &slot->candidates[index];
+    candidate_t *candidate = candidate_under_way(slot, index);
 
-    if (index >= slot->count || !candidate->is_under_way) {
+    if (candidate == NULL) {
         return;
     }
     candidate->is_under_way = false;
--- a/lib/account/bb_quota_io.c
+++ b/lib/account/bb_quota_io.c
@@ -40,7 +40,6 @@
     bb_quota_owner_t *owner; /* of the accounts that this node owns */
     uint64_t generation;     /* of the records in use */
     size_t slots;
-    bool has_limits;
     ev_timer timer;
     double logged_at;
     int64_t leased; /* counted so far */
@@ -189,6 +188,9 @@
         BbQuota_HandleResponse(io->quota, slot, candidate, io->response->str,
                                current_time(io));
     }
+    else {
+        BbQuota_HandleFailure(io->quota, slot, candidate, current_time(io));
+    }
 }
 
 static void
