Quota: do not return reported calls twice when a response is lost

Cause: a call on credit that was returned after its report lowered the next report's credit below 0. If the response to that one was lost, the same owner got the negative credit twice (measured in the new test: 20 calls returned, the bucket rose by 40).

Change: such a call is reported like a returned token, which the owner counts only in order. The new test fails without the change.

--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -719,6 +719,19 @@
     return false;
 }
 
+/* A call whose credit was reported already is returned like a token: unlike
+ * credit, the owner does not count it again if the report is repeated. */
+static void
+return_credit(entry_t *entry)
+{
+    if (entry->credit > 0) {
+        entry->credit--;
+    }
+    else {
+        entry->returned++;
+    }
+}
+
 void
 BbQuota_Return(bb_quota_t *quota, const char *account,
                bb_quota_ticket_t ticket, double now)
@@ -731,7 +744,7 @@
     slot_t *slot = slot_at(quota, entry->slot);
     if (ticket == make_ticket(slot, TICKET_CREDIT) ||
         ticket == make_ticket(slot, TICKET_SHARE)) {
-        entry->credit--;
+        return_credit(entry);
         add_news(quota, entry);
         if (ticket == make_ticket(slot, TICKET_SHARE)) {
             entry->share_tokens += 1.0;
--- a/lib/account/bb_quota_wire.h
+++ b/lib/account/bb_quota_wire.h
@@ -48,7 +48,7 @@
 typedef struct {
     int64_t credit;       /* calls admitted on credit, less those returned */
     int64_t wanted;       /* calls that arrived, with those refused */
-    int64_t returned;     /* leased tokens that were not used */
+    int64_t returned;     /* unused tokens, and reported credit not used */
     int64_t held;         /* leased tokens; -1 if the node needs no lease */
     int64_t demand_milli; /* calls per 1,000 s, average of the last second */
     int64_t since_ms;     /* time since the last report of the account */
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstring>
 #include <functional>
 #include <map>
 #include <random>
@@ -686,4 +687,105 @@
     EXPECT_NEAR(Level(), 1.2 * kRate + 5, 0.01);
 }
 
+// One node whose reports go to the owner at once.
+class NodeOfOneOwner : public OwnerOfOneAccount {
+  protected:
+    NodeOfOneOwner() : message(g_string_new(nullptr))
+    {
+        bb_quota_options_t options = {};
+        options.node = "n";
+        options.random = random;
+        options.now = now;
+        quota = BbQuota_New(&options);
+        SetOwners({"o"});
+    }
+    ~NodeOfOneOwner()
+    {
+        BbQuota_Free(quota);
+        g_string_free(message, TRUE);
+    }
+    void SetLimits(double rate, double burst)
+    {
+        bb_account_table_t *table = BbAccountTable_New();
+        bb_account_t account = {const_cast<char *>("a"), 1, rate, burst};
+        BbAccountTable_Add(table, &account);
+        BbQuota_SetAccounts(quota, table);
+        BbQuotaOwner_SetAccounts(owner, table);
+        BbAccountTable_Free(table);
+    }
+    void SetOwners(const std::vector<const char *> &names)
+    {
+        BbQuota_SetOwners(quota, 0, names.data(), names.size(), now);
+    }
+    bool Admit(bb_quota_ticket_t *ticket)
+    {
+        double retry_after_s;
+        return BbQuota_Admit(quota, "a", now, ticket, &retry_after_s);
+    }
+    // Sends the reports that are due. Responses to reports of the account may
+    // be lost. Returns whether one was.
+    bool Tick(bool is_response_lost = false)
+    {
+        bool has_lost = false;
+        size_t candidate;
+        now += BB_QUOTA_TICK_S;
+        while (BbQuota_NextMessage(quota, 0, now, message, &candidate)) {
+            bool has_account = strstr(message->str, " a\n") != nullptr;
+            std::string response = Report(message->str, now);
+            if (is_response_lost && has_account) {
+                has_lost = true;
+            }
+            else {
+                BbQuota_HandleResponse(quota, 0, candidate, response.data(),
+                                       now);
+            }
+        }
+        return has_lost;
+    }
+    // Level now: the empty report of another node refills the bucket.
+    double CurrentLevel()
+    {
+        Report("1 9 1 0 60000 0 0 m\n0 0 0 -1 0 0 a\n", now);
+        return Level();
+    }
+    double now = 100;
+    bb_quota_t *quota;
+    GString *message;
+};
+
+// Guards against calls that are returned twice because the response to their
+// report was lost.
+TEST_F(NodeOfOneOwner, ARepeatedReportReturnsCallsOnce)
+{
+    std::vector<bb_quota_ticket_t> tickets(20);
+    SetLimits(10, 1000);
+    while (now < 400 && Level() < 800) {
+        Tick();
+        if (static_cast<int>(now * 20) % 5 == 0) {
+            Admit(&tickets[0]); // so that the owner knows the account
+        }
+    }
+    for (auto &ticket : tickets) {
+        ASSERT_TRUE(Admit(&ticket));
+    }
+    double begin = now;
+    while (now < begin + 2) {
+        Tick();
+    }
+    double level = CurrentLevel();
+    ASSERT_GT(level, 700);
+    ASSERT_LT(level, 900);
+    begin = now;
+    for (auto ticket : tickets) {
+        BbQuota_Return(quota, "a", ticket, now);
+    }
+    while (!Tick(true) && now < begin + 2) {
+    }
+    SetOwners({"o", "p"});
+    while (now < begin + 4) {
+        Tick();
+    }
+    EXPECT_NEAR(CurrentLevel(), level + 20 + 10 * (now - begin), 1);
+}
+
 } // namespace
