Quota: a single call admitted after the loss of an owner returns no token

Cause: without an owner, a call of an account that was calm is admitted beside the local bucket; when it reached no target, a whole token was added to the bucket, so that the next call was admitted with certainty.

Change: such a call gets a ticket that returns its credit only. admit_share() is split. The new test fails without the change.

--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -643,10 +643,19 @@
             return true;
         }
     }
+    return false;
+}
+
+/* Admits single calls of an account that was calm until its owner was lost.
+ * They take nothing from the local bucket. */
+static bool
+admit_single_call(entry_t *entry, const slot_t *slot, double now)
+{
     bool was_calm =
         entry->state == BB_QUOTA_CALM && entry->said_at > 0 &&
         (slot->has_responded || now - slot->lost_at < CALM_AFTER_LOSS_S) &&
         entry->total_demand < entry->rate_per_s;
+
     if (was_calm && decayed_demand(entry, now) < THIN_DEMAND_PER_S &&
         now - entry->single_at >= SINGLE_CALL_S) {
         entry->single_at = now;
@@ -692,7 +701,12 @@
     if (!slot->has_responded || entry->is_unowned ||
         (slot->is_owner_new && !is_known)) {
         is_admitted = admit_share(quota, entry, slot, now);
-        kind = TICKET_SHARE;
+        if (is_admitted) {
+            kind = TICKET_SHARE;
+        }
+        else {
+            is_admitted = admit_single_call(entry, slot, now);
+        }
     }
     else if (!is_known || entry->state == BB_QUOTA_CALM) {
         is_admitted = unreported_credit(entry) <
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -788,4 +788,25 @@
     EXPECT_NEAR(CurrentLevel(), level + 20 + 10 * (now - begin), 1);
 }
 
+// Guards against a call that was admitted without a token of the local bucket,
+// but returns one to it.
+TEST_F(NodeOfOneOwner, ASingleCallWithoutAnOwnerReturnsNoToken)
+{
+    bb_quota_ticket_t ticket = 0;
+    SetLimits(1, 1000);
+    while (now < 2000 && Level() < 900) {
+        Tick();
+        if (static_cast<int>(now * 20) % 40 == 0) {
+            Admit(&ticket);
+        }
+    }
+    BbQuota_SetFleet(quota, 80, 1, now);
+    now += 1;
+    SetOwners({});
+    // The local bucket is empty.
+    ASSERT_TRUE(Admit(&ticket));
+    BbQuota_Return(quota, "a", ticket, now);
+    EXPECT_FALSE(Admit(&ticket));
+}
+
 } // namespace
