Quota: carry calls over when the number of slots changes

Cause: the change voided what was granted, but kept returned tokens, which were then reported to an owner that had not leased them and raised its bucket; calls in a report under way were not reported to anyone; and the node's last demand, by which it shares the limit without an owner, was not noted.

Change: a change of the number of slots ends the epoch of each owner, as the loss of an owner does. The new test fails without the change.

--- a/lib/account/bb_quota.c
+++ b/lib/account/bb_quota.c
@@ -355,41 +355,6 @@
     g_ptr_array_unref(slot->tight);
 }
 
-static void
-assign_slot(gpointer name, gpointer value, gpointer arg)
-{
-    bb_quota_t *quota = arg;
-    entry_t *entry = value;
-    (void)name;
-
-    entry->slot = BbQuota_Slot(entry->name, quota->slots->len);
-    entry->has_news = false;
-    entry->state = BB_QUOTA_CALM;
-    /* Whatever was granted is void, as the slot has another owner. */
-    entry->epoch = 0;
-    entry->tokens = 0;
-    entry->is_sent = false;
-}
-
-void
-BbQuota_SetFleet(bb_quota_t *quota, size_t nodes, size_t slots, double now)
-{
-    quota->nodes = MAX(nodes, 1);
-    slots = MAX(slots, 1);
-    if (quota->slots->len == slots) {
-        return;
-    }
-    g_array_set_size(quota->slots, 0);
-    for (size_t i = 0; i < slots; i++) {
-        slot_t slot = {.news = g_ptr_array_new(),
-                       .tight = g_ptr_array_new(),
-                       .epoch = ++quota->last_epoch,
-                       .lost_at = now};
-        g_array_append_val(quota->slots, slot);
-    }
-    g_hash_table_foreach(quota->entries, assign_slot, quota);
-}
-
 bool
 BbQuota_HasLimits(const bb_quota_t *quota)
 {
@@ -469,6 +434,44 @@
     }
 }
 
+static void
+assign_slot(gpointer name, gpointer value, gpointer arg)
+{
+    bb_quota_t *quota = arg;
+    entry_t *entry = value;
+    (void)name;
+
+    entry->slot = BbQuota_Slot(entry->name, quota->slots->len);
+    entry->has_news = false;
+    entry->state = BB_QUOTA_CALM;
+    entry->epoch = 0;
+    if (entry->credit != 0) {
+        add_news(quota, entry);
+    }
+}
+
+void
+BbQuota_SetFleet(bb_quota_t *quota, size_t nodes, size_t slots, double now)
+{
+    quota->nodes = MAX(nodes, 1);
+    slots = MAX(slots, 1);
+    if (quota->slots->len == slots) {
+        return;
+    }
+    for (size_t i = 0; i < quota->slots->len; i++) {
+        end_epoch(quota, i, now);
+    }
+    g_array_set_size(quota->slots, 0);
+    for (size_t i = 0; i < slots; i++) {
+        slot_t slot = {.news = g_ptr_array_new(),
+                       .tight = g_ptr_array_new(),
+                       .epoch = ++quota->last_epoch,
+                       .lost_at = now};
+        g_array_append_val(quota->slots, slot);
+    }
+    g_hash_table_foreach(quota->entries, assign_slot, quota);
+}
+
 static void
 choose_owner(bb_quota_t *quota, size_t slot_index, double now)
 {
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -809,4 +809,39 @@
     EXPECT_FALSE(Admit(&ticket));
 }
 
+// Guards against tokens that are returned to an owner that has not leased
+// them, and against calls that no owner is told of, when a change of the
+// number of slots gives the account another owner.
+TEST_F(NodeOfOneOwner, AChangeOfSlotsKeepsCallsAndVoidsReturns)
+{
+    std::vector<bb_quota_ticket_t> tickets(20);
+    SetLimits(10, 1000);
+    while (now < 400 && Level() < 800) {
+        Tick();
+        if (static_cast<int>(now * 20) % 5 == 0) {
+            Admit(&tickets[0]);
+        }
+    }
+    for (auto &ticket : tickets) {
+        ASSERT_TRUE(Admit(&ticket));
+    }
+    size_t candidate;
+    now += 0.3;
+    ASSERT_TRUE(BbQuota_NextMessage(quota, 0, now, message, &candidate));
+    ASSERT_NE(strstr(message->str, "\n20 "), nullptr) << message->str;
+    BbQuota_Return(quota, "a", tickets[0], now);
+    BbQuota_SetFleet(quota, 1, 2, now);
+    size_t slot = BbQuota_Slot("a", 2);
+    const char *const name = "p";
+    BbQuota_SetOwners(quota, slot, &name, 1, now);
+    ASSERT_TRUE(BbQuota_NextMessage(quota, slot, now, message, &candidate));
+    char *cursor = message->str;
+    bb_quota_report_head_t head;
+    bb_quota_report_t report;
+    ASSERT_TRUE(BbQuotaWire_ParseReportHead(&cursor, &head));
+    ASSERT_TRUE(BbQuotaWire_NextReport(&cursor, &report));
+    EXPECT_EQ(report.returned, 0);
+    EXPECT_GE(report.credit, 10); // less the share of at most 1 s
+}
+
 } // namespace
