--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstring>
 #include <functional>
 #include <map>
 #include <random>
@@ -578,4 +579,269 @@
     EXPECT_FALSE(BbQuotaWire_ParseReportHead(&cursor, &head));
 }
 
+const char kHuge[] = "9223372036854775807";
+
+// Guards against integer overflows and negative leases by figures that another
+// node has sent.
+TEST(QuotaWire, ClipsFigures)
+{
+    const std::string huge = kHuge;
+    std::string text = "-" + huge + " -5 -5 -9 -7 -7 a\n" + huge + " " + huge +
+                       " " + huge + " " + huge + " " + huge + " " + huge +
+                       " b\n";
+    char *cursor = text.data();
+    bb_quota_report_t report;
+    const int64_t most = 1000000000000;
+
+    ASSERT_TRUE(BbQuotaWire_NextReport(&cursor, &report));
+    EXPECT_EQ(report.credit, -most);
+    EXPECT_EQ(report.wanted, 0);
+    EXPECT_EQ(report.returned, 0);
+    EXPECT_EQ(report.held, -1);
+    EXPECT_EQ(report.demand_milli, 0);
+    EXPECT_EQ(report.since_ms, 0);
+    ASSERT_TRUE(BbQuotaWire_NextReport(&cursor, &report));
+    EXPECT_EQ(report.credit, most);
+    EXPECT_EQ(report.held, most);
+    EXPECT_EQ(report.demand_milli, most);
+    bb_quota_grant_t grant;
+    text = "t -3 -1 -1 a\nt " + huge + " " + huge + " " + huge + " b\n";
+    cursor = text.data();
+    ASSERT_TRUE(BbQuotaWire_NextGrant(&cursor, &grant));
+    EXPECT_EQ(grant.tokens, 0);
+    EXPECT_EQ(grant.chance_milli, 0);
+    ASSERT_TRUE(BbQuotaWire_NextGrant(&cursor, &grant));
+    EXPECT_EQ(grant.tokens, most);
+}
+
+class OwnerOfOneAccount : public ::testing::Test {
+  protected:
+    OwnerOfOneAccount() : random(BbRandom_New(7)), text(g_string_new(nullptr))
+    {
+        bb_quota_owner_options_t options = {};
+        options.random = random;
+        owner = BbQuotaOwner_New(&options);
+        BbQuotaOwner_SetNodeCount(owner, 1);
+        SetLimit(kRate, kBurst);
+    }
+    ~OwnerOfOneAccount()
+    {
+        BbQuotaOwner_Free(owner);
+        BbRandom_Free(random);
+        g_string_free(text, TRUE);
+    }
+    void SetLimit(double rate, double burst)
+    {
+        bb_account_table_t *table = BbAccountTable_New();
+        bb_account_t account = {const_cast<char *>("a"), 1, rate, burst};
+        BbAccountTable_Add(table, &account);
+        BbQuotaOwner_SetAccounts(owner, table);
+        BbAccountTable_Free(table);
+    }
+    double Level() const
+    {
+        return BbQuotaOwner_Level(owner, "a");
+    }
+    // Returns the response to a report.
+    std::string Report(std::string report, double now)
+    {
+        g_string_truncate(text, 0);
+        EXPECT_TRUE(
+            BbQuotaOwner_HandleReport(owner, report.data(), now, text));
+        return text->str;
+    }
+    static constexpr double kRate = 10, kBurst = 20;
+    bb_random_t *random;
+    bb_quota_owner_t *owner;
+    GString *text;
+};
+
+// Guards against reports of a faulty node that block an account for long, or
+// raise its bucket above the burst.
+TEST_F(OwnerOfOneAccount, BoundsDebtAndSurplus)
+{
+    const std::string huge = kHuge;
+    Report("1 5 1 0 250 0 0 n\n" + huge + " 1 0 0 0 100 a\n", 10);
+    EXPECT_GE(Level(), -(5 * kRate + kBurst + BB_QUOTA_EXTRA_CALLS));
+    Report("1 5 2 1 250 0 0 n\n-" + huge + " 1 0 0 0 100 a\n", 10.2);
+    EXPECT_LE(Level(), kBurst + BB_QUOTA_EXTRA_CALLS);
+    Report("1 5 3 2 250 0 0 n\n0 1 " + huge + " 0 0 100 a\n", 10.4);
+    EXPECT_LE(Level(), kBurst + BB_QUOTA_EXTRA_CALLS);
+}
+
+// Guards against memory that grows with the names in foreign messages, and
+// against names that are kept for as long as their message asks for.
+TEST_F(OwnerOfOneAccount, BoundsTheNodesThatItKeeps)
+{
+    const std::string first = "1 0 1 0 9223372036854775807 0 0 ";
+    const std::string second = "1 0 2 1 9223372036854775807 0 0 ";
+    const std::string returns = "last\n0 1 5 -1 0 100 a\n";
+    for (int i = 0; i < 10000; i++) {
+        Report(first + std::to_string(i) + "\n", 10);
+    }
+    Report(first + returns, 11.2);
+    EXPECT_NEAR(Level(), 1.2 * kRate, 0.01);
+    double forgotten = 10 + 60 * 1.6 + 5 + 0.1;
+    Report(first + "last\n", forgotten);
+    Report(second + returns, forgotten + 1.2);
+    EXPECT_NEAR(Level(), 1.2 * kRate + 5, 0.01);
+}
+
+// One node whose reports go to the owner at once.
+class NodeOfOneOwner : public OwnerOfOneAccount {
+  protected:
+    NodeOfOneOwner() : message(g_string_new(nullptr))
+    {
+        bb_quota_options_t options = {};
+        options.node = "n";
+        options.random = random;
+        options.now = now;
+        quota = BbQuota_New(&options);
+        SetOwners({"o"});
+    }
+    ~NodeOfOneOwner()
+    {
+        BbQuota_Free(quota);
+        g_string_free(message, TRUE);
+    }
+    void SetLimits(double rate, double burst)
+    {
+        bb_account_table_t *table = BbAccountTable_New();
+        bb_account_t account = {const_cast<char *>("a"), 1, rate, burst};
+        BbAccountTable_Add(table, &account);
+        BbQuota_SetAccounts(quota, table);
+        BbQuotaOwner_SetAccounts(owner, table);
+        BbAccountTable_Free(table);
+    }
+    void SetOwners(const std::vector<const char *> &names)
+    {
+        BbQuota_SetOwners(quota, 0, names.data(), names.size(), now);
+    }
+    bool Admit(bb_quota_ticket_t *ticket)
+    {
+        double retry_after_s;
+        return BbQuota_Admit(quota, "a", now, ticket, &retry_after_s);
+    }
+    // Sends the reports that are due. Responses to reports of the account may
+    // be lost. Returns whether one was.
+    bool Tick(bool is_response_lost = false)
+    {
+        bool has_lost = false;
+        size_t candidate;
+        now += BB_QUOTA_TICK_S;
+        while (BbQuota_NextMessage(quota, 0, now, message, &candidate)) {
+            bool has_account = strstr(message->str, " a\n") != nullptr;
+            std::string response = Report(message->str, now);
+            if (is_response_lost && has_account) {
+                has_lost = true;
+            }
+            else {
+                BbQuota_HandleResponse(quota, 0, candidate, response.data(),
+                                       now);
+            }
+        }
+        return has_lost;
+    }
+    // Level now: the empty report of another node refills the bucket.
+    double CurrentLevel()
+    {
+        Report("1 9 1 0 60000 0 0 m\n0 0 0 -1 0 0 a\n", now);
+        return Level();
+    }
+    double now = 100;
+    bb_quota_t *quota;
+    GString *message;
+};
+
+// Guards against calls that are returned twice because the response to their
+// report was lost.
+TEST_F(NodeOfOneOwner, ARepeatedReportReturnsCallsOnce)
+{
+    std::vector<bb_quota_ticket_t> tickets(20);
+    SetLimits(10, 1000);
+    while (now < 400 && Level() < 800) {
+        Tick();
+        if (static_cast<int>(now * 20) % 5 == 0) {
+            Admit(&tickets[0]); // so that the owner knows the account
+        }
+    }
+    for (auto &ticket : tickets) {
+        ASSERT_TRUE(Admit(&ticket));
+    }
+    double begin = now;
+    while (now < begin + 2) {
+        Tick();
+    }
+    double level = CurrentLevel();
+    ASSERT_GT(level, 700);
+    ASSERT_LT(level, 900);
+    begin = now;
+    for (auto ticket : tickets) {
+        BbQuota_Return(quota, "a", ticket, now);
+    }
+    while (!Tick(true) && now < begin + 2) {
+    }
+    SetOwners({"o", "p"});
+    while (now < begin + 4) {
+        Tick();
+    }
+    EXPECT_NEAR(CurrentLevel(), level + 20 + 10 * (now - begin), 1);
+}
+
+// Guards against a call that was admitted without a token of the local bucket,
+// but returns one to it.
+TEST_F(NodeOfOneOwner, ASingleCallWithoutAnOwnerReturnsNoToken)
+{
+    bb_quota_ticket_t ticket = 0;
+    SetLimits(1, 1000);
+    while (now < 2000 && Level() < 900) {
+        Tick();
+        if (static_cast<int>(now * 20) % 40 == 0) {
+            Admit(&ticket);
+        }
+    }
+    BbQuota_SetFleet(quota, 80, 1, now);
+    now += 1;
+    SetOwners({});
+    // The local bucket is empty.
+    ASSERT_TRUE(Admit(&ticket));
+    BbQuota_Return(quota, "a", ticket, now);
+    EXPECT_FALSE(Admit(&ticket));
+}
+
+// Guards against tokens that are returned to an owner that has not leased
+// them, and against calls that no owner is told of, when a change of the
+// number of slots gives the account another owner.
+TEST_F(NodeOfOneOwner, AChangeOfSlotsKeepsCallsAndVoidsReturns)
+{
+    std::vector<bb_quota_ticket_t> tickets(20);
+    SetLimits(10, 1000);
+    while (now < 400 && Level() < 800) {
+        Tick();
+        if (static_cast<int>(now * 20) % 5 == 0) {
+            Admit(&tickets[0]);
+        }
+    }
+    for (auto &ticket : tickets) {
+        ASSERT_TRUE(Admit(&ticket));
+    }
+    size_t candidate;
+    now += 0.3;
+    ASSERT_TRUE(BbQuota_NextMessage(quota, 0, now, message, &candidate));
+    ASSERT_NE(strstr(message->str, "\n20 "), nullptr) << message->str;
+    BbQuota_Return(quota, "a", tickets[0], now);
+    BbQuota_SetFleet(quota, 1, 2, now);
+    size_t slot = BbQuota_Slot("a", 2);
+    const char *const name = "p";
+    BbQuota_SetOwners(quota, slot, &name, 1, now);
+    ASSERT_TRUE(BbQuota_NextMessage(quota, slot, now, message, &candidate));
+    char *cursor = message->str;
+    bb_quota_report_head_t head;
+    bb_quota_report_t report;
+    ASSERT_TRUE(BbQuotaWire_ParseReportHead(&cursor, &head));
+    ASSERT_TRUE(BbQuotaWire_NextReport(&cursor, &report));
+    EXPECT_EQ(report.returned, 0);
+    EXPECT_GE(report.credit, 10); // less the share of at most 1 s
+}
+
 } // namespace
