Calls: ignore deadlines that are not finite numbers

Cause: 'inf', 'nan' and '1e999' were taken as deadlines of callers. The longest deadline of a route is kept for the estimate of earlier tries, so one such request made all later calls of the route look like retries that are late: they lost their place in the slot queue and at the link. A value that is not finite is now ignored, as text that is no number is.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -1,5 +1,6 @@
 #include "bb_call_io.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -153,7 +154,9 @@
     if (text != NULL) {
         char *end;
         double caller_timeout_s = g_ascii_strtod(text, &end) / 1000;
-        if (end != text) {
+        /* A value that is not finite would make all later calls of the route
+         * look late, because the longest deadline is kept. */
+        if (end != text && isfinite(caller_timeout_s)) {
             call->earlier_tries_s =
                 estimate_earlier_tries_s(call, caller_timeout_s);
             allowed_s = MIN(allowed_s, caller_timeout_s);
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -1,6 +1,7 @@
 // Tests of lib/http and lib/mesh over loopback: which responses callers get
 // and which calls targets run when targets, nodes or callers fail or
 // misbehave.
+#include "bb_hop.h"
 #include "bb_probe.h"
 #include "bb_sync_client.h"
 #include "bb_sync_server.h"
@@ -540,6 +541,39 @@
     EXPECT_NE(HeaderField(callers[5]->connection.received, "Retry-After"), "");
 }
 
+// Guards against a caller whose deadline is not a finite number: the longest
+// deadline of a route is kept, and all later calls of the route would be taken
+// for retries that are late.
+TEST_F(MeshIo, DeadlinesThatAreNotFiniteAreIgnored)
+{
+    Target silent(&loop);
+    silent.on_request = [](const Target::Request &) {};
+    Node other(&loop, "n2", "a", &silent);
+    other.forward_address = silent.address;
+    node.MarkOwnTargetNotReady();
+    node.AddNodeRecord(&other, 9);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (const char *left_ms : {"inf", "nan", "1e999", "2000"}) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(
+            "GET /safe/1 HTTP/1.1\r\nHost: h\r\nCall-Id: c\r\nLeft-Ms: " +
+            std::string(left_ms) + "\r\n\r\n");
+        size_t count = callers.size();
+        ASSERT_TRUE(
+            loop.RunUntil([&] { return silent.requests.size() >= count; }, 1));
+        bb_hop_call_t call = {};
+        ASSERT_EQ(
+            BbHop_Parse(
+                HeaderField(silent.requests.back().head, BB_HOP_CALL).c_str(),
+                &call),
+            0);
+        EXPECT_GT(call.due_in_ms, 300) << left_ms;
+        EXPECT_GT(call.deadline_ms, 1500) << left_ms;
+        BbHop_Clear(&call);
+    }
+}
+
 // Guards against nested calls of running calls that wait behind new calls at
 // another node because that node does not learn that they are nested.
 TEST_F(MeshIo, NestedCallsAreMarkedForOtherNodes)
