Slot queue: bound the table of classes

Cause: a class that was seen once stayed for the life of the process. Classes without open calls are now dropped when there are 512. The new test fails without the change.

--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -43,6 +43,10 @@
     int open;           /* running and waiting calls of the class */
 } service_mean_t;
 
+/* Limit of classes. Their names come from the configurations of other nodes;
+ * of these, the classes of one service are some tens. */
+#define MAX_CLASSES 512
+
 /* Calls that are not nested get a slot at least this share as often as nested
  * ones. */
 #define MIN_ROOT_SHARE 0.25
@@ -127,12 +131,25 @@
     return current_mean(is_known ? mean : &queue->all, now);
 }
 
+static gboolean
+is_unused(gpointer name, gpointer value, gpointer arg)
+{
+    const service_mean_t *mean = value;
+    (void)name;
+    (void)arg;
+
+    return mean->open == 0;
+}
+
 static service_mean_t *
 add_class(bb_slot_queue_t *queue, const char *name)
 {
     service_mean_t *mean = g_hash_table_lookup(queue->classes, name);
 
     if (mean == NULL) {
+        if (g_hash_table_size(queue->classes) >= MAX_CLASSES) {
+            g_hash_table_foreach_remove(queue->classes, is_unused, NULL);
+        }
         mean = g_new0(service_mean_t, 1);
         g_hash_table_insert(queue->classes, g_strdup(name), mean);
     }
--- a/tests/unit/mesh_test.cc
+++ b/tests/unit/mesh_test.cc
@@ -607,6 +607,24 @@
     EXPECT_EQ(BbSlotQueue_Next(q.queue, 1.2), order);
 }
 
+// Guards against a table of classes that grows with each configuration: unused
+// classes are forgotten, those of open calls are kept.
+TEST(MeshSlotQueue, NumberOfClassesIsBounded)
+{
+    Queue q(9);
+    q.RunOneCall("unused", 8.0);
+    q.RunOneCall("open", 4.0);
+    auto *open = q.Ticket("open", 0, 10, 20);
+    ASSERT_EQ(BbSlotQueue_Offer(q.queue, open, 0), BB_SLOT_RUNNING);
+    for (int i = 0; i < 1000; i++) {
+        q.RunOneCall(("class " + std::to_string(i)).c_str(), 1.0);
+    }
+    EXPECT_DOUBLE_EQ(BbSlotQueue_ClassTime(q.queue, "open", 1), 4.0);
+    EXPECT_DOUBLE_EQ(BbSlotQueue_ClassTime(q.queue, "unused", 1),
+                     BbSlotQueue_ServiceTime(q.queue, 1));
+    BbSlotQueue_Finish(q.queue, open, false, 1);
+}
+
 // Guards against a queue that makes every call late under overload: calls that
 // would be late must be refused at once, and admitted calls end in time.
 TEST(MeshSlotQueue, OverloadServesInTimeAndRefusesAtOnce)
