Slot queue: choose no call while no slot is free

Cause: each event and each timer run of 20 ms compared all waiting calls and evaluated the reserve for them, also when all slots were taken, which is the normal state of a queue. Only the check for calls to refuse is needed then. The choice itself is the same.

--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -528,6 +528,14 @@
             refuse(ticket, BB_REASON_QUEUE_EXPIRED);
             return ticket;
         }
+    }
+    if (is_share_check) {
+        queue->share_checked_at = now;
+    }
+    if (queue->running >= queue->slots) {
+        return NULL;
+    }
+    DL_FOREACH (queue->tickets, ticket) {
         if ((best == NULL || precedes(ticket, best, now)) &&
             is_unreserved(queue, ticket, now)) {
             best = ticket;
@@ -538,10 +546,7 @@
             best_root = ticket;
         }
     }
-    if (is_share_check) {
-        queue->share_checked_at = now;
-    }
-    if (best == NULL || queue->running >= queue->slots) {
+    if (best == NULL) {
         return NULL;
     }
     if (best->is_nested && best_root != NULL && are_roots_starved(queue)) {
