Target: refuse many calls without recursion

Cause: run_queue() refuses a call, and the end of a refusal runs the queue again, so that calls refused at the same time nested: 16 KB of stack for 500 at -O2, more with a sanitizer. The number of waiting calls is not bounded while the service time is not known. The inner run now leaves the rest to the outer one. The new test fails without the change (15,968 bytes; limit 8,192).

--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -71,6 +71,7 @@
     int call_count;
     double fail_rate;
     bool is_node_draining;
+    bool is_queue_running; /* run_queue() is in progress */
     ev_timer queue_timer;
 };
 
@@ -396,11 +397,18 @@
     return BbDroppedKeys_Contains(io->dropped_keys, request->key_digest);
 }
 
+/* Starts and refuses the calls that the queue returns. Refusing a call ends
+ * here again; that inner run leaves the rest to the outer one, so that the
+ * stack does not grow with the number of refused calls. */
 static void
 run_queue(bb_target_io_t *io)
 {
     bb_slot_ticket_t *ticket;
 
+    if (io->is_queue_running) {
+        return;
+    }
+    io->is_queue_running = true;
     while ((ticket = BbSlotQueue_Next(io->queue, BbClock_Now(io->loop))) !=
            NULL) {
         target_call_t *call = ticket->arg;
@@ -414,6 +422,7 @@
             start_call(call);
         }
     }
+    io->is_queue_running = false;
     schedule_queue_timer(io);
 }
 
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -1,6 +1,7 @@
 // Tests of lib/http and lib/mesh over loopback: which responses callers get
 // and which calls targets run when targets, nodes or callers fail or
 // misbehave.
+#include "bb_clock.h"
 #include "bb_hop.h"
 #include "bb_probe.h"
 #include "bb_sync_client.h"
@@ -541,6 +542,41 @@
     EXPECT_NE(HeaderField(callers[5]->connection.received, "Retry-After"), "");
 }
 
+// Guards against a stack that grows with the number of calls that are refused
+// at the same time: it would overflow while a target has no slots for long.
+TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
+{
+    struct Refusals {
+        int count = 0;
+        uintptr_t lowest = UINTPTR_MAX, highest = 0;
+    } refusals;
+    const int kCalls = 500;
+    Node idle(&loop, "n2", "a", &target, 0);
+    bb_attempt_handler_t handler = {};
+    handler.on_refused = [](bb_reason_t, double, void *arg) {
+        Refusals *refusals = static_cast<Refusals *>(arg);
+        uintptr_t here =
+            reinterpret_cast<uintptr_t>(__builtin_frame_address(0));
+        refusals->count++;
+        refusals->lowest = std::min(refusals->lowest, here);
+        refusals->highest = std::max(refusals->highest, here);
+    };
+    ev_now_update(loop.loop);
+    bb_attempt_request_t request = {};
+    request.call_id = "c";
+    request.service = "orders";
+    request.due_at = request.deadline_at = BbClock_Now(loop.loop) + 0.1;
+    for (int i = 0; i < kCalls; i++) {
+        bb_attempt_t *attempt;
+        double retry_after_s;
+        ASSERT_EQ(BbTargetIo_Submit(idle.target_io, &request, &handler,
+                                    &refusals, &retry_after_s, &attempt),
+                  BB_REASON_NONE);
+    }
+    ASSERT_TRUE(loop.RunUntil([&] { return refusals.count == kCalls; }, 2));
+    EXPECT_LT(refusals.highest - refusals.lowest, 8192u);
+}
+
 // Guards against a caller whose deadline is not a finite number: the longest
 // deadline of a route is kept, and all later calls of the route would be taken
 // for retries that are late.
