Shutdown: end the calls that have not started first

Cause: calls were failed in order of arrival, so the end of a running one freed a slot and a waiting one started on an idle connection to the target, was cut at once and ended with 504 instead of 503. The new test fails without the change (504, one run at the target).

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -444,9 +444,31 @@
     io->is_refusing = true;
 }
 
+/* A call that has certainly not started, NULL when there is none. */
+static bb_mesh_call_t *
+find_not_started(const bb_call_io_t *io)
+{
+    bb_mesh_call_t *call;
+
+    DL_FOREACH (io->calls, call) {
+        if (call->attempt == NULL ||
+            call->attempt->ops->is_not_started(call->attempt)) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
 void
 BbCallIo_FailOpenCalls(bb_call_io_t *io)
 {
+    bb_mesh_call_t *call;
+
+    /* Otherwise the end of a running call would start a waiting one, which
+     * would be cut at once and could not be answered with 503. */
+    while ((call = find_not_started(io)) != NULL) {
+        BbMeshCall_TimeOut(call, BB_ATTEMPT_DROPPED);
+    }
     while (io->calls != NULL) {
         BbMeshCall_TimeOut(io->calls, BB_ATTEMPT_DROPPED);
     }
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -542,6 +542,45 @@
     EXPECT_NE(HeaderField(callers[5]->connection.received, "Retry-After"), "");
 }
 
+// Guards against calls that start when the node shuts down, because the end of
+// a running call frees a slot: they would be cut and end with 504.
+TEST_F(MeshIo, ShutdownStartsNoWaitingCalls)
+{
+    std::vector<Target::Request> held;
+    target.on_request = [&](const Target::Request &request) {
+        held.push_back(request);
+    };
+    std::vector<std::unique_ptr<Caller>> callers;
+    auto call = [&](const std::string &request) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(request);
+        loop.RunFor(0.02);
+    };
+    for (int i = 0; i < 4; i++) {
+        call(Caller::Request("GET", "/safe/1", "c" + std::to_string(i)));
+    }
+    ASSERT_EQ(held.size(), 4u);
+    for (const Target::Request &request : held) {
+        request.connection->Send(Target::Response(request.id, "ok"));
+    }
+    for (int i = 0; i < 4; i++) {
+        ASSERT_EQ(Status(callers[i]->Wait(1)), "200");
+    }
+    held.clear();
+    loop.RunFor(1.1); // after that "once" uses new connections to the target
+    for (int i = 4; i < 8; i++) {
+        call(Caller::Request("POST", "/once/1", "c" + std::to_string(i), "x"));
+    }
+    ASSERT_EQ(held.size(), 4u);
+    call(Caller::Request("GET", "/safe/1", "c8"));
+    BbCallIo_FailOpenCalls(node.calls);
+    EXPECT_EQ(Status(callers[8]->Wait(1)), "503");
+    EXPECT_EQ(Status(callers[4]->Wait(1)), "504");
+    loop.RunFor(0.05);
+    EXPECT_EQ(target.RunCount("c8"), 0);
+}
+
 // Guards against a stack that grows with the number of calls that are refused
 // at the same time: it would overflow while a target has no slots for long.
 TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
