HTTP server: read no requests after an aborted response

Cause: with a pacer an aborted response may have up to 1 MiB of waiting bytes, which are written before the connection is closed. Requests that arrived in the meantime were started, although their responses could not be sent. The connection now drops them, as it does after 'Connection: close'.

--- a/lib/http/bb_h1_response.c
+++ b/lib/http/bb_h1_response.c
@@ -381,6 +381,8 @@
 {
     request->is_response_ended = true;
     request->is_aborted = true;
+    /* No request is accepted that could not be answered any more. */
+    request->connection->is_close_pending = true;
     BbH1Connection_Flush(request->connection);
 }
 
--- a/tests/unit/link_test.cc
+++ b/tests/unit/link_test.cc
@@ -401,6 +401,33 @@
     EXPECT_TRUE(rig.Arrives(stalled, {900000}));
 }
 
+// Guards against calls that run although they cannot be answered: those that
+// arrive while the waiting bytes of an aborted response are written, after
+// which the connection is closed.
+TEST(LinkPacer, AbortedConnectionsTakeNoMoreCalls)
+{
+    LinkRig rig(5);
+    const size_t kSent = 1150000; // more than a node buffers
+    rig.target.on_request = [&](const Target::Request &request) {
+        std::string response =
+            Target::Response(request.id, LinkRig::Body(2 * kSent));
+        request.connection->Send(response.substr(0, kSent));
+    };
+    Caller caller(&rig.loop, rig.node.caller_address);
+    caller.connection.Send(Caller::Request("GET", "/safe/1", "1", "", 500));
+    ASSERT_TRUE(rig.loop.RunUntil(
+        [&] { return BbCallIo_OpenCalls(rig.node.calls) == 1; }, 1));
+    ASSERT_TRUE(rig.loop.RunUntil(
+        [&] { return BbCallIo_OpenCalls(rig.node.calls) == 0; }, 2));
+    ASSERT_GT(rig.WaitingBytes(), 0u);
+    caller.connection.Send(Caller::Request("GET", "/safe/1", "2"));
+    rig.loop.RunFor(0.2);
+    EXPECT_EQ(rig.target.RunCount("2"), 0);
+    EXPECT_TRUE(
+        rig.loop.RunUntil([&] { return caller.connection.is_closed; }, 5));
+    EXPECT_GT(caller.connection.received.size(), 1000000u);
+}
+
 // Guards against small responses between nodes that wait behind bulk, and
 // against calls that run although the link is full: those are refused.
 TEST(LinkPacer, NodesPaceForwardedCalls)
