--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -14,6 +14,10 @@
 /* Timeout of a call if neither its caller nor its route sets one. */
 #define DEFAULT_TIMEOUT_S 60.0
 
+/* Limit of routes in a table by route name. One configuration has some
+ * hundred, but 4,000 configurations a day may have different ones. */
+#define MAX_ROUTE_NUMBERS 2048
+
 /* ---- call state ---- */
 
 double
@@ -22,6 +26,21 @@
     return BbClock_Now(call->io->options.loop);
 }
 
+double *
+BbMeshCall_RouteNumber(const bb_mesh_call_t *call, GHashTable *table)
+{
+    double *number = g_hash_table_lookup(table, call->route->name);
+
+    if (number == NULL) {
+        if (g_hash_table_size(table) >= MAX_ROUTE_NUMBERS) {
+            g_hash_table_remove_all(table);
+        }
+        number = g_new0(double, 1);
+        g_hash_table_insert(table, g_strdup(call->route->name), number);
+    }
+    return number;
+}
+
 /* Gives back what the call has taken from its account's quota if it has
  * certainly not run. */
 static void
@@ -128,15 +147,9 @@
 static double
 estimate_earlier_tries_s(bb_mesh_call_t *call, double left_s)
 {
-    GHashTable *longest_deadlines = call->io->longest_deadlines;
     double *longest_s =
-        g_hash_table_lookup(longest_deadlines, call->route->name);
+        BbMeshCall_RouteNumber(call, call->io->longest_deadlines);
 
-    if (longest_s == NULL) {
-        longest_s = g_new0(double, 1);
-        g_hash_table_insert(longest_deadlines, g_strdup(call->route->name),
-                            longest_s);
-    }
     *longest_s = MAX(*longest_s, left_s);
     return *longest_s - left_s;
 }
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -84,6 +84,10 @@
 
 double BbMeshCall_Now(const bb_mesh_call_t *call);
 
+/* Returns the number that a table keeps for the call's route, 0 at first. A
+ * table with many routes, left by earlier configurations, starts anew. */
+double *BbMeshCall_RouteNumber(const bb_mesh_call_t *call, GHashTable *table);
+
 /* Frees a call that has been answered or whose caller has disconnected. */
 void BbMeshCall_Free(bb_mesh_call_t *call);
 
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -137,13 +137,8 @@
 static void
 record_room_expected(bb_mesh_call_t *call, double retry_after_s)
 {
-    GHashTable *table = call->io->room_expected_at;
-    double *at = g_hash_table_lookup(table, call->route->name);
+    double *at = BbMeshCall_RouteNumber(call, call->io->room_expected_at);
 
-    if (at == NULL) {
-        at = g_new(double, 1);
-        g_hash_table_insert(table, g_strdup(call->route->name), at);
-    }
     *at = BbMeshCall_Now(call) + retry_after_s;
 }
 
