Call tree: start the table of classes anew when it is full

Cause: classes were never dropped, and with 1,024 of them a new one was not added. After many configurations with other routes, nested calls of new classes were not recognized any more, for the life of the process: they lost their precedence and were held back by the reserve. The new test fails without the change.

--- a/lib/admission/bb_call_tree.c
+++ b/lib/admission/bb_call_tree.c
@@ -27,7 +27,8 @@
  * caller and may consist of thousands of them. */
 #define MAX_SEPARATORS 8
 
-/* Limit of classes; a configuration has a few hundred routes. */
+/* Limit of classes; a configuration has a few hundred routes. With those of
+ * earlier configurations there may be more, and the table starts anew. */
 #define MAX_CLASSES 1024
 
 /* Nested calls of one class, as made by the runs of another. */
@@ -50,7 +51,7 @@
 
 struct bb_call_run {
     char *id;
-    call_class_t *class;
+    call_class_t *class; /* NULL after forget_classes() */
     double arrived_at;
     nested_count_t *children;
 };
@@ -111,12 +112,31 @@
     }
 }
 
+/* Nothing is learned from the runs that have started. */
+static void
+forget_classes(bb_call_tree_t *tree)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, tree->runs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        bb_call_run_t *run = value;
+        run->class = NULL;
+        free_counts(&run->children);
+    }
+    g_hash_table_remove_all(tree->classes);
+}
+
 static call_class_t *
 add_class(bb_call_tree_t *tree, const char *name)
 {
     call_class_t *class = g_hash_table_lookup(tree->classes, name);
 
-    if (class == NULL && g_hash_table_size(tree->classes) < MAX_CLASSES) {
+    if (class == NULL) {
+        if (g_hash_table_size(tree->classes) >= MAX_CLASSES) {
+            forget_classes(tree);
+        }
         class = g_new0(call_class_t, 1);
         g_hash_table_insert(tree->classes, g_strdup(name), class);
     }
@@ -147,28 +167,21 @@
         g_hash_table_contains(tree->runs, id)) {
         return NULL;
     }
-    call_class_t *class = add_class(tree, class_name);
-    if (class == NULL) {
-        return NULL;
-    }
     bb_call_run_t *run = g_new0(bb_call_run_t, 1);
     run->id = g_strdup(id);
-    run->class = class;
+    run->class = add_class(tree, class_name);
     run->arrived_at = arrived_at;
     g_hash_table_insert(tree->runs, run->id, run);
     return run;
 }
 
-void
-BbCallTree_EndRun(bb_call_tree_t *tree, bb_call_run_t *run)
+static void
+learn_from_run(const bb_call_run_t *run)
 {
-    nested_count_t *known, *seen;
-
-    if (run == NULL) {
-        return;
-    }
     call_class_t *class = run->class;
+    nested_count_t *known, *seen;
     double weight = MAX(1.0 / (double)++class->runs, COUNT_WEIGHT);
+
     DL_FOREACH (run->children, seen) {
         find_count(&class->children, seen->nested)->current = seen->current;
     }
@@ -176,6 +189,17 @@
         known->mean += weight * (known->current - known->mean);
         known->current = 0;
     }
+}
+
+void
+BbCallTree_EndRun(bb_call_tree_t *tree, bb_call_run_t *run)
+{
+    if (run == NULL) {
+        return;
+    }
+    if (run->class != NULL) {
+        learn_from_run(run);
+    }
     g_hash_table_remove(tree->runs, run->id);
     free_run(run);
 }
@@ -214,12 +238,11 @@
                        double *parent_age_s)
 {
     bb_call_run_t *run = find_parent(tree, id);
-    call_class_t *nested = run != NULL ? add_class(tree, class_name) : NULL;
 
-    if (nested == NULL) {
+    if (run == NULL) {
         return false;
     }
-    find_count(&run->children, nested)->current++;
+    find_count(&run->children, add_class(tree, class_name))->current++;
     *parent_age_s = MAX(now - run->arrived_at, 0.0);
     return true;
 }
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -124,6 +124,28 @@
     BbCallTree_Free(tree);
 }
 
+// Guards against nested calls that are no longer recognized after many
+// configurations with other routes, and against runs that refer to a class
+// that was dropped.
+TEST(AdmissionCallTree, TableOfClassesStartsAnewWhenFull)
+{
+    bb_call_tree_t *tree = BbCallTree_New(".");
+    double age_s;
+    bb_call_run_t *first = BbCallTree_StartRun(tree, "first", "parent", 1.0);
+    EXPECT_TRUE(BbCallTree_BeginNested(tree, "first.1", "child", 1, &age_s));
+    for (int i = 0; i < 3000; i++) {
+        std::string name = "class " + std::to_string(i);
+        BbCallTree_EndRun(
+            tree, BbCallTree_StartRun(tree, "other", name.c_str(), 1.0));
+    }
+    EXPECT_TRUE(BbCallTree_BeginNested(tree, "first.2", "child", 1, &age_s));
+    bb_call_run_t *last = BbCallTree_StartRun(tree, "last", "new", 1.0);
+    EXPECT_TRUE(BbCallTree_BeginNested(tree, "last.1", "newer", 1, &age_s));
+    BbCallTree_EndRun(tree, first);
+    BbCallTree_EndRun(tree, last);
+    BbCallTree_Free(tree);
+}
+
 // Guards against refused roots without a shortage or after it has ended, and
 // against a refusal of all roots, after which no recovery would be seen.
 TEST(AdmissionCallTree, RefusesRootsOnlyDuringAShortage)
