--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -137,8 +137,9 @@
  * passed to the socket. There is no call once the response is complete. */
 void BbH1_NotifyWhenDrained(bb_h1_request_t *request);
 
-/* Closes the connection once the earlier responses have been sent, so that a
- * response that was started cannot be taken for a complete one. */
+/* Closes the connection once the bytes given so far have been sent, so that a
+ * response that was started cannot be taken for a complete one. Requests that
+ * arrive on the connection after that are dropped. */
 void BbH1_Abort(bb_h1_request_t *request);
 
 /* Stops and restarts reading from the connection of this request. */
