HTTP server: time out aborted responses of stalled receivers

Cause: an aborted request stays in the list of its connection until the bytes before it are written, and the idle timer does not run while a request is open. A receiver that stopped reading a streamed response, which is aborted at its deadline, kept the connection with up to 1 MiB until the process ended. The idle timer now runs after an abort. The new test fails without the change.

--- a/lib/http/bb_h1_response.c
+++ b/lib/http/bb_h1_response.c
@@ -252,7 +252,7 @@
     if (is_all_written && must_close) {
         start_lingering(connection);
     }
-    else if (connection->request_count == 0) {
+    else if (connection->request_count == 0 || must_close) {
         BbH1Connection_RestartIdleTimer(connection);
     }
     if (is_all_written) {
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -144,6 +144,18 @@
     ev_timer_again(server->loop, &connection->idle_timer);
 }
 
+/* Whether a request waits for its response. Behind an aborted response none is
+ * sent. */
+static bool
+has_open_request(const bb_h1_connection_t *connection)
+{
+    const bb_h1_request_t *first = connection->requests;
+
+    return connection->request_count >
+               (connection->has_partial_head ? 1 : 0) &&
+           !first->is_aborted;
+}
+
 static void
 handle_idle(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -152,7 +164,7 @@
 
     ev_timer_stop(loop, timer);
     if (!connection->is_lingering && !connection->is_broken &&
-        connection->request_count > (connection->has_partial_head ? 1 : 0)) {
+        has_open_request(connection)) {
         return; /* started again when no request is open */
     }
     bool is_waiting_for_link = connection->transfer.base.is_queued &&
--- a/tests/unit/h1_server_test.cc
+++ b/tests/unit/h1_server_test.cc
@@ -107,3 +107,21 @@
         loop.RunUntil([&] { return client->received.size() > body.size(); }));
     EXPECT_TRUE(BbH1Server_IsFlushed(server));
 }
+
+// Guards against connections that stay open, with their unsent bytes, because
+// the receiver of an aborted response has stopped reading.
+TEST_F(H1Server, AbortedResponsesOfStalledReceiversTimeOut)
+{
+    BbH1Server_SetLimits(server, 0, 0.2, 0);
+    const std::string data(16 * 1024 * 1024, 'x');
+    client->StopReading();
+    client->Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(loop.RunUntil([&] { return request_count == 1; }));
+    BbH1_RespondStart(request, 200, nullptr, BB_H1_CHUNKED);
+    BbH1_RespondData(request, data.data(), data.size());
+    BbH1_Abort(request);
+    EXPECT_FALSE(BbH1Server_IsFlushed(server));
+    EXPECT_TRUE(
+        loop.RunUntil([&] { return BbH1Server_IsFlushed(server); }, 1.0));
+    EXPECT_EQ(lost_count, 0);
+}
