--- a/lib/http/bb_h1_response.c
+++ b/lib/http/bb_h1_response.c
@@ -252,7 +252,7 @@
     if (is_all_written && must_close) {
         start_lingering(connection);
     }
-    else if (connection->request_count == 0) {
+    else if (connection->request_count == 0 || must_close) {
         BbH1Connection_RestartIdleTimer(connection);
     }
     if (is_all_written) {
@@ -381,6 +381,8 @@
 {
     request->is_response_ended = true;
     request->is_aborted = true;
+    /* No request is accepted that could not be answered any more. */
+    request->connection->is_close_pending = true;
     BbH1Connection_Flush(request->connection);
 }
 
--- a/lib/mesh/bb_slot_queue.c
+++ b/lib/mesh/bb_slot_queue.c
@@ -48,6 +48,10 @@
     int open;           /* running and waiting calls of the class */
 } service_mean_t;
 
+/* Limit of classes. Their names come from the configurations of other nodes;
+ * of these, the classes of one service are some tens. */
+#define MAX_CLASSES 512
+
 /* Calls that are not nested get a slot at least this share as often as nested
  * ones. */
 #define MIN_ROOT_SHARE 0.25
@@ -160,12 +164,25 @@
                : 0;
 }
 
+static gboolean
+is_unused(gpointer name, gpointer value, gpointer arg)
+{
+    const service_mean_t *mean = value;
+    (void)name;
+    (void)arg;
+
+    return mean->open == 0;
+}
+
 static service_mean_t *
 class_mean(bb_slot_queue_t *queue, const char *name)
 {
     service_mean_t *mean = g_hash_table_lookup(queue->classes, name);
 
     if (mean == NULL) {
+        if (g_hash_table_size(queue->classes) >= MAX_CLASSES) {
+            g_hash_table_foreach_remove(queue->classes, is_unused, NULL);
+        }
         mean = g_new0(service_mean_t, 1);
         g_hash_table_insert(queue->classes, g_strdup(name), mean);
     }
@@ -558,6 +575,14 @@
             refuse(ticket, BB_REASON_QUEUE_EXPIRED);
             return ticket;
         }
+    }
+    if (is_share_check) {
+        queue->share_checked_at = now;
+    }
+    if (queue->running >= queue->slots) {
+        return NULL;
+    }
+    DL_FOREACH (queue->tickets, ticket) {
         if ((best == NULL || precedes(ticket, best, now)) &&
             is_unreserved(queue, ticket, now)) {
             best = ticket;
@@ -568,10 +593,7 @@
             best_root = ticket;
         }
     }
-    if (is_share_check) {
-        queue->share_checked_at = now;
-    }
-    if (best == NULL || queue->running >= queue->slots) {
+    if (best == NULL) {
         return NULL;
     }
     if (best->is_nested && best_root != NULL && are_roots_starved(queue)) {
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -2,6 +2,7 @@
 // and which calls targets run when targets, nodes or callers fail or
 // misbehave.
 #include "bb_clock.h"
+#include "bb_hop.h"
 #include "bb_probe.h"
 #include "bb_sync_client.h"
 #include "bb_sync_server.h"
@@ -616,6 +617,113 @@
     EXPECT_NE(HeaderField(callers[5]->connection.received, "Retry-After"), "");
 }
 
+// Guards against calls that start when the node shuts down, because the end of
+// a running call frees a slot: they would be cut and end with 504.
+TEST_F(MeshIo, ShutdownStartsNoWaitingCalls)
+{
+    std::vector<Target::Request> held;
+    target.on_request = [&](const Target::Request &request) {
+        held.push_back(request);
+    };
+    std::vector<std::unique_ptr<Caller>> callers;
+    auto call = [&](const std::string &request) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(request);
+        loop.RunFor(0.02);
+    };
+    for (int i = 0; i < 4; i++) {
+        call(Caller::Request("GET", "/safe/1", "c" + std::to_string(i)));
+    }
+    ASSERT_EQ(held.size(), 4u);
+    for (const Target::Request &request : held) {
+        request.connection->Send(Target::Response(request.id, "ok"));
+    }
+    for (int i = 0; i < 4; i++) {
+        ASSERT_EQ(Status(callers[i]->Wait(1)), "200");
+    }
+    held.clear();
+    loop.RunFor(1.1); // after that "once" uses new connections to the target
+    for (int i = 4; i < 8; i++) {
+        call(Caller::Request("POST", "/once/1", "c" + std::to_string(i), "x"));
+    }
+    ASSERT_EQ(held.size(), 4u);
+    call(Caller::Request("GET", "/safe/1", "c8"));
+    BbCallIo_FailOpenCalls(node.calls);
+    EXPECT_EQ(Status(callers[8]->Wait(1)), "503");
+    EXPECT_EQ(Status(callers[4]->Wait(1)), "504");
+    loop.RunFor(0.05);
+    EXPECT_EQ(target.RunCount("c8"), 0);
+}
+
+// Guards against a stack that grows with the number of calls that are refused
+// at the same time: it would overflow while a target has no slots for long.
+TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
+{
+    struct Refusals {
+        int count = 0;
+        uintptr_t lowest = UINTPTR_MAX, highest = 0;
+    } refusals;
+    const int kCalls = 500;
+    Node idle(&loop, "n2", "a", &target, 0);
+    bb_attempt_handler_t handler = {};
+    handler.on_refused = [](bb_reason_t, double, void *arg) {
+        Refusals *refusals = static_cast<Refusals *>(arg);
+        uintptr_t here =
+            reinterpret_cast<uintptr_t>(__builtin_frame_address(0));
+        refusals->count++;
+        refusals->lowest = std::min(refusals->lowest, here);
+        refusals->highest = std::max(refusals->highest, here);
+    };
+    ev_now_update(loop.loop);
+    bb_attempt_request_t request = {};
+    request.call_id = "c";
+    request.service = "orders";
+    request.due_at = request.deadline_at = BbClock_Now(loop.loop) + 0.1;
+    for (int i = 0; i < kCalls; i++) {
+        bb_attempt_t *attempt;
+        double retry_after_s;
+        ASSERT_EQ(BbTargetIo_Submit(idle.target_io, &request, &handler,
+                                    &refusals, &retry_after_s, &attempt),
+                  BB_REASON_NONE);
+    }
+    ASSERT_TRUE(loop.RunUntil([&] { return refusals.count == kCalls; }, 2));
+    EXPECT_LT(refusals.highest - refusals.lowest, 8192u);
+}
+
+// Guards against a caller whose deadline is not a finite number: the longest
+// deadline of a route is kept, and all later calls of the route would be taken
+// for retries that are late.
+TEST_F(MeshIo, DeadlinesThatAreNotFiniteAreIgnored)
+{
+    Target silent(&loop);
+    silent.on_request = [](const Target::Request &) {};
+    Node other(&loop, "n2", "a", &silent);
+    other.forward_address = silent.address;
+    node.MarkOwnTargetNotReady();
+    node.AddNodeRecord(&other, 9);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (const char *left_ms : {"inf", "nan", "1e999", "2000"}) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(
+            "GET /safe/1 HTTP/1.1\r\nHost: h\r\nCall-Id: c\r\nLeft-Ms: " +
+            std::string(left_ms) + "\r\n\r\n");
+        size_t count = callers.size();
+        ASSERT_TRUE(
+            loop.RunUntil([&] { return silent.requests.size() >= count; }, 1));
+        bb_hop_call_t call = {};
+        ASSERT_EQ(
+            BbHop_Parse(
+                HeaderField(silent.requests.back().head, BB_HOP_CALL).c_str(),
+                &call),
+            0);
+        EXPECT_GT(call.due_in_ms, 300) << left_ms;
+        EXPECT_GT(call.deadline_ms, 1500) << left_ms;
+        BbHop_Clear(&call);
+    }
+}
+
 // Guards against nested calls of running calls that wait behind new calls at
 // another node because that node does not learn that they are nested.
 TEST_F(MeshIo, NestedCallsAreMarkedForOtherNodes)
