--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -3,7 +3,7 @@
 // callers and targets observe.
 //
 // Use: soak [--seed N] [--seconds S] [--nodes N] [--sidecar PATH] [--log DIR]
-//          [--faults all|connections|leaves]
+//          [--faults all|connections|leaves] [--accounts on|off]
 // Exit: 0 all guarantees held, 1 a guarantee was violated or fewer than half
 // of the calls were served, 2 wrong option.
 //
@@ -27,7 +27,8 @@
 Soak::Soak(const Options &options)
     : options_(options), random_(options.seed),
       connection_random_(options.seed + kConnectionSeedOffset),
-      leave_random_(options.seed + kLeaveSeedOffset), store_(&loop_)
+      leave_random_(options.seed + kLeaveSeedOffset),
+      account_random_(options.seed + kAccountSeedOffset), store_(&loop_)
 {
     char path[] = "/tmp/bbsoak-XXXXXX";
     work_dir_ = mkdtemp(path);
@@ -67,6 +68,12 @@
            "%d faults, %zu violations\n",
            options_.seed, call_count_, served_, refused_, unknown_, faults_,
            violations_.size());
+    if (options_.has_accounts) {
+        printf("  accounts: %d calls refused with 401, %d with 429, at most "
+               "%zu runs of the account with a quota in %.0f s (bound %.1f)\n",
+               unauthorized_, over_quota_, quota_most_, kQuotaWindow,
+               kQuotaMost);
+    }
     for (const auto &line : violations_) {
         printf("  VIOLATION %s\n", line.c_str());
     }
@@ -75,7 +82,8 @@
             printf("  %s\n", line.c_str());
         }
     }
-    if (served_ * 2 < call_count_) {
+    // Refusals for the key or the quota are checked one by one.
+    if (served_ * 2 < call_count_ - unauthorized_ - over_quota_) {
         printf("  VIOLATION fewer than half of the calls were served\n");
         return 1;
     }
@@ -175,12 +183,17 @@
     if (!is_load_stopped_ && now >= next_call_) {
         next_call_ = now + 0.01;
         SoakNode *node = RandomNode();
-        int kind = RandomBelow(3);
-        SendCall(node,
-                 kind == 0   ? "safe"
-                 : kind == 1 ? "once"
-                             : "two",
-                 kind != 0, 0);
+        if (options_.has_accounts) {
+            SendAccountCall(node);
+        }
+        else {
+            int kind = RandomBelow(3);
+            SendCall(node,
+                     kind == 0   ? "safe"
+                     : kind == 1 ? "once"
+                                 : "two",
+                     kind != 0, 0);
+        }
     }
     if (now >= next_probe_) {
         next_probe_ = now + 0.1;
@@ -199,6 +212,13 @@
             ev_time() + 1.0 + 6.0 * RandomFraction(&connection_random_);
         InjectConnectionFault();
     }
+    if (options_.has_accounts && !is_load_stopped_ &&
+        now >= next_key_change_) {
+        next_key_change_ = now + 1.5 + 2.5 * RandomFraction(&account_random_);
+        PutConfig();
+        LogFault("new configuration version %d, drops keys of version %d",
+                 version_, version_ - 2);
+    }
     if (!is_load_stopped_ && ev_time() >= next_leave_) {
         double scale = options_.faults == FaultSet::kLeaves ? 0.4 : 1.0;
         double pause_s = 2.0 + 3.0 * RandomFraction(&leave_random_);
@@ -262,6 +282,12 @@
                          std::to_string(run_counts_[id]) + " times");
         }
     }
+    if (static_cast<double>(quota_most_) > kQuotaMost) {
+        AddViolation(std::to_string(quota_most_) +
+                     " runs of the account with a quota in the window that "
+                     "ends at " +
+                     std::to_string(quota_most_at_));
+    }
 }
 
 // Returns false if there is no set of this name.
@@ -306,6 +332,9 @@
                 return 2;
             }
         }
+        else if (key == "--accounts") {
+            options.has_accounts = strcmp(argv[i + 1], "on") == 0;
+        }
         else if (key == "--log") {
             options.log = argv[i + 1];
         }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,6 +2,7 @@
 #ifndef SOAK_H
 #define SOAK_H
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,10 +39,18 @@
 // A node and the store count as undisturbed this long after their last fault.
 const double kUndisturbedAfter = 3.0;
 
-// Make the random sources of connection faults and of leaves differ from the
-// main one.
+// Figures of the account with a quota. It is driven at about three times its
+// rate. In no window of kQuotaWindow seconds more of its calls run than
+// kQuotaMost, summed over all nodes (docs/hard-load.md, part 2).
+const int kQuotaRate = 8, kQuotaBurst = 8;
+const double kQuotaWindow = 5.0;
+const double kQuotaMost = (kQuotaRate * kQuotaWindow + kQuotaBurst) * 1.1 + 20;
+
+// Make the random sources of connection faults, of leaves and of accounts
+// differ from the main one.
 const unsigned kConnectionSeedOffset = 1000000;
 const unsigned kLeaveSeedOffset = 2000000;
+const unsigned kAccountSeedOffset = 3000000;
 
 enum class FaultSet {
     kAll,
@@ -60,6 +69,8 @@
     std::string sidecar = "build/bbsidecar";
     std::string log = "";
     FaultSet faults = FaultSet::kAll;
+    // Configuration versions hold accounts, and callers send keys.
+    bool has_accounts = false;
 };
 
 class Soak;
@@ -98,6 +109,22 @@
     int newest_marker = 0; // highest marker route served by this process
 };
 
+// What a caller sent of its account.
+struct CallKey {
+    enum Kind {
+        kNoKey,     // on a public route
+        kConstant,  // held by all versions
+        kRotating,  // added by `version`, dropped by the second one after it
+        kNeverHeld, // held by no version
+    };
+    Kind kind = kNoKey;
+    int version = 0;
+    std::string account; // "" without a key
+    SoakNode *node = nullptr;
+    pid_t pid = -1;
+    std::string Text() const;
+};
+
 struct Call {
     std::string id, path;
     bool is_unsafe; // must run at most once
@@ -174,7 +201,7 @@
 
     // ---- callers ----
     void SendCall(SoakNode *node, const std::string &route, bool is_unsafe,
-                  int marker);
+                  int marker, const CallKey &key = CallKey());
     void CheckCall(Call *call);
     // True if the process that the call was sent to got neither SIGKILL nor
     // SIGSTOP.
@@ -182,6 +209,18 @@
     bool IsUndisturbed(const SoakNode *node) const;
     void CheckProbe(Call *call);
 
+    // ---- accounts ----
+    static std::string FormatAccounts(int version);
+    // Draws a route and a key, and sends a call with them.
+    void SendAccountCall(SoakNode *node);
+    // Checks the status of a call that had a key.
+    void CheckAccountCall(const Call *call);
+    // Checks a run at a target: the headers, the key and the quota.
+    void CheckAccountRun(const SoakTarget *target, const std::string &id,
+                         const std::string &head);
+    // True if this undisturbed node has to serve this version or a later one.
+    bool MustHaveVersion(int version, const SoakNode *node, double at) const;
+
     // ---- faults ----
     SoakNode *RandomNode();
     void InjectFault();
@@ -212,7 +251,7 @@
     void CheckAtEnd();
 
     Options options_;
-    std::mt19937 random_, connection_random_, leave_random_;
+    std::mt19937 random_, connection_random_, leave_random_, account_random_;
     Loop loop_;
     FakeStore store_;
     std::string work_dir_;
@@ -227,6 +266,11 @@
     std::set<std::string> unsafe_ids_, refused_unsafe_ids_;
     std::set<pid_t> killed_pids_, paused_pids_;
     std::map<int, double> config_put_at_;
+    std::map<std::string, CallKey> call_keys_; // by call id
+    std::deque<double> quota_runs_;            // first runs of the last window
+    size_t quota_most_ = 0;                    // largest window so far
+    double quota_most_at_ = 0, next_key_change_ = 3.0;
+    int unauthorized_ = 0, over_quota_ = 0;
     std::vector<std::string> violations_, fault_log_;
     ev_tstamp start_ = 0, next_fault_ = 0, next_connection_fault_ = 0;
     ev_tstamp next_leave_ = 0;
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -7,7 +7,7 @@
 
 void
 Soak::SendCall(SoakNode *node, const std::string &route, bool is_unsafe,
-               int marker)
+               int marker, const CallKey &key)
 {
     auto call = std::make_unique<Call>();
     call->id = "s" + std::to_string(options_.seed) + "-c" +
@@ -27,6 +27,11 @@
     if (is_unsafe) {
         unsafe_ids_.insert(call->id);
     }
+    if (options_.has_accounts) {
+        CallKey &sent = call_keys_[call->id] = key;
+        sent.node = node;
+        sent.pid = node->pid;
+    }
     int fd = BbH1_Connect(node->callers.c_str());
     if (fd < 0) {
         return;
@@ -37,6 +42,11 @@
     std::string text = std::string(is_unsafe ? "POST" : "GET") + " /" + route +
                        "/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + call->id +
                        "\r\nX-Deadline-Ms: 2500\r\n";
+    if (options_.has_accounts) {
+        text += "X-Tenant: forged\r\n";
+        text +=
+            key.kind == CallKey::kNoKey ? "" : "X-Key: " + key.Text() + "\r\n";
+    }
     if (is_unsafe) {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
@@ -64,6 +74,9 @@
     }
     call->is_done = true;
     call->status = is_complete ? Status(bytes) : "cut";
+    if (options_.has_accounts) {
+        CheckAccountCall(call);
+    }
     if (call->is_probe) {
         CheckProbe(call);
         return;
--- a/tests/soak/soak_nodes.cc
+++ b/tests/soak/soak_nodes.cc
@@ -18,13 +18,18 @@
     for (int n = std::max(1, version_ - 4); n <= version_; n++) {
         rules += FormatRule("m" + std::to_string(n), "safe", "one") + ",";
     }
-    rules += FormatRule("safe", "safe", "one") + "," +
-             FormatRule("once", "unsafe", "one") + "," +
-             FormatRule("two", "unsafe", "two");
+    rules +=
+        FormatRule("safe", "safe", "one") + "," +
+        (options_.has_accounts ? FormatRule("public", "unsafe", "one") + ","
+                               : "") +
+        FormatRule("once", "unsafe", "one") + "," +
+        FormatRule("two", "unsafe", "two");
     store_.Put("op", "config",
                "{\"version\":\"r" + std::to_string(version_) +
                    "\",\"services\":[{\"name\":\"one\"},{\"name\":"
-                   "\"two\"}],\"limits\":{},\"virtual_hosts\":[{\"host\":"
+                   "\"two\"}],\"limits\":{}," +
+                   (options_.has_accounts ? FormatAccounts(version_) : "") +
+                   "\"virtual_hosts\":[{\"host\":"
                    "\"h\",\"path_rules\":[" +
                    rules + "]}]}");
     config_put_at_[version_] = start_ > 0 ? Now() : 0;
@@ -34,11 +39,16 @@
 Soak::FormatRule(const std::string &name, const std::string &kind,
                  const std::string &service)
 {
+    // Ignored without accounts. Markers are public, as they show versions
+    // only.
+    bool is_public = name == "public" || name[0] == 'm';
+
     return "{\"name\":\"" + name + "\",\"prefix\":\"/" + name +
            "/\",\"kind\":\"" + kind +
            "\",\"timeout_s\":2,\"target_latency_s\":0.5,\"priority\":1,"
            "\"service\":\"" +
-           service + "\",\"max_attempts\":2}";
+           service + "\",\"max_attempts\":2" +
+           (is_public ? ",\"public\":true}" : ",\"public\":false}");
 }
 
 void
--- a/tests/soak/soak_targets.cc
+++ b/tests/soak/soak_targets.cc
@@ -53,6 +53,9 @@
         AddViolation("call " + id + " started at " + target->Id() +
                      " after its drain was acknowledged");
     }
+    if (options_.has_accounts) {
+        CheckAccountRun(target, id, head);
+    }
     if (unsafe_ids_.count(id) > 0 && run_counts_[id] > 1) {
         AddViolation("call " + id + " must run at most once and ran again");
     }
