--- a/lib/account/bb_quota_admission.c
+++ b/lib/account/bb_quota_admission.c
@@ -172,14 +172,45 @@
     return slot->epoch << TICKET_KIND_BITS | kind;
 }
 
+/* Admits by what the owner has last said. *kind is that of the ticket. */
+static bool
+admit_by_state(bb_quota_t *quota, const bb_quota_slot_t *slot,
+               bb_quota_entry_t *entry, double now, uint32_t *kind,
+               bb_quota_refused_in_t *refused_in)
+{
+    bool is_known = entry->epoch == slot->epoch;
+
+    *kind = TICKET_CREDIT;
+    if (!slot->has_responded || entry->is_unowned ||
+        (slot->is_owner_new && !is_known)) {
+        *refused_in = BB_QUOTA_REFUSED_NO_OWNER;
+        if (admit_share(quota, entry, slot, now)) {
+            *kind = TICKET_SHARE;
+            return true;
+        }
+        return admit_single_call(entry, slot, now);
+    }
+    if (!is_known || entry->state == BB_QUOTA_CALM) {
+        *refused_in = BB_QUOTA_REFUSED_CALM;
+        return BbQuotaEntry_UnreportedCredit(entry) <
+               BbQuota_CalmCredit(quota, slot, entry, is_known, now);
+    }
+    *refused_in = BB_QUOTA_REFUSED_TIGHT;
+    if (entry->tokens > 0) {
+        entry->tokens--;
+        *kind = TICKET_TOKEN;
+        return true;
+    }
+    return admit_by_chance(quota, entry, now);
+}
+
 bool
 BbQuota_Admit(bb_quota_t *quota, const char *account, double now,
               bb_quota_ticket_t *ticket, double *retry_after)
 {
     bb_quota_entry_t *entry = g_hash_table_lookup(quota->entries, account);
-    bool is_admitted = false;
-    bb_quota_refused_in_t refused_in = BB_QUOTA_REFUSED_NO_OWNER;
-    uint32_t kind = TICKET_CREDIT;
+    bb_quota_refused_in_t refused_in;
+    uint32_t kind;
 
     *ticket = 0;
     if (entry == NULL) {
@@ -190,40 +221,17 @@
     note_call(entry, now);
     BbQuotaEntry_AddNews(quota, entry);
     BbQuotaEntry_ExpireTokens(entry, now);
-    bool is_known = entry->epoch == slot->epoch;
-    if (!slot->has_responded || entry->is_unowned ||
-        (slot->is_owner_new && !is_known)) {
-        is_admitted = admit_share(quota, entry, slot, now);
-        if (is_admitted) {
-            kind = TICKET_SHARE;
-        }
-        else {
-            is_admitted = admit_single_call(entry, slot, now);
-        }
-    }
-    else if (!is_known || entry->state == BB_QUOTA_CALM) {
-        is_admitted = BbQuotaEntry_UnreportedCredit(entry) <
-                      BbQuota_CalmCredit(quota, slot, entry, is_known, now);
-        refused_in = BB_QUOTA_REFUSED_CALM;
+    if (!admit_by_state(quota, slot, entry, now, &kind, &refused_in)) {
+        entry->refused++;
+        entry->refused_in = refused_in;
+        *retry_after = retry_after_s(quota, entry, refused_in);
+        return false;
     }
-    else if (entry->tokens > 0) {
-        entry->tokens--;
-        *ticket = make_ticket(slot, TICKET_TOKEN);
-        return true;
-    }
-    else {
-        is_admitted = admit_by_chance(quota, entry, now);
-        refused_in = BB_QUOTA_REFUSED_TIGHT;
-    }
-    if (is_admitted) {
+    if (kind != TICKET_TOKEN) {
         entry->credit++;
-        *ticket = make_ticket(slot, kind);
-        return true;
     }
-    entry->refused++;
-    entry->refused_in = refused_in;
-    *retry_after = retry_after_s(quota, entry, refused_in);
-    return false;
+    *ticket = make_ticket(slot, kind);
+    return true;
 }
 
 /* A call whose credit was reported already is returned like a token: unlike
