Soak: roll-outs of a good and of a bad version

--rollout good|bad orders the roll-out of service one to a version whose targets start with the order. Checked are the state by the deadline, that no call runs at an old target at or after "completed", and the exposure of a bad version.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -4,6 +4,7 @@
 //
 // Use: soak [--seed N] [--seconds S] [--nodes N] [--sidecar PATH] [--log DIR]
 //          [--faults all|connections|leaves] [--accounts on|off]
+//          [--rollout good|bad]
 // Exit: 0 all guarantees held, 1 a guarantee was violated or fewer than half
 // of the calls were served, 2 wrong option.
 //
@@ -74,6 +75,12 @@
                unauthorized_, over_quota_, quota_most_, kQuotaWindow,
                kQuotaMost);
     }
+    if (!options_.rollout.empty()) {
+        printf("  roll-out: %s %.1f s after the order, %d runs at the new "
+               "version (%d bad), %d at the old one\n",
+               rollout_state_.c_str(), rollout_ended_at_ - rollout_ordered_at_,
+               new_runs_, bad_responses_, old_runs_);
+    }
     for (const auto &line : violations_) {
         printf("  VIOLATION %s\n", line.c_str());
     }
@@ -173,6 +180,9 @@
                                     static_cast<long>(i));
     }
     RunDueActions();
+    if (!options_.rollout.empty()) {
+        StepRollout();
+    }
     if (now >= next_announcement_) {
         next_announcement_ = now + 0.5;
         for (auto &node : nodes_) {
@@ -282,6 +292,9 @@
                          std::to_string(run_counts_[id]) + " times");
         }
     }
+    if (!options_.rollout.empty()) {
+        CheckRolloutAtEnd();
+    }
     if (static_cast<double>(quota_most_) > kQuotaMost) {
         AddViolation(std::to_string(quota_most_) +
                      " runs of the account with a quota in the window that "
@@ -335,6 +348,9 @@
         else if (key == "--accounts") {
             options.has_accounts = strcmp(argv[i + 1], "on") == 0;
         }
+        else if (key == "--rollout") {
+            options.rollout = argv[i + 1];
+        }
         else if (key == "--log") {
             options.log = argv[i + 1];
         }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -46,6 +46,14 @@
 const double kQuotaWindow = 5.0;
 const double kQuotaMost = (kQuotaRate * kQuotaWindow + kQuotaBurst) * 1.1 + 20;
 
+// The roll-out of version v2 of service "one", ordered kRolloutAt seconds
+// after the start. A bad version gets at most kExposeShare of the calls that
+// reach the service + kExposeExtra, and none kRollbackBound seconds after its
+// kBadResponses-th bad response (docs/hard-load.md, part 3).
+const double kRolloutAt = 4.0, kRolloutDuration = 12.0;
+const double kExposeShare = 0.1, kExposeExtra = 50, kRollbackBound = 5.0;
+const int kBadResponses = 50;
+
 // Make the random sources of connection faults, of leaves and of accounts
 // differ from the main one.
 const unsigned kConnectionSeedOffset = 1000000;
@@ -71,6 +79,7 @@
     FaultSet faults = FaultSet::kAll;
     // Configuration versions hold accounts, and callers send keys.
     bool has_accounts = false;
+    std::string rollout = ""; // or "good" or "bad"
 };
 
 class Soak;
@@ -78,7 +87,7 @@
 // Target at a fixed address. Each replacement of its process has the next
 // generation.
 struct SoakTarget {
-    std::string address, service, announce_address;
+    std::string address, service, announce_address, version = "v1";
     int generation = 0;
     int64_t sequence = 0;
     bool is_draining = false;
@@ -221,6 +230,16 @@
     // True if this undisturbed node has to serve this version or a later one.
     bool MustHaveVersion(int version, const SoakNode *node, double at) const;
 
+    // ---- roll-out ----
+    bool IsOld(const SoakTarget *target) const;
+    // State in the status row of the roll-out, "" before the first one.
+    std::string RolloutState();
+    // Puts the order, checks the state and stops the old targets at
+    // "completed".
+    void StepRollout();
+    void CheckRolloutRun(const SoakTarget *target, const std::string &id);
+    void CheckRolloutAtEnd();
+
     // ---- faults ----
     SoakNode *RandomNode();
     void InjectFault();
@@ -269,6 +288,10 @@
     std::map<std::string, CallKey> call_keys_; // by call id
     std::deque<double> quota_runs_;            // first runs of the last window
     size_t quota_most_ = 0;                    // largest window so far
+    double rollout_ordered_at_ = 0, rollout_ended_at_ = 0;
+    std::string rollout_state_;
+    int old_runs_ = 0, new_runs_ = 0, bad_responses_ = 0;
+    double last_allowed_new_run_ = 0; // 0: no limit yet
     double quota_most_at_ = 0, next_key_change_ = 3.0;
     int unauthorized_ = 0, over_quota_ = 0;
     std::vector<std::string> violations_, fault_log_;
--- a/tests/soak/soak_nodes.cc
+++ b/tests/soak/soak_nodes.cc
@@ -68,6 +68,9 @@
     target.soak = this;
     target.service = node->service;
     target.announce_address = node->announcements;
+    if (!options_.rollout.empty() && node->service == "one" && index >= 3) {
+        target.version = "v2";
+    }
     target.address = FreeAddress();
     target.listener = BbH1_Listen(target.address.c_str());
     ev_io_init(&target.accept_io, OnAccept, target.listener, EV_READ);
@@ -91,6 +94,10 @@
         << "\"\n[platform]\naddress = \"" << node->store_relay->address
         << "\"\n[limits]\nshutdown_s = " << kShutdownLimit
         << "\nrepeat_ratio = 0.2\nrepeat_extra = 60\n";
+    if (!options_.rollout.empty()) {
+        out << "[rollout]\nexpose_share = " << kExposeShare
+            << "\nexpose_extra = " << kExposeExtra << "\n";
+    }
 }
 
 void
--- a/tests/soak/soak_targets.cc
+++ b/tests/soak/soak_targets.cc
@@ -56,6 +56,14 @@
     if (options_.has_accounts) {
         CheckAccountRun(target, id, head);
     }
+    if (!options_.rollout.empty()) {
+        CheckRolloutRun(target, id);
+        if (options_.rollout == "bad" && target->version == "v2" &&
+            RandomFraction() < 0.4) {
+            fault = kStatus500;
+            bad_responses_++;
+        }
+    }
     if (unsafe_ids_.count(id) > 0 && run_counts_[id] > 1) {
         AddViolation("call " + id + " must run at most once and ran again");
     }
@@ -112,9 +120,9 @@
 Soak::FormatHeartbeat(const SoakTarget &target, const std::string &state)
 {
     return "{\"service\":\"" + target.service + "\",\"address\":\"" +
-           target.address +
-           "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"" +
-           state + "\",\"cold_left_s\":0,\"sequence\":" +
+           target.address + "\",\"zone\":\"a\",\"version\":\"" +
+           target.version + "\",\"slots\":8,\"state\":\"" + state +
+           "\",\"cold_left_s\":0,\"sequence\":" +
            std::to_string(target.sequence) +
            ",\"born\":" + std::to_string(1000 + target.generation) + "}";
 }
@@ -150,7 +158,13 @@
 Soak::SendAnnouncement(SoakNode *node)
 {
     SoakTarget &target = node->target;
+    bool is_stopped = IsOld(&target)
+                          ? rollout_state_ == "completed"
+                          : target.version == "v2" && rollout_ordered_at_ <= 0;
 
+    if (is_stopped) {
+        return;
+    }
     if (!target.has_left) {
         target.sequence++;
         std::string state = target.is_draining ? "draining" : "ready";
