Roll-outs: the verdict counts only targets that are not suspects

Change: the count of runs behind a good verdict leaves out excluded targets, and a version is shifted only if a used target is no suspect.

--- a/lib/rollout/bb_rollout.c
+++ b/lib/rollout/bb_rollout.c
@@ -614,7 +614,7 @@
 has_few_calls(const bb_rollout_t *rollout)
 {
     double all = (double)BbRolloutEvidence_AllRuns(rollout->evidence);
-    double new = (double)BbRolloutEvidence_NewRuns(rollout->evidence);
+    double new = (double)BbRolloutEvidence_JudgedRuns(rollout->evidence);
     double share = SHARE_MARGIN * rollout->options.expose_share;
 
     return new >= FEW_CALLS || all < 2 * FEW_CALLS ||
@@ -631,10 +631,12 @@
     bool has_capacity =
         tally->new_ready > 0 &&
         (is_latest || tally->new_ready * 2 >= tally->old_ready);
-    bool is_good = rollout->verdict.kind == BB_VERDICT_GOOD;
-    bool is_enough =
-        is_good || (is_latest && rollout->verdict.kind == BB_VERDICT_NOT_YET &&
-                    has_few_calls(rollout));
+    /* Where all used targets are suspects, nothing speaks for the version. */
+    bool is_supported = tally->used > tally->suspects;
+    bool is_good = is_supported && rollout->verdict.kind == BB_VERDICT_GOOD;
+    bool is_enough = is_good || (is_latest && is_supported &&
+                                 rollout->verdict.kind == BB_VERDICT_NOT_YET &&
+                                 has_few_calls(rollout));
 
     if (tally->old_listed == 0 && tally->new_ready > 0) {
         wait_for_store(rollout, BB_ROLLOUT_SHIFTING, "no_old_targets");
--- a/lib/rollout/bb_rollout_evidence.c
+++ b/lib/rollout/bb_rollout_evidence.c
@@ -265,6 +265,21 @@
     return evidence->new_runs;
 }
 
+uint64_t
+BbRolloutEvidence_JudgedRuns(const bb_rollout_evidence_t *evidence)
+{
+    uint64_t runs = 0;
+
+    for (guint i = 0; i < evidence->routes->len; i++) {
+        const route_t *route = g_ptr_array_index(evidence->routes, i);
+        for (guint j = 0; j < route->targets->len; j++) {
+            const series_t *target = g_ptr_array_index(route->targets, j);
+            runs += target->runs;
+        }
+    }
+    return runs;
+}
+
 uint64_t
 BbRolloutEvidence_AllRuns(const bb_rollout_evidence_t *evidence)
 {
@@ -562,7 +577,7 @@
 BbRolloutEvidence_Judge(bb_rollout_evidence_t *evidence, double now)
 {
     bb_rollout_verdict_t verdict = {.kind = BB_VERDICT_NOT_YET};
-    bool is_covered = evidence->new_runs >= MIN_NEW_RUNS;
+    bool is_covered = BbRolloutEvidence_JudgedRuns(evidence) >= MIN_NEW_RUNS;
 
     for (guint i = 0; i < evidence->routes->len; i++) {
         const route_t *route = g_ptr_array_index(evidence->routes, i);
--- a/lib/rollout/bb_rollout_evidence.h
+++ b/lib/rollout/bb_rollout_evidence.h
@@ -92,6 +92,11 @@
 
 /* Calls counted for the new version, and for both. */
 uint64_t BbRolloutEvidence_NewRuns(const bb_rollout_evidence_t *evidence);
+
+/* Runs of new targets that are not excluded: those that the verdict rests on.
+ */
+uint64_t BbRolloutEvidence_JudgedRuns(const bb_rollout_evidence_t *evidence);
+
 uint64_t BbRolloutEvidence_AllRuns(const bb_rollout_evidence_t *evidence);
 
 #ifdef __cplusplus
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -420,6 +420,11 @@
      [](const Fleet &, const SimNode &, const std::string &) {
          return Outcome{1, 0.5};
      }},
+    // The only active target is taken out as a suspect before the decision.
+    {"two_targets", Small(2, 60),
+     [](const Fleet &, const SimNode &, const std::string &) {
+         return Outcome{1, 0.4};
+     }},
     {"few_targets_slow", Small(6, 120),
      [](const Fleet &, const SimNode &, const std::string &) {
          return Outcome{8, 0};
