--- a/tests/unit/pace_test.cc
+++ b/tests/unit/pace_test.cc
@@ -105,9 +105,7 @@
                      fleet.Start(fleet.targets[i], 2, 3);
                  }
              });
-         },
-         // Half of the fleet at half speed is short of capacity.
-         -0.005},
+         }},
         {"slow for good", 1.0,
          [](Fleet &fleet) {
              fleet.At(2, [&fleet] { fleet.Start(fleet.targets[7], 3, 100); });
@@ -138,15 +136,15 @@
 }
 
 // Guards against a limit that stays although the target is as fast as the
-// others, and against one that is never released for a slow target or goes up
-// and down.
+// others (all slots within 2 s of that), and against one that is never
+// released for a slow target or goes up and down.
 TEST(Pace, LimitEnds)
 {
     struct Start {
         double slowness, for_s, longest_s;
     };
     for (const Start &start :
-         {Start{1, 0, 2.0}, {2, 3, 7.0}, {2, 100, 8.5}, {3, 100, 8.5}}) {
+         {Start{1, 0, 2.0}, {2, 3, 5.0}, {2, 100, 8.5}, {3, 100, 8.5}}) {
         Options options;
         options.is_paced = true;
         Fleet fleet(options);
