Roll-outs: failures of all routes are judged together

Failures were judged route by route; 28 runs on several routes stayed below five failures on each, while 20 runs in all sufficed for a good verdict.

Change: besides each route, the failures of all routes are compared as one, with the same limits and the same rule for suspects.

--- a/lib/rollout/bb_rollout_evidence.c
+++ b/lib/rollout/bb_rollout_evidence.c
@@ -485,6 +485,37 @@
     return worst;
 }
 
+/* Value of slow_from that stands for failures. */
+#define FAILURES (-1)
+
+/* Sets *verdict when there is an excess; each holds one for each target of the
+ * route, and all their sum. */
+static void
+judge_excess(const route_t *route, const excess_t *each, const excess_t *all,
+             int slow_from, int span_s, bb_rollout_verdict_t *verdict)
+{
+    bool is_slow = slow_from != FAILURES;
+    double min_share = is_slow ? MIN_SLOW_SHARE : MIN_FAILURE_SHARE;
+
+    if (!is_excessive(all, is_slow ? MIN_SLOW : MIN_FAILURES, min_share,
+                      DEVIATIONS)) {
+        return;
+    }
+    const series_t *worst = g_ptr_array_index(
+        route->targets, worst_target(each, route->targets->len));
+    *verdict = (bb_rollout_verdict_t){
+        .kind = is_spread(route, each, all, min_share) ? BB_VERDICT_BAD
+                                                       : BB_VERDICT_SUSPECT,
+        .route = route->name,
+        .sign = is_slow ? "slow" : "failures",
+        .target = worst->node,
+        .span_s = span_s,
+        .runs = (uint32_t)all->runs,
+        .seen = all->seen,
+        .expected = all->expected,
+    };
+}
+
 /* Compares one sign (failures, or slow calls if slow_from is not negative) on
  * one route over one span; sets *verdict when there is an excess. */
 static void
@@ -493,8 +524,6 @@
 {
     double shares[BINS + 1];
     guint count = route->targets->len;
-    bool is_slow = slow_from >= 0;
-    double min_share = is_slow ? MIN_SLOW_SHARE : MIN_FAILURE_SHARE;
     excess_t *each = g_new0(excess_t, count);
     excess_t all = {0};
 
@@ -506,26 +535,69 @@
                             span_s, slow_from, shares);
         all = add_excess(&all, &each[i], 1.0);
     }
-    if (is_excessive(&all, is_slow ? MIN_SLOW : MIN_FAILURES, min_share,
-                     DEVIATIONS)) {
-        const series_t *worst =
-            g_ptr_array_index(route->targets, worst_target(each, count));
-        *verdict = (bb_rollout_verdict_t){
-            .kind = is_spread(route, each, &all, min_share)
-                        ? BB_VERDICT_BAD
-                        : BB_VERDICT_SUSPECT,
-            .route = route->name,
-            .sign = is_slow ? "slow" : "failures",
-            .target = worst->node,
-            .span_s = span_s,
-            .runs = (uint32_t)all.runs,
-            .seen = all.seen,
-            .expected = all.expected,
-        };
-    }
+    judge_excess(route, each, &all, slow_from, span_s, verdict);
     g_free(each);
 }
 
+/* Adds the excess of failures of each target to that of the same target on
+ * other routes. */
+static void
+pool_failures(const route_t *route, int64_t now_s, int span_s,
+              GPtrArray *targets, GArray *each)
+{
+    const bb_rollout_counts_t old_sum = sum_span(route->old, now_s, span_s);
+    double shares[BINS + 1];
+
+    if (old_sum.runs < MIN_OLD_RUNS) {
+        return;
+    }
+    compute_shares(route->old, now_s, FAILURES,
+                   (double)hits_of(&old_sum, FAILURES) / old_sum.runs, shares);
+    for (guint i = 0; i < route->targets->len; i++) {
+        series_t *target = g_ptr_array_index(route->targets, i);
+        const excess_t excess =
+            excess_of(target, now_s, span_s, FAILURES, shares);
+        guint at = 0;
+        while (at < targets->len &&
+               strcmp(((series_t *)g_ptr_array_index(targets, at))->node,
+                      target->node) != 0) {
+            at++;
+        }
+        if (at == targets->len) {
+            g_ptr_array_add(targets, target);
+            g_array_append_val(each, excess);
+        }
+        else {
+            excess_t *sum = &g_array_index(each, excess_t, at);
+            *sum = add_excess(sum, &excess, 1.0);
+        }
+    }
+}
+
+/* Compares the failures of all routes together: with few calls, a version that
+ * fails on every route shows too few failures on each of them. */
+static void
+compare_all_routes(const bb_rollout_evidence_t *evidence, int64_t now_s,
+                   int span_s, bb_rollout_verdict_t *verdict)
+{
+    GPtrArray *targets = g_ptr_array_new();
+    GArray *each = g_array_new(FALSE, FALSE, sizeof(excess_t));
+    excess_t all = {0};
+
+    for (guint i = 0; i < evidence->routes->len; i++) {
+        pool_failures(g_ptr_array_index(evidence->routes, i), now_s, span_s,
+                      targets, each);
+    }
+    for (guint i = 0; i < each->len; i++) {
+        all = add_excess(&all, &g_array_index(each, excess_t, i), 1.0);
+    }
+    const route_t pooled = {.name = (char *)"", .targets = targets};
+    judge_excess(&pooled, (const excess_t *)each->data, &all, FAILURES, span_s,
+                 verdict);
+    g_array_unref(each);
+    g_ptr_array_unref(targets);
+}
+
 static void
 keep_worse(bb_rollout_verdict_t *verdict, const bb_rollout_verdict_t *found)
 {
@@ -584,6 +656,11 @@
         compare_route(route, (int64_t)floor(now), &verdict);
         is_covered = is_covered && is_route_covered(route);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(spans_s); i++) {
+        bb_rollout_verdict_t pooled = {0};
+        compare_all_routes(evidence, (int64_t)floor(now), spans_s[i], &pooled);
+        keep_worse(&verdict, &pooled);
+    }
     if (verdict.kind == BB_VERDICT_NOT_YET && is_covered) {
         verdict.kind = BB_VERDICT_GOOD;
     }
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -420,8 +420,8 @@
      [](const Fleet &, const SimNode &, const std::string &) {
          return Outcome{1, 0.5};
      }},
-    // The only active target is taken out as a suspect before the decision.
-    {"two_targets", Small(2, 60),
+    // Few calls on each route: the failures show only over all routes.
+    {"two_targets", Small(2, 22),
      [](const Fleet &, const SimNode &, const std::string &) {
          return Outcome{1, 0.4};
      }},
