--- a/programs/bbsidecar/main.c
+++ b/programs/bbsidecar/main.c
@@ -79,6 +79,14 @@
     return 0;
 }
 
+static void
+free_options(options_t *options)
+{
+    g_free(options->settings_path);
+    g_free(options->config_path);
+    g_free(options->in_force_path);
+}
+
 static int
 load_settings(const char *path, bb_sidecar_settings_t *settings)
 {
@@ -189,7 +197,9 @@
         return EXIT_STOPPED;
     }
     if (options.config_path != NULL) {
-        return check_config(options.config_path, options.in_force_path);
+        int result = check_config(options.config_path, options.in_force_path);
+        free_options(&options);
+        return result;
     }
     signal(SIGPIPE, SIG_IGN);
     int status = EXIT_BAD_SETTINGS;
@@ -199,6 +209,6 @@
                      : run_sidecar(&settings, options.settings_path);
         BbSidecarSettings_Free(&settings);
     }
-    g_free(options.settings_path);
+    free_options(&options);
     return status;
 }
