Roll-out evidence: one name for the value that stands for failures

The constant stood in the middle of the file and one caller still passed -1. No change of behaviour; the unit tests of roll-outs pass (44), lint is clean.

--- a/lib/rollout/bb_rollout_evidence.c
+++ b/lib/rollout/bb_rollout_evidence.c
@@ -32,6 +32,9 @@
 #define REST_EXCESS 2.5
 #define REST_DEVIATIONS 2.0
 
+/* Value of slow_from that stands for failures. */
+#define FAILURES (-1)
+
 /* Seconds with fewer calls of the old version than this count only together
  * with their neighbours. */
 #define MIN_BIN_RUNS 30
@@ -485,9 +488,6 @@
     return worst;
 }
 
-/* Value of slow_from that stands for failures. */
-#define FAILURES (-1)
-
 /* Sets *verdict when there is an excess; each holds one for each target of the
  * route, and all their sum. */
 static void
@@ -516,8 +516,8 @@
     };
 }
 
-/* Compares one sign (failures, or slow calls if slow_from is not negative) on
- * one route over one span; sets *verdict when there is an excess. */
+/* Compares one sign (slow_from is FAILURES, or the bucket from which a call is
+ * slow) on one route over one span; sets *verdict when there is an excess. */
 static void
 compare_sign(const route_t *route, int64_t now_s, int span_s, int slow_from,
              const bb_rollout_counts_t *old_sum, bb_rollout_verdict_t *verdict)
@@ -621,7 +621,7 @@
         if (old_sum.runs < MIN_OLD_RUNS || route->targets->len == 0) {
             continue;
         }
-        compare_sign(route, now_s, spans_s[i], -1, &old_sum, &failures);
+        compare_sign(route, now_s, spans_s[i], FAILURES, &old_sum, &failures);
         compare_sign(route, now_s, spans_s[i],
                      MIN(median_bucket(&old_sum) + SLOW_BUCKETS,
                          BB_ROLLOUT_BUCKETS - 1),
