Slow start: the limit yields while the service is short of room

Limits that began after three failures in a row took slots away where responses were lost; limits of slow targets did not look at whether others had room; a target's time was compared with that of targets which had just started too; the load report hid the slowness of a full target, so that its data centre's calls waited there.

Change: reports of the other targets tell the calls per slot elsewhere, and the limit of a slow target follows them, from 0.4 of the slots to all of them. Failures alone begin no limit any more. Targets with a limit in force are no reference. The report shows the real slowness once the limit is reached. A target that tells until when it is cold is released 1 s after that.

--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -47,7 +47,7 @@
     else if (has_load && outcome == BB_ATTEMPT_SERVED &&
              strcmp(call->service, call->io->service) == 0) {
         BbTargetIo_OnLoadElsewhere(call->io->options.target, call->route->name,
-                                   &load);
+                                   &load, call->endpoint->record.slots);
     }
     BbPlacement_EndAttempt(call->endpoint, outcome, has_load ? &load : NULL,
                            BbMeshCall_Now(call));
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -875,7 +875,10 @@
     }
     load->waiting = BbSlotQueue_Waiting(io->queue);
     load->slots = current_slots(io);
-    double service_s = io->pace != NULL ? BbPace_ServiceTime(io->pace) : 0;
+    double service_s =
+        io->pace != NULL
+            ? BbPace_ServiceTime(io->pace, load->running + load->waiting)
+            : 0;
     if (service_s <= 0) {
         service_s = BbSlotQueue_MixTime(io->queue, now);
     }
@@ -894,9 +897,16 @@
 
 void
 BbTargetIo_OnLoadElsewhere(bb_target_io_t *io, const char *class_name,
-                           const bb_load_t *load)
+                           const bb_load_t *load, int record_slots)
 {
-    if (io->pace != NULL) {
+    bool has_limit = load->slots < record_slots;
+
+    if (io->pace == NULL || load->slots <= 0) {
+        return;
+    }
+    BbPace_OnUsage(io->pace,
+                   (double)(load->running + load->waiting) / load->slots);
+    if (!has_limit) {
         BbPace_OnReference(io->pace, class_name, load->class_ms / 1000.0,
                            BbClock_Now(io->loop));
     }
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -95,9 +95,10 @@
                         bb_load_t *load);
 
 /* To be called when another target of the service has responded to a call of
- * the class; load is the report that came with the response. */
+ * the class; load is the report that came with the response, record_slots the
+ * slots of the target's record. */
 void BbTargetIo_OnLoadElsewhere(bb_target_io_t *io, const char *class_name,
-                                const bb_load_t *load);
+                                const bb_load_t *load, int record_slots);
 
 int BbTargetIo_OpenCallCount(const bb_target_io_t *io);
 
--- a/lib/pace/bb_pace.c
+++ b/lib/pace/bb_pace.c
@@ -26,6 +26,10 @@
  * The time of a call varies by about half of its mean. */
 #define FAST_SLOWNESS 1.5
 
+/* Mean slowness below which a slow target is as fast again. With one bound for
+ * both, the limit of a target of about that slowness goes up and down. */
+#define FAST_AGAIN_SLOWNESS 1.3
+
 /* One response counts for at most this much more than the mean, because a few
  * calls in a hundred take many times as long at any target. */
 #define MAX_STEP 1.5
@@ -38,16 +42,30 @@
  * calls do not show that the target holds more. */
 #define MIN_USED_SHARE 0.25
 
+/* Share of the slots that a slow target keeps while others have room: with
+ * fewer calls it takes seconds to show that it has become warm. */
+#define SLOW_SHARE 0.4
+
+/* Calls per slot elsewhere up to which the others have room, and from which
+ * the service needs all slots of a slow target. */
+#define ROOM_USAGE 0.6
+#define SHORT_USAGE 0.9
+
+/* One report counts for at most this many calls per slot. */
+#define MAX_USAGE 1.5
+
 /* Factors of the limit at one lowering, at most once in a round trip. */
 #define SLOW_FACTOR 0.8
 #define FAILURE_FACTOR 0.5
 
-/* Raise for each slow response while the target holds more calls than the
- * limit. */
+/* Raise for each fast and each slow response while the target holds more calls
+ * than the limit. */
+#define FAST_STEP 2.0
 #define SLOW_STEP 0.5
 
-/* Failures in a row that show a target that is not working. */
-#define FAILURES_IN_A_ROW 3
+/* The limit ends after as many fast responses as this share of the slots, all
+ * of them with all slots in use or free. */
+#define FULL_SHARE 0.4
 
 /* A target with half of its slots in use normally responds many times within
  * this time. */
@@ -59,11 +77,21 @@
 #define PACE_SLOW_S 6.0
 #define PACE_RELEASE_S 2.0
 
-/* Slowness that the load report shows at most. Placement prefers fast targets
- * while they have free slots: with its real slowness a target gets hardly any
- * calls, and does not show for seconds that it has become warm. The limit
- * bounds what it gets. */
-#define MAX_REPORTED_SLOWNESS 1.2
+/* Time after the end that the target has forecast: one round trip shows
+ * whether it is warm. */
+#define FORECAST_SLACK_S 1.0
+
+/* Slowness that the load report shows at most while the limit is not reached.
+ * Placement prefers fast targets while they have free slots: with its real
+ * slowness a target gets hardly any calls, and does not show for seconds that
+ * it has become warm. Once the limit is reached the real slowness is shown, so
+ * that calls go to another data centre instead of waiting for a slow target.
+ */
+#define MAX_REPORTED_SLOWNESS 1.05
+
+/* Weight of the newest report in the usage elsewhere: a mean over one or two
+ * seconds, because the limit of a slow target follows it. */
+#define USAGE_WEIGHT 0.03
 
 /* Weight of the newest report in the time of a class elsewhere, and the age
  * from which that time is not used. */
@@ -80,18 +108,21 @@
     GHashTable *references; /* class to reference_t */
     int slots;
     bool is_active;
+    bool is_slow; /* by the mean of its responses */
     bb_pace_reason_t reason;
     double limit;
     double slowness;
     double elsewhere_s; /* mean time elsewhere of the calls that responded */
-    double started_at;  /* last start of an incarnation */
+    double usage;       /* calls per slot elsewhere */
+    int64_t usage_reports;
+    double started_at; /* last start of an incarnation */
     double begun_at;
     double calm_since; /* begin of the limit, or the last failure */
     double cold_until;
+    bool has_forecast; /* of cold_until, by the target */
     double lowered_at;
     double round_trip_s; /* time of the last call, at least that elsewhere */
     int full_responses;  /* fast ones since the limit has reached all slots */
-    int failures;        /* in a row */
     double responded_at; /* 0 before the first response */
 };
 
@@ -123,38 +154,66 @@
     pace->limit = MIN(pace->limit, MAX(slots, 1));
 }
 
+/* How short of room the service is: 0 while others have slots free, 1 when it
+ * needs all slots of this target. */
+static double
+shortage(const bb_pace_t *pace)
+{
+    double part = (pace->usage - ROOM_USAGE) / (SHORT_USAGE - ROOM_USAGE);
+
+    return CLAMP(part, 0.0, 1.0);
+}
+
+/* The share of the slots, and more the fewer slots are free elsewhere. */
+static double
+limit_at_usage(const bb_pace_t *pace, double share)
+{
+    double all = MAX(pace->slots, 1);
+    double least = MIN(MAX(all * share, FLOOR), all);
+
+    return least + shortage(pace) * (all - least);
+}
+
 bb_pace_change_t
 BbPace_Begin(bb_pace_t *pace, bb_pace_reason_t reason, double cold_left_s,
              double now)
 {
     bool is_started = reason == BB_PACE_STARTED;
-    double limit = is_started ? MAX(ceil(pace->slots * START_SHARE), FLOOR)
-                              : (double)FLOOR;
+    bool is_flapping = is_started && now - pace->started_at < FLAP_S;
+    double limit = is_started && !is_flapping
+                       ? ceil(limit_at_usage(pace, START_SHARE))
+                       : (double)FLOOR;
 
-    if (is_started && now - pace->started_at < FLAP_S) {
-        limit = FLOOR;
-    }
     if (is_started) {
         pace->started_at = now;
     }
     pace->limit = MIN(limit, MAX(pace->slots, 1));
     pace->is_active = true;
+    pace->is_slow = false;
     pace->reason = reason;
     pace->slowness = is_started ? START_SLOWNESS : 1;
     pace->elsewhere_s = 0;
     pace->begun_at = now;
     pace->calm_since = now;
     pace->cold_until = now + MAX(cold_left_s, 0);
+    pace->has_forecast = cold_left_s > 0;
     pace->lowered_at = now;
     pace->round_trip_s = 0;
     pace->full_responses = 0;
-    pace->failures = 0;
     pace->responded_at = 0;
     return BB_PACE_BEGUN;
 }
 
 /* ---- time of a class elsewhere ---- */
 
+void
+BbPace_OnUsage(bb_pace_t *pace, double usage)
+{
+    pace->usage_reports++;
+    double weight = MAX(USAGE_WEIGHT, 1.0 / pace->usage_reports);
+    pace->usage += weight * (MIN(usage, MAX_USAGE) - pace->usage);
+}
+
 void
 BbPace_OnReference(bb_pace_t *pace, const char *class_name, double service_s,
                    double now)
@@ -231,12 +290,21 @@
     pace->slowness += weight * (counted - pace->slowness);
 }
 
-/* Whether the limit rises by time only, because the target is slow for good.
- */
+/* When the limit begins to rise by time only, because the target is slow for
+ * good: soon after the time for which the target itself expects to be cold. */
+static double
+release_at(const bb_pace_t *pace)
+{
+    double slow_until = pace->calm_since + PACE_SLOW_S;
+
+    return pace->has_forecast ? pace->cold_until + FORECAST_SLACK_S
+                              : slow_until;
+}
+
 static bool
 is_released(const bb_pace_t *pace, double now)
 {
-    return now > MAX(pace->calm_since + PACE_SLOW_S, pace->cold_until);
+    return now > release_at(pace);
 }
 
 static bb_pace_change_t
@@ -251,19 +319,20 @@
     if (is_released(pace, now)) {
         return BbPace_Update(pace, now);
     }
-    double held = pace->slowness > FAST_SLOWNESS
-                      ? MAX(all / pace->slowness, FLOOR)
-                      : all;
+    pace->is_slow =
+        pace->slowness > (pace->is_slow ? FAST_AGAIN_SLOWNESS : FAST_SLOWNESS);
+    double held = pace->is_slow ? limit_at_usage(pace, SLOW_SHARE) : all;
+    pace->limit = MAX(pace->limit, shortage(pace) * all);
     if (pace->limit * SLOW_FACTOR > held) {
         return lower(pace, SLOW_FACTOR, held, now);
     }
     if (pace->limit < held) {
-        double step = slowness <= FAST_SLOWNESS ? 1 : SLOW_STEP;
+        double step = slowness <= FAST_SLOWNESS ? FAST_STEP : SLOW_STEP;
         pace->limit = MIN(pace->limit + (is_used ? step : 0), held);
         return BB_PACE_UNCHANGED;
     }
     pace->full_responses += held >= all;
-    return pace->full_responses >= pace->slots && now >= pace->cold_until
+    return pace->full_responses >= all * FULL_SHARE && now >= pace->cold_until
                ? end_limit(pace)
                : BB_PACE_UNCHANGED;
 }
@@ -289,7 +358,6 @@
         !pace->is_active &&
         ends_silence(pace, took_s, reference_s, running, now);
 
-    pace->failures = 0;
     pace->responded_at = now;
     if (is_silence_over) {
         return BbPace_Begin(pace, BB_PACE_SILENT, 0, now);
@@ -310,14 +378,11 @@
     if (started_at < pace->begun_at || (is_timeout && has_responded)) {
         return BB_PACE_UNCHANGED;
     }
-    pace->failures++;
-    if (pace->is_active) {
-        pace->calm_since = now;
-        return lower(pace, FAILURE_FACTOR, FAILING_FLOOR, now);
+    if (!pace->is_active) {
+        return BB_PACE_UNCHANGED;
     }
-    return pace->failures >= FAILURES_IN_A_ROW
-               ? BbPace_Begin(pace, BB_PACE_FAILED, 0, now)
-               : BB_PACE_UNCHANGED;
+    pace->calm_since = now;
+    return lower(pace, FAILURE_FACTOR, FAILING_FLOOR, now);
 }
 
 bb_pace_change_t
@@ -326,8 +391,7 @@
     if (!pace->is_active || !is_released(pace, now)) {
         return BB_PACE_UNCHANGED;
     }
-    double release_s =
-        now - MAX(pace->calm_since + PACE_SLOW_S, pace->cold_until);
+    double release_s = now - release_at(pace);
     if (release_s >= PACE_RELEASE_S) {
         return end_limit(pace);
     }
@@ -354,17 +418,21 @@
 }
 
 double
-BbPace_ServiceTime(const bb_pace_t *pace)
+BbPace_ServiceTime(const bb_pace_t *pace, int calls)
 {
-    return pace->is_active
-               ? pace->elsewhere_s * MIN(pace->slowness, MAX_REPORTED_SLOWNESS)
-               : 0;
+    bool is_full = calls >= BbPace_Limit(pace);
+
+    if (!pace->is_active) {
+        return 0;
+    }
+    return pace->elsewhere_s *
+           (is_full ? pace->slowness
+                    : MIN(pace->slowness, MAX_REPORTED_SLOWNESS));
 }
 
 const char *
 BbPace_ReasonName(const bb_pace_t *pace)
 {
-    static const char *const names[] = {"started", "returned", "failed",
-                                        "silent"};
+    static const char *const names[] = {"started", "returned", "silent"};
     return names[pace->reason];
 }
--- a/lib/pace/bb_pace.h
+++ b/lib/pace/bb_pace.h
@@ -8,8 +8,10 @@
  *
  *   - A response as fast as elsewhere raises the limit by one, so that the
  *     limit doubles with each round trip.
- *   - While responses are slow, the limit moves towards slots / slowness: a
- *     target that takes twice as long holds half of the calls well.
+ *   - While responses are slow, the limit falls to a part of the slots, as
+ *     long as the other targets have slots free: calls end sooner there. The
+ *     limit yields when the service is short of room: the more of the slots
+ *     elsewhere are in use, the higher it is, up to all slots.
  *   - A refusal by the target, a lost call or a timeout halves the limit.
  *   - The limit ends once the target keeps up with all its slots. It ends too
  *     when the target has been slow for PACE_SLOW_S without failures: then it
@@ -19,10 +21,13 @@
  * go down and come back repeatedly, that recover from a pause with a backlog,
  * and for a data centre whose targets all start at once. When the whole
  * service is slow, the times elsewhere rise as well and nothing is lowered.
+ * Failures alone begin no limit: where responses are lost or targets fail for
+ * a moment, the slots would be missing to calls that have no place elsewhere.
  *
  * USE
  *   BbPace_SetSlots() and BbPace_Begin() when the target has become ready;
- *   BbPace_OnReference() for each report of another target;
+ *   BbPace_OnUsage() and BbPace_OnReference() for each report of another
+ *   target;
  *   BbPace_OnResponse() or BbPace_OnFailure() for each call that has ended;
  *   BbPace_Update() before a new call is admitted. The limit in force is
  *   BbPace_Limit(). Times are seconds on one clock, greater than 0.
@@ -46,7 +51,6 @@
 typedef enum {
     BB_PACE_STARTED,  /* new incarnation of the target */
     BB_PACE_RETURNED, /* the same incarnation is ready again */
-    BB_PACE_FAILED,   /* several calls in a row have failed */
     BB_PACE_SILENT,   /* no response for a while, then late ones */
 } bb_pace_reason_t;
 
@@ -63,7 +67,12 @@
 bb_pace_change_t BbPace_Begin(bb_pace_t *pace, bb_pace_reason_t reason,
                               double cold_left_s, double now);
 
-/* Another target of the service takes this long for calls of the class. */
+/* Another target of the service has usage calls for each slot that it may use,
+ * waiting ones included. */
+void BbPace_OnUsage(bb_pace_t *pace, double usage);
+
+/* Another target of the service takes this long for calls of the class. To be
+ * called only for targets without a limit in force. */
 void BbPace_OnReference(bb_pace_t *pace, const char *class_name,
                         double service_s, double now);
 
@@ -94,12 +103,13 @@
 /* Recent time of calls relative to elsewhere; 1 is as fast. */
 double BbPace_Slowness(const bb_pace_t *pace);
 
-/* Seconds of a call that the load report shows; 0 without a limit in force or
- * before the first response: then the mean of the slot queue is reported. */
-double BbPace_ServiceTime(const bb_pace_t *pace);
+/* Seconds of a call that the load report shows while the target has this many
+ * calls, waiting ones included; 0 without a limit in force or before the first
+ * response: then the mean of the slot queue is reported. */
+double BbPace_ServiceTime(const bb_pace_t *pace, int calls);
 
-/* Why the limit in force, or the last one, has begun: "started", "returned",
- * "failed" or "silent". */
+/* Why the limit in force, or the last one, has begun: "started", "returned"
+ * or "silent". */
 const char *BbPace_ReasonName(const bb_pace_t *pace);
 
 #ifdef __cplusplus
