Target load: enabled where targets report the speed of their hardware

It has an effect only on reports with the fourth figure, so that deployments whose targets send three figures are served as before.

--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -75,7 +75,9 @@
      "slow start: a target that has started or recovered gets few calls at "
      "first"},
     {"target_load", "enabled", TYPE_FLAG, FIELD(is_target_load_enabled), true,
-     0, 0, 0, "predictions use the load that the target reports"},
+     0, 0, 0,
+     "predictions use the load of targets that report the speed of "
+     "their hardware"},
     {"hedge", "enabled", TYPE_FLAG, FIELD(is_hedge_enabled), true, 0, 0, 0,
      "late idempotent calls get a second attempt at another node"},
 };
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -350,12 +350,11 @@
 
     if (!io->uses_target_load ||
         BbTargetLoad_Parse(BbH1Fields_Get(fields, io->names->target_load),
-                           &load) != 0) {
+                           &load) != 0 ||
+        load.percent <= 0) {
         return;
     }
-    if (load.percent > 0) {
-        BbSlotQueue_SetWorkPercent(io->queue, load.percent, now);
-    }
+    BbSlotQueue_SetWorkPercent(io->queue, load.percent, now);
     io->foreign_running =
         MAX(load.running - BbSlotQueue_Running(io->queue), 0);
     io->foreign_at = now;
