Shutdown: forwarded calls that wait are refused as not run

Cause: when the process of a target's node ended, calls of other nodes that waited for a slot, or whose requested body had not arrived, were cut with their connections and ended with 502, although they had not run. Calls waiting for a body did not keep the process from ending early either. The end of the node's own running calls even started waiting ones of other nodes, which were cut 0.1 s later.

Change: at the end of the shutdown time the node refuses these calls with reason node_draining and starts no more; calls that wait for their body keep the process alive until then. Its own waiting calls also get node_draining in place of call_timeout.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -481,8 +481,10 @@
 {
     bb_mesh_call_t *call;
 
+    io->is_ending = true;
     /* Otherwise the end of a running call would start a waiting one, which
      * would be cut at once and could not be answered with 503. */
+    BbTargetIo_SetNodeEnding(io->options.target);
     while ((call = find_not_started(io)) != NULL) {
         BbMeshCall_TimeOut(call, BB_ATTEMPT_DROPPED);
     }
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -91,7 +91,8 @@
 
 /* Ends every open call with an error response, 503 if it has certainly not
  * run, else 504, so that no connection is closed without a response when the
- * process exits. */
+ * process exits. The local target starts no more calls: those of other nodes
+ * that wait for it are refused as not run. */
 void BbCallIo_FailOpenCalls(bb_call_io_t *io);
 
 int BbCallIo_OpenCalls(const bb_call_io_t *io);
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "bb_clock.h"
 #include "bb_counters.h"
@@ -44,11 +45,12 @@
     bb_transfer_gate_t *gate;
     ev_timer gate_timer;
     GHashTable *peer_bodies; /* request to GByteArray, while it is read */
+    struct hop_call *calls;
 };
 
 /* ---- responses ---- */
 
-typedef struct {
+typedef struct hop_call {
     bb_hop_server_t *server;
     bb_h1_request_t *request;
     bb_attempt_request_t attempt_request;
@@ -58,6 +60,7 @@
     bb_body_t body;
     bb_attempt_t *attempt; /* NULL until the call starts */
     bb_transfer_ticket_t transfer;
+    struct hop_call *prev, *next;
 } hop_call_t;
 
 static void process_gate(bb_hop_server_t *server);
@@ -75,6 +78,7 @@
 static void
 free_hop_call(hop_call_t *call)
 {
+    DL_DELETE(call->server->calls, call);
     finish_transfer(call);
     BbH1Fields_Free(&call->fields);
     BbBody_Free(&call->body);
@@ -201,6 +205,7 @@
 
     call->server = server;
     call->request = request;
+    DL_APPEND(server->calls, call);
     BbH1Fields_Init(&call->fields);
     BbBody_Init(&call->body);
     BbAttempt_CopyEndToEnd(&call->fields, fields);
@@ -503,6 +508,34 @@
     .on_drained = server_drained,
 };
 
+/* ---- shutdown ---- */
+
+/* A call whose body has not begun to arrive, NULL when there is none. */
+static hop_call_t *
+find_without_body(const bb_hop_server_t *server)
+{
+    hop_call_t *call;
+
+    DL_SEARCH_SCALAR(server->calls, call, attempt, NULL);
+    return call;
+}
+
+bool
+BbHopServer_HasCallsWithoutBody(const bb_hop_server_t *server)
+{
+    return find_without_body(server) != NULL;
+}
+
+void
+BbHopServer_RefuseCallsWithoutBody(bb_hop_server_t *server)
+{
+    hop_call_t *call;
+
+    while ((call = find_without_body(server)) != NULL) {
+        hop_refused(BB_REASON_NODE_DRAINING, 0, call);
+    }
+}
+
 /* ---- create and free ---- */
 
 static void
--- a/lib/mesh/bb_hop_server.h
+++ b/lib/mesh/bb_hop_server.h
@@ -51,6 +51,13 @@
                     bb_hop_server_t **out);
 void BbHopServer_Free(bb_hop_server_t *server);
 
+/* Whether a call waits for the body that was requested, or for its turn to
+ * have it requested. Such a call has not been offered to the target yet. */
+bool BbHopServer_HasCallsWithoutBody(const bb_hop_server_t *server);
+
+/* This node is about to exit: refuses these calls as not run. */
+void BbHopServer_RefuseCallsWithoutBody(bb_hop_server_t *server);
+
 /* Whether all responses given so far have been passed to sockets. */
 bool BbHopServer_IsFlushed(const bb_hop_server_t *server);
 
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -81,6 +81,7 @@
     double last_call_at;
     bool is_draining;
     bool is_refusing;
+    bool is_ending; /* the process is about to exit: no more attempts */
     GHashTable *longest_deadlines; /* by route name, in seconds */
     bb_link_sizes_t *sizes;        /* of responses, by route name */
     GHashTable *room_expected_at;  /* by route name, from refusals */
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -137,8 +137,9 @@
     if (call->has_failed_response) {
         BbMeshCall_RespondFromTarget(call);
     }
-    else if (reason == BB_REASON_NESTED_SHORT) {
-        /* The nested service is as short for the other nodes. */
+    else if (reason == BB_REASON_NESTED_SHORT || call->io->is_ending) {
+        /* The nested service is as short for the other nodes; a node that is
+         * about to exit has no time for another attempt. */
         BbMeshCall_Fail(call, reason);
     }
     else if (may_retry(call, reached_target)) {
@@ -536,5 +537,7 @@
         BbMeshCall_EndAttempt(call, outcome);
         attempt->ops->cancel(attempt);
     }
-    BbMeshCall_Fail(call, BB_REASON_CALL_TIMEOUT);
+    bool is_refused = call->io->is_ending && !call->may_have_run;
+    BbMeshCall_Fail(call, is_refused ? BB_REASON_NODE_DRAINING
+                                     : BB_REASON_CALL_TIMEOUT);
 }
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -87,6 +87,7 @@
     double foreign_at;   /* when the target reported them */
     double fail_rate;
     bool is_node_draining;
+    bool is_node_ending;   /* no more calls are started */
     bool is_queue_running; /* run_queue() is in progress */
     ev_timer queue_timer;
 };
@@ -586,6 +587,9 @@
         else if (has_dropped_key(io, &call->request)) {
             refuse(call, BB_REASON_ACCOUNT_REVOKED);
         }
+        else if (io->is_node_ending) {
+            refuse(call, BB_REASON_NODE_DRAINING);
+        }
         else {
             start_call(call);
         }
@@ -839,6 +843,16 @@
 
 /* ---- state changes, creation and destruction ---- */
 
+static void
+refuse_waiting(bb_target_io_t *io, bb_reason_t reason)
+{
+    bb_slot_ticket_t *ticket;
+
+    while ((ticket = BbSlotQueue_FirstWaiting(io->queue)) != NULL) {
+        refuse(ticket->arg, reason);
+    }
+}
+
 void
 BbTargetIo_TargetChanged(bb_target_io_t *io)
 {
@@ -847,12 +861,8 @@
     }
     BbSlotQueue_SetSlots(io->queue, current_slots(io));
     bb_reason_t reason = state_refusal_reason(io);
-    while (reason != BB_REASON_NONE && reason != BB_REASON_NODE_DRAINING) {
-        bb_slot_ticket_t *ticket = BbSlotQueue_FirstWaiting(io->queue);
-        if (ticket == NULL) {
-            break;
-        }
-        refuse(ticket->arg, reason);
+    if (reason != BB_REASON_NONE && reason != BB_REASON_NODE_DRAINING) {
+        refuse_waiting(io, reason);
     }
     run_queue(io);
 }
@@ -863,6 +873,14 @@
     io->is_node_draining = true;
 }
 
+void
+BbTargetIo_SetNodeEnding(bb_target_io_t *io)
+{
+    io->is_node_draining = true;
+    io->is_node_ending = true;
+    refuse_waiting(io, BB_REASON_NODE_DRAINING);
+}
+
 void
 BbTargetIo_GetLoad(const bb_target_io_t *io, const char *class_name,
                    bb_load_t *load)
--- a/lib/mesh/bb_target_io.h
+++ b/lib/mesh/bb_target_io.h
@@ -89,6 +89,10 @@
 /* This node shuts down: new calls are refused, waiting calls still run. */
 void BbTargetIo_SetNodeDraining(bb_target_io_t *io);
 
+/* This node is about to exit: waiting calls are refused as not run, and no
+ * more are started. */
+void BbTargetIo_SetNodeEnding(bb_target_io_t *io);
+
 /* Fills in the load that is reported to other nodes with a response to a call
  * of the class (may be NULL), except its version. */
 void BbTargetIo_GetLoad(const bb_target_io_t *io, const char *class_name,
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -156,15 +156,17 @@
         now - BbCallIo_LastCallTime(sidecar->call_io) >= CALLERS_GONE_S;
     bool is_recorded = !Sidecar_HasTargetDeparted(sidecar) ||
                        BbRowWriter_IsDone(sidecar->record);
-    bool is_drained = open_calls(sidecar) == 0 && is_flushed(sidecar) &&
-                      is_recorded && since_s >= SHUTDOWN_MIN_S &&
-                      are_callers_gone;
+    bool is_drained = open_calls(sidecar) == 0 &&
+                      !BbHopServer_HasCallsWithoutBody(sidecar->hop_server) &&
+                      is_flushed(sidecar) && is_recorded &&
+                      since_s >= SHUTDOWN_MIN_S && are_callers_gone;
 
     if (since_s >= REFUSE_AFTER_S) {
         BbCallIo_RefuseNewCalls(sidecar->call_io);
     }
     double end_s = sidecar->settings->shutdown_s - SHUTDOWN_MARGIN_S;
     if (since_s >= end_s) {
+        BbHopServer_RefuseCallsWithoutBody(sidecar->hop_server);
         BbCallIo_FailOpenCalls(sidecar->call_io);
     }
     if (is_drained || since_s >= end_s + FINAL_RESPONSES_S) {
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -656,6 +656,41 @@
     EXPECT_EQ(target.RunCount("c8"), 0);
 }
 
+// Guards against status 502 for forwarded calls that wait at a node when its
+// process ends: for a slot, or for the body that the node has requested.
+TEST_F(MeshIoTwoNodes, ShutdownRefusesForwardedCallsThatWait)
+{
+    other_target.on_request = [](const Target::Request &) {};
+    node.MarkOwnTargetNotReady();
+    std::vector<std::unique_ptr<Caller>> callers;
+    auto call = [&](const std::string &request) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(request);
+        loop.RunFor(0.02);
+    };
+    for (int i = 0; i < 4; i++) { // the target has 4 slots
+        call(Caller::Request("GET", "/safe/1", "r" + std::to_string(i)));
+    }
+    call(Caller::Request("GET", "/safe/1", "w1"));
+    call(Caller::Request("POST", "/once/1", "w2", "x"));
+    std::string late = Caller::Request("POST", "/once/1", "w3", "x");
+    late.pop_back();
+    call(late);
+    ASSERT_EQ(other_target.requests.size(), 4u);
+    ASSERT_TRUE(BbHopServer_HasCallsWithoutBody(other.hop_server));
+    BbHopServer_RefuseCallsWithoutBody(other.hop_server);
+    BbCallIo_FailOpenCalls(other.calls);
+    for (size_t i = 4; i < callers.size(); i++) {
+        std::string response = callers[i]->Wait(1, 1);
+        EXPECT_EQ(Status(response), "503") << i;
+        EXPECT_NE(HeaderField(response, "Retry-After"), "") << i;
+    }
+    other_target.requests[0].connection->Send(Target::Response("r0", "ok"));
+    EXPECT_EQ(Status(callers[0]->Wait(1, 1)), "200");
+    EXPECT_EQ(other_target.requests.size(), 4u);
+}
+
 // Guards against a stack that grows with the number of calls that are refused
 // at the same time: it would overflow while a target has no slots for long.
 TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
