Shutdown: calls that wait at another node are withdrawn before the exit

Cause: at the end of the shutdown time, a call that waited in the queue of another node got 504, although it had not run: its node could not know whether it had been started.

Change: the node ends the sending side of the connection of each forwarded call. The other node responds "not run" (queue_cancelled) and drops the call if it has not been started, which becomes 503 with Retry-After; otherwise it cancels the run and closes the connection, as for a disconnected node. A node of the previous release always closes it, and the call ends with 504 as before. There is no new message or field. The total time until the exit is unchanged: 0.04 s of the 0.1 s for final responses are used to wait.

bb_h1_handler_t gets on_sending_ended; three tests that initialize the struct by position get one more nullptr.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -627,6 +627,21 @@
     }
 }
 
+bool
+BbH1_EndSending(bb_h1_exchange_t *exchange)
+{
+    bb_h1_client_connection_t *connection = exchange->connection;
+    bool is_written = exchange->is_sent && exchange->is_request_complete &&
+                      connection->out->len == 0 &&
+                      !connection->is_close_pending;
+
+    if (!is_written || shutdown(connection->fd, SHUT_WR) != 0) {
+        return false;
+    }
+    connection->is_close_pending = true;
+    return true;
+}
+
 void
 BbH1_Cancel(bb_h1_exchange_t *exchange)
 {
--- a/lib/http/bb_h1_client.h
+++ b/lib/http/bb_h1_client.h
@@ -95,6 +95,11 @@
 /* Stops and restarts reading the response. */
 void BbH1_PauseResponse(bb_h1_exchange_t *exchange, bool is_paused);
 
+/* Ends the sending side of the connection once the whole request has been
+ * written: a server that sees it may respond at once, or close the connection.
+ * The response is still read. Returns false, without effect, before that. */
+bool BbH1_EndSending(bb_h1_exchange_t *exchange);
+
 /* Closes the connection and frees the exchange without a callback. */
 void BbH1_Cancel(bb_h1_exchange_t *exchange);
 
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -360,6 +360,19 @@
     }
 }
 
+static void
+handle_sending_ended(bb_h1_connection_t *connection)
+{
+    bb_h1_server_t *server = connection->server;
+    bb_h1_request_t *request = connection->requests;
+
+    if (request != NULL && request->is_read && !request->is_response_started &&
+        server->handler->on_sending_ended != NULL) {
+        server->handler->on_sending_ended(request, server->arg);
+    }
+    BbH1Connection_Close(connection);
+}
+
 static void
 handle_read(struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -374,7 +387,10 @@
         return;
     }
     connection->depth++;
-    if (size <= 0) {
+    if (size == 0) {
+        handle_sending_ended(connection);
+    }
+    else if (size < 0) {
         BbH1Connection_Close(connection);
     }
     else if (!connection->is_lingering) {
--- a/lib/http/bb_h1_server.h
+++ b/lib/http/bb_h1_server.h
@@ -85,6 +85,11 @@
                                void *arg); /* may be NULL */
     /* See BbH1_NotifyWhenDrained(). */
     void (*on_drained)(bb_h1_request_t *request, void *arg);
+    /* The client has sent the whole request and then ended its sending side,
+     * or has disconnected. The connection is closed after this call, which may
+     * respond. Not called for requests behind another one. */
+    void (*on_sending_ended)(bb_h1_request_t *request,
+                             void *arg); /* may be NULL */
 } bb_h1_handler_t;
 
 typedef struct {
--- a/lib/mesh/bb_attempt.h
+++ b/lib/mesh/bb_attempt.h
@@ -114,6 +114,10 @@
     /* The body has more bytes, or is complete. */
     void (*body_extended)(bb_attempt_t *attempt);
     void (*cancel)(bb_attempt_t *attempt);
+    /* Asks for the immediate end of the attempt: on_refused if no target has
+     * received any of the call, else on_lost. NULL where is_not_started is
+     * always certain. */
+    void (*withdraw)(bb_attempt_t *attempt);
     /* Pauses and resumes reading the response. */
     void (*pause)(bb_attempt_t *attempt, bool is_paused);
     /* Whether no target has received any of the call, and none will after
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -477,10 +477,13 @@
 }
 
 void
-BbCallIo_FailOpenCalls(bb_call_io_t *io)
+BbCallIo_EndWaitingCalls(bb_call_io_t *io)
 {
     bb_mesh_call_t *call;
 
+    if (io->is_ending) {
+        return;
+    }
     io->is_ending = true;
     /* Otherwise the end of a running call would start a waiting one, which
      * would be cut at once and could not be answered with 503. */
@@ -488,6 +491,18 @@
     while ((call = find_not_started(io)) != NULL) {
         BbMeshCall_TimeOut(call, BB_ATTEMPT_DROPPED);
     }
+    DL_FOREACH (io->calls, call) {
+        if (call->attempt != NULL && !BbMeshCall_IsHedged(call) &&
+            call->attempt->ops->withdraw != NULL) {
+            call->attempt->ops->withdraw(call->attempt);
+        }
+    }
+}
+
+void
+BbCallIo_FailOpenCalls(bb_call_io_t *io)
+{
+    BbCallIo_EndWaitingCalls(io);
     while (io->calls != NULL) {
         BbMeshCall_TimeOut(io->calls, BB_ATTEMPT_DROPPED);
     }
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -89,6 +89,12 @@
 /* Refuses new calls from now on, with status 503. */
 void BbCallIo_RefuseNewCalls(bb_call_io_t *io);
 
+/* The process is about to exit. Ends the calls that wait at the local target
+ * with 503, and asks the nodes of forwarded calls to end them: with 503 for
+ * those that wait there, which takes a round trip, and with 504 for those that
+ * run. */
+void BbCallIo_EndWaitingCalls(bb_call_io_t *io);
+
 /* Ends every open call with an error response, 503 if it has certainly not
  * run, else 504, so that no connection is closed without a response when the
  * process exits. The local target starts no more calls: those of other nodes
--- a/lib/mesh/bb_hop_client.c
+++ b/lib/mesh/bb_hop_client.c
@@ -311,6 +311,14 @@
     free_attempt(attempt);
 }
 
+/* The other node responds that it has not run the call, or cancels the run and
+ * closes the connection. A node of an earlier release always closes it. */
+static void
+withdraw_attempt(bb_attempt_t *base)
+{
+    BbH1_EndSending(((hop_attempt_t *)base)->exchange);
+}
+
 static void
 pause_response(bb_attempt_t *base, bool is_paused)
 {
@@ -320,6 +328,7 @@
 static const bb_attempt_ops_t attempt_ops = {
     .body_extended = handle_body_extended,
     .cancel = cancel_attempt,
+    .withdraw = withdraw_attempt,
     .pause = pause_response,
     .is_not_started = is_not_started,
 };
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -470,6 +470,21 @@
     }
 }
 
+/* The forwarding node withdraws the call, for example because its process
+ * ends: it is told when the call has certainly not run. */
+static void
+server_sending_ended(bb_h1_request_t *request, void *arg)
+{
+    hop_call_t *call = request->user_data;
+    (void)arg;
+
+    if (call != NULL && call->attempt != NULL &&
+        call->attempt->ops->is_not_started(call->attempt)) {
+        call->attempt->ops->cancel(call->attempt);
+        hop_refused(BB_REASON_QUEUE_CANCELLED, 0, call);
+    }
+}
+
 static void
 server_connection_lost(bb_h1_request_t *request, void *arg)
 {
@@ -504,6 +519,7 @@
     .on_head = server_head,
     .on_body = server_body,
     .on_end = server_end,
+    .on_sending_ended = server_sending_ended,
     .on_connection_lost = server_connection_lost,
     .on_drained = server_drained,
 };
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -130,6 +130,14 @@
     BbMeshCall_StartNextAttempt(call);
 }
 
+/* A process that is about to exit has no time for another attempt. */
+static void
+fail_at_exit(bb_mesh_call_t *call)
+{
+    BbMeshCall_Fail(call, call->may_have_run ? BB_REASON_CALL_TIMEOUT
+                                             : BB_REASON_NODE_DRAINING);
+}
+
 void
 BbMeshCall_RetryOrFail(bb_mesh_call_t *call, bb_reason_t reason,
                        bool reached_target)
@@ -137,9 +145,11 @@
     if (call->has_failed_response) {
         BbMeshCall_RespondFromTarget(call);
     }
-    else if (reason == BB_REASON_NESTED_SHORT || call->io->is_ending) {
-        /* The nested service is as short for the other nodes; a node that is
-         * about to exit has no time for another attempt. */
+    else if (call->io->is_ending) {
+        fail_at_exit(call);
+    }
+    else if (reason == BB_REASON_NESTED_SHORT) {
+        /* The nested service is as short for the other nodes. */
         BbMeshCall_Fail(call, reason);
     }
     else if (may_retry(call, reached_target)) {
@@ -537,7 +547,10 @@
         BbMeshCall_EndAttempt(call, outcome);
         attempt->ops->cancel(attempt);
     }
-    bool is_refused = call->io->is_ending && !call->may_have_run;
-    BbMeshCall_Fail(call, is_refused ? BB_REASON_NODE_DRAINING
-                                     : BB_REASON_CALL_TIMEOUT);
+    if (call->io->is_ending) {
+        fail_at_exit(call);
+    }
+    else {
+        BbMeshCall_Fail(call, BB_REASON_CALL_TIMEOUT);
+    }
 }
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -27,9 +27,12 @@
 
 /* Open calls are ended with an error response SHUTDOWN_MARGIN_S before the
  * platform would kill the process. FINAL_RESPONSES_S is the time allowed for
- * sending these responses. */
+ * sending these responses. Within it, WITHDRAW_S is the time in which other
+ * nodes can tell that a forwarded call has not run: several round trips
+ * between data centres, and less than SHUTDOWN_CHECK_S. */
 #define SHUTDOWN_MARGIN_S 0.3
 #define FINAL_RESPONSES_S 0.1
+#define WITHDRAW_S 0.04
 
 /* ---- state of the target ---- */
 
@@ -167,6 +170,9 @@
     double end_s = sidecar->settings->shutdown_s - SHUTDOWN_MARGIN_S;
     if (since_s >= end_s) {
         BbHopServer_RefuseCallsWithoutBody(sidecar->hop_server);
+        BbCallIo_EndWaitingCalls(sidecar->call_io);
+    }
+    if (since_s >= end_s + WITHDRAW_S) {
         BbCallIo_FailOpenCalls(sidecar->call_io);
     }
     if (is_drained || since_s >= end_s + FINAL_RESPONSES_S) {
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -279,8 +279,8 @@
     std::string address;
 };
 
-inline const bb_h1_handler_t FakeStore::kHandler = {OnHead, OnBody, OnEnd,
-                                                    OnConnectionLost, nullptr};
+inline const bb_h1_handler_t FakeStore::kHandler = {
+    OnHead, OnBody, OnEnd, OnConnectionLost, nullptr, nullptr};
 
 } // namespace mesh_rig
 
--- a/tests/unit/h1_server_test.cc
+++ b/tests/unit/h1_server_test.cc
@@ -50,8 +50,8 @@
     int request_count = 0, lost_count = 0;
 };
 
-const bb_h1_handler_t H1Server::kHandler = {OnHead, nullptr, nullptr,
-                                            OnConnectionLost, nullptr};
+const bb_h1_handler_t H1Server::kHandler = {
+    OnHead, nullptr, nullptr, OnConnectionLost, nullptr, nullptr};
 
 } // namespace
 
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -691,6 +691,34 @@
     EXPECT_EQ(other_target.requests.size(), 4u);
 }
 
+// Guards against status 504 for calls that wait at another node when the
+// process of their caller's node ends, and against status 503 for those that
+// run there.
+TEST_F(MeshIoTwoNodes, ShutdownWithdrawsForwardedCallsThatWait)
+{
+    other_target.on_request = [](const Target::Request &) {};
+    node.MarkOwnTargetNotReady();
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 7; i++) { // the target has 4 slots
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        std::string id = "c" + std::to_string(i);
+        callers.back()->connection.Send(
+            i % 2 == 0 ? Caller::Request("GET", "/safe/1", id)
+                       : Caller::Request("POST", "/once/1", id, "x"));
+        loop.RunFor(0.02);
+    }
+    ASSERT_EQ(other_target.requests.size(), 4u);
+    BbCallIo_EndWaitingCalls(node.calls);
+    for (size_t i = 0; i < callers.size(); i++) {
+        std::string response = callers[i]->Wait(1, 1);
+        EXPECT_EQ(Status(response), i < 4 ? "504" : "503") << i;
+        EXPECT_EQ(HeaderField(response, "Retry-After").empty(), i < 4) << i;
+    }
+    loop.RunFor(0.05);
+    EXPECT_EQ(other_target.requests.size(), 4u);
+}
+
 // Guards against a stack that grows with the number of calls that are refused
 // at the same time: it would overflow while a target has no slots for long.
 TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
@@ -943,8 +971,8 @@
     bb_sync_client_t *client;
 };
 
-const bb_h1_handler_t SyncNode::kHandler = {OnHead, nullptr, nullptr,
-                                            OnConnectionLost, nullptr};
+const bb_h1_handler_t SyncNode::kHandler = {
+    OnHead, nullptr, nullptr, OnConnectionLost, nullptr, nullptr};
 
 } // namespace
 
