Shutdown: nested calls of running calls are accepted until the end

Cause: from 2.6 s after SIGTERM on, a node refused every new call, also those that a run at its own target made. The run, for which the process waits, then failed.

Change: nested calls of runs at the local target are still accepted. The 502 once seen with the run cut 8 ms before is not explained by a run; it fits an attempt given up before SIGTERM, which was cut already.

--- a/lib/admission/bb_call_tree.c
+++ b/lib/admission/bb_call_tree.c
@@ -247,6 +247,12 @@
     return true;
 }
 
+bool
+BbCallTree_IsNested(const bb_call_tree_t *tree, const char *id)
+{
+    return find_parent(tree, id) != NULL;
+}
+
 static void
 decay_results(call_class_t *class, double now)
 {
--- a/lib/admission/bb_call_tree.h
+++ b/lib/admission/bb_call_tree.h
@@ -53,6 +53,9 @@
                             const char *class_name, double now,
                             double *parent_age_s);
 
+/* Whether the call is nested in a run at the local target. Learns nothing. */
+bool BbCallTree_IsNested(const bb_call_tree_t *tree, const char *id);
+
 /* is_refused: for lack of capacity; the call has not run. */
 void BbCallTree_EndNested(bb_call_tree_t *tree, const char *class_name,
                           bool is_refused, double now);
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -272,6 +272,19 @@
     return call->has_quota_ticket;
 }
 
+/* Nested calls of a run at the local target are still accepted during a
+ * shutdown: without them the run fails, for which the process waits. */
+static bool
+is_refused_at_shutdown(const bb_mesh_call_t *call)
+{
+    const bb_call_io_t *io = call->io;
+
+    return io->is_ending ||
+           (io->is_refusing &&
+            !BbCallTree_IsNested(BbTargetIo_CallTree(io->options.target),
+                                 call->call_id));
+}
+
 static void
 handle_head(bb_h1_request_t *request, void *arg)
 {
@@ -279,7 +292,7 @@
     bb_mesh_call_t *call = new_call(io, request);
 
     request->user_data = call;
-    if (io->is_refusing) {
+    if (is_refused_at_shutdown(call)) {
         BbMeshCall_RespondError(call, 503, BB_REASON_NODE_DRAINING);
         return;
     }
--- a/lib/mesh/bb_call_io.h
+++ b/lib/mesh/bb_call_io.h
@@ -86,7 +86,8 @@
 /* The node is shutting down: callers are asked to close their connections. */
 void BbCallIo_SetDraining(bb_call_io_t *io);
 
-/* Refuses new calls from now on, with status 503. */
+/* Refuses new calls from now on, with status 503, except those nested in runs
+ * at the local target. */
 void BbCallIo_RefuseNewCalls(bb_call_io_t *io);
 
 /* The process is about to exit. Ends the calls that wait at the local target
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -719,6 +719,28 @@
     EXPECT_EQ(other_target.requests.size(), 4u);
 }
 
+// Guards against runs that fail during a shutdown because their nested calls
+// are refused like new calls.
+TEST_F(MeshIoTwoNodes, ShutdownAcceptsNestedCallsOfRunningCalls)
+{
+    target.on_request = [](const Target::Request &) {};
+    Caller parent(&loop, node.caller_address);
+    parent.connection.Send(Caller::Request("POST", "/once/1", "c1", "x"));
+    ASSERT_TRUE(loop.RunUntil([&] { return target.RunCount("c1") == 1; }));
+    BbCallIo_SetDraining(node.calls);
+    BbTargetIo_SetNodeDraining(node.target_io);
+    BbCallIo_RefuseNewCalls(node.calls);
+    Caller nested(&loop, node.caller_address);
+    EXPECT_EQ(Status(nested.Call(Caller::Request("GET", "/safe/1", "c1.1"))),
+              "200");
+    Caller other_caller(&loop, node.caller_address);
+    EXPECT_EQ(
+        Status(other_caller.Call(Caller::Request("GET", "/safe/1", "c2"))),
+        "503");
+    target.requests[0].connection->Send(Target::Response("c1", "ok"));
+    EXPECT_EQ(Status(parent.Wait(1)), "200");
+}
+
 // Guards against a stack that grows with the number of calls that are refused
 // at the same time: it would overflow while a target has no slots for long.
 TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
