Call tree: late and abandoned nested calls count like refused ones

Cause: only nested calls that were refused for lack of capacity counted. A nested call that ends after its target latency, or whose parent has closed its connection, makes the parent late or fail as well.

--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -78,6 +78,9 @@
      0, 0, 0, "predictions use the load that the target reports"},
     {"hedge", "enabled", TYPE_FLAG, FIELD(is_hedge_enabled), true, 0, 0, 0,
      "late idempotent calls get a second attempt at another node"},
+    {"admission", "late_nested", TYPE_FLAG, FIELD(is_late_nested_counted),
+     true, 0, 0, 0,
+     "calls are refused also when their nested calls would be late"},
 };
 
 static const setting_t *
