--- a/lib/admission/bb_call_tree.c
+++ b/lib/admission/bb_call_tree.c
@@ -20,6 +20,10 @@
 /* The others go on, so that a recovery is seen. */
 #define MAX_REFUSAL_SHARE 0.9
 
+/* A call first sent this long ago is a retry. The spread of Retry-After begins
+ * at 0.8 of its value; calls that only tried other nodes are seldom as old. */
+#define RETRY_AGE_S (0.5 * BB_CALL_TREE_RETRY_AFTER_S)
+
 /* Weight of the newest run in the mean number of nested calls. */
 #define COUNT_WEIGHT 0.02
 
@@ -44,8 +48,9 @@
     long runs;
     bool is_refusing;
     double refusal_credit; /* refusals owed, see BbCallTree_MustRefuse() */
+    double later_credit;   /* the same for BbCallTree_MustRefuseLater() */
     /* results of nested calls of this class, decayed */
-    double results, refused;
+    double results, failed;
     double decayed_at;
 } call_class_t;
 
@@ -60,6 +65,8 @@
     char *separator;
     GHashTable *classes; /* name to call_class_t */
     GHashTable *runs;    /* id to bb_call_run_t */
+    bool counts_late;
+    bool has_second_check;
 };
 
 static void
@@ -247,26 +254,48 @@
     return true;
 }
 
+bool
+BbCallTree_IsNested(const bb_call_tree_t *tree, const char *id)
+{
+    return find_parent(tree, id) != NULL;
+}
+
 static void
 decay_results(call_class_t *class, double now)
 {
     double factor = exp(-MAX(now - class->decayed_at, 0.0) / RESULT_DECAY_S);
 
     class->results *= factor;
-    class->refused *= factor;
+    class->failed *= factor;
     class->decayed_at = now;
 }
 
 void
-BbCallTree_EndNested(bb_call_tree_t *tree, const char *class_name,
-                     bool is_refused, double now)
+BbCallTree_CountLate(bb_call_tree_t *tree)
 {
-    call_class_t *class = g_hash_table_lookup(tree->classes, class_name);
+    tree->counts_late = true;
+}
 
-    if (class != NULL) {
-        decay_results(class, now);
-        class->results += 1;
-        class->refused += is_refused ? 1 : 0;
+void
+BbCallTree_EndNested(bb_call_tree_t *tree, const bb_nested_end_t *end,
+                     double now)
+{
+    call_class_t *class = g_hash_table_lookup(tree->classes, end->class_name);
+    bool is_late = end->due_at > 0 && now > end->due_at;
+
+    if (class == NULL) {
+        return;
+    }
+    if (end->is_abandoned &&
+        (!tree->counts_late ||
+         (!is_late && !BbCallTree_IsNested(tree, end->id)))) {
+        return;
+    }
+    decay_results(class, now);
+    class->results += 1;
+    if (end->is_refused ||
+        (tree->counts_late && (is_late || end->is_abandoned))) {
+        class->failed += 1;
     }
 }
 
@@ -283,7 +312,7 @@
         call_class_t *nested = count->nested;
         decay_results(nested, now);
         if (nested->results >= MIN_RESULTS) {
-            success *= pow(1 - nested->refused / nested->results, count->mean);
+            success *= pow(1 - nested->failed / nested->results, count->mean);
         }
     }
     return 1 - success;
@@ -310,6 +339,18 @@
     return class->is_refusing ? MIN(failing, MAX_REFUSAL_SHARE) : 0;
 }
 
+/* Adds a share to the refusals owed; true if a whole one is owed. */
+static bool
+take_refusal(double *credit, double share)
+{
+    *credit += share;
+    if (*credit < 1) {
+        return false;
+    }
+    *credit -= 1;
+    return true;
+}
+
 bool
 BbCallTree_MustRefuse(bb_call_tree_t *tree, const char *class_name, double now)
 {
@@ -319,10 +360,38 @@
         return false;
     }
     call_class_t *class = g_hash_table_lookup(tree->classes, class_name);
-    class->refusal_credit += share;
-    if (class->refusal_credit < 1) {
+    return take_refusal(&class->refusal_credit, share);
+}
+
+void
+BbCallTree_EnableSecondCheck(bb_call_tree_t *tree)
+{
+    tree->has_second_check = true;
+}
+
+bool
+BbCallTree_HasSecondCheck(const bb_call_tree_t *tree)
+{
+    return tree->has_second_check;
+}
+
+bool
+BbCallTree_MustRefuseLater(bb_call_tree_t *tree, const char *class_name,
+                           double share, double now)
+{
+    if (!tree->has_second_check) {
         return false;
     }
-    class->refusal_credit -= 1;
-    return true;
+    double present = BbCallTree_RefusalShare(tree, class_name, now);
+    if (present <= share) {
+        return false;
+    }
+    call_class_t *class = g_hash_table_lookup(tree->classes, class_name);
+    return take_refusal(&class->later_credit, (present - share) / (1 - share));
+}
+
+bool
+BbCallTree_IsExempt(const bb_call_tree_t *tree, double first_try_age_s)
+{
+    return tree->has_second_check && first_try_age_s >= RETRY_AGE_S;
 }
--- a/lib/admission/bb_call_tree.h
+++ b/lib/admission/bb_call_tree.h
@@ -4,9 +4,9 @@
  * A nested call arrives at the address for callers while its parent runs at
  * the local target; its id is the id of the parent, a separator and a suffix.
  * The node learns which nested calls the runs of each class make, and which
- * share of them is refused for lack of capacity. A new call (a root) whose
- * nested calls would most likely be refused can be refused before it takes a
- * slot that other calls wait for.
+ * share of them is refused for lack of capacity, or late. A new call (a root)
+ * whose nested calls would most likely be refused can be refused before it
+ * takes a slot that other calls wait for.
  *
  * The share of refused roots is at most the share that would fail anyway and
  * leaves a tenth, so that a recovery is seen. It follows the nested service's
@@ -31,6 +31,10 @@
 extern "C" {
 #endif
 
+/* Retry-After in seconds of a refused root: the time constant with which a
+ * recovery is seen. */
+#define BB_CALL_TREE_RETRY_AFTER_S 1.0
+
 typedef struct bb_call_tree bb_call_tree_t;
 typedef struct bb_call_run bb_call_run_t;
 
@@ -53,9 +57,27 @@
                             const char *class_name, double now,
                             double *parent_age_s);
 
-/* is_refused: for lack of capacity; the call has not run. */
-void BbCallTree_EndNested(bb_call_tree_t *tree, const char *class_name,
-                          bool is_refused, double now);
+/* Whether the call is nested in a run at the local target. Learns nothing. */
+bool BbCallTree_IsNested(const bb_call_tree_t *tree, const char *id);
+
+/* How a nested call has ended. */
+typedef struct {
+    const char *id;
+    const char *class_name;
+    bool is_refused;   /* for lack of capacity; the call has not run */
+    bool is_abandoned; /* its parent has closed the connection */
+    double due_at;     /* end of its target latency; 0 without one */
+} bb_nested_end_t;
+
+/* Counts late and abandoned nested calls like refused ones from now on: their
+ * parents fail or are late. Off at first. */
+void BbCallTree_CountLate(bb_call_tree_t *tree);
+
+/* An abandoned call whose parent no longer runs is not counted if it is not
+ * late: the parent was cancelled, for example because its own caller has
+ * disconnected. */
+void BbCallTree_EndNested(bb_call_tree_t *tree, const bb_nested_end_t *end,
+                          double now);
 
 /* Share of new calls of the class to refuse because their nested calls would
  * be refused; 0 in normal operation. */
@@ -67,6 +89,23 @@
 bool BbCallTree_MustRefuse(bb_call_tree_t *tree, const char *class_name,
                            double now);
 
+/* Checks roots again when they leave the queue, from now on. Off at first. */
+void BbCallTree_EnableSecondCheck(bb_call_tree_t *tree);
+bool BbCallTree_HasSecondCheck(const bb_call_tree_t *tree);
+
+/* Whether the class of a root that has waited is so much shorter of nested
+ * calls than at the first check that it must be refused now. share: that of
+ * BbCallTree_RefusalShare() at the first check, 0 if there was none. The share
+ * of refusals of both checks together is the present one. Always false while
+ * the second check is not enabled. */
+bool BbCallTree_MustRefuseLater(bb_call_tree_t *tree, const char *class_name,
+                                double share, double now);
+
+/* Whether a root is not checked: with the second check enabled, a call that
+ * its caller has first sent this long ago is a retry, and it may have been
+ * refused for the same reason at another target. */
+bool BbCallTree_IsExempt(const bb_call_tree_t *tree, double first_try_age_s);
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -272,6 +272,19 @@
     return call->has_quota_ticket;
 }
 
+/* Nested calls of a run at the local target are still accepted during a
+ * shutdown: without them the run fails, for which the process waits. */
+static bool
+is_refused_at_shutdown(const bb_mesh_call_t *call)
+{
+    const bb_call_io_t *io = call->io;
+
+    return io->is_ending ||
+           (io->is_refusing &&
+            !BbCallTree_IsNested(BbTargetIo_CallTree(io->options.target),
+                                 call->call_id));
+}
+
 static void
 handle_head(bb_h1_request_t *request, void *arg)
 {
@@ -279,7 +292,7 @@
     bb_mesh_call_t *call = new_call(io, request);
 
     request->user_data = call;
-    if (io->is_refusing) {
+    if (is_refused_at_shutdown(call)) {
         BbMeshCall_RespondError(call, 503, BB_REASON_NODE_DRAINING);
         return;
     }
@@ -359,6 +372,7 @@
                                 "peer", BbMeshCall_PeerName(call), "took_s",
                                 BbMeshCall_Now(call) - call->arrived_at));
     }
+    BbMeshCall_EndNested(call, false, true);
     if (call->attempt != NULL) {
         bb_attempt_t *attempt = call->attempt;
         call->may_have_run = true;
@@ -477,15 +491,32 @@
 }
 
 void
-BbCallIo_FailOpenCalls(bb_call_io_t *io)
+BbCallIo_EndWaitingCalls(bb_call_io_t *io)
 {
     bb_mesh_call_t *call;
 
+    if (io->is_ending) {
+        return;
+    }
+    io->is_ending = true;
     /* Otherwise the end of a running call would start a waiting one, which
      * would be cut at once and could not be answered with 503. */
+    BbTargetIo_SetNodeEnding(io->options.target);
     while ((call = find_not_started(io)) != NULL) {
         BbMeshCall_TimeOut(call, BB_ATTEMPT_DROPPED);
     }
+    DL_FOREACH (io->calls, call) {
+        if (call->attempt != NULL && !BbMeshCall_IsHedged(call) &&
+            call->attempt->ops->withdraw != NULL) {
+            call->attempt->ops->withdraw(call->attempt);
+        }
+    }
+}
+
+void
+BbCallIo_FailOpenCalls(bb_call_io_t *io)
+{
+    BbCallIo_EndWaitingCalls(io);
     while (io->calls != NULL) {
         BbMeshCall_TimeOut(io->calls, BB_ATTEMPT_DROPPED);
     }
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -81,6 +81,7 @@
     double last_call_at;
     bool is_draining;
     bool is_refusing;
+    bool is_ending; /* the process is about to exit: no more attempts */
     GHashTable *longest_deadlines; /* by route name, in seconds */
     bb_link_sizes_t *sizes;        /* of responses, by route name */
     GHashTable *room_expected_at;  /* by route name, from refusals */
@@ -158,6 +159,10 @@
 /* Name of the node of the last attempt, "" before the first. */
 const char *BbMeshCall_PeerName(const bb_mesh_call_t *call);
 
+/* Reports the end of a nested call, see bb_call_tree.h. */
+void BbMeshCall_EndNested(const bb_mesh_call_t *call, bool is_refused,
+                          bool is_abandoned);
+
 /* Each of the following functions ends the call and frees it. */
 /* Sends an error response of this node. A response that is being streamed is
  * aborted instead. */
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -27,9 +27,12 @@
 
 /* Open calls are ended with an error response SHUTDOWN_MARGIN_S before the
  * platform would kill the process. FINAL_RESPONSES_S is the time allowed for
- * sending these responses. */
+ * sending these responses. Within it, WITHDRAW_S is the time in which other
+ * nodes can tell that a forwarded call has not run: several round trips
+ * between data centres, and less than SHUTDOWN_CHECK_S. */
 #define SHUTDOWN_MARGIN_S 0.3
 #define FINAL_RESPONSES_S 0.1
+#define WITHDRAW_S 0.04
 
 /* ---- state of the target ---- */
 
@@ -156,15 +159,20 @@
         now - BbCallIo_LastCallTime(sidecar->call_io) >= CALLERS_GONE_S;
     bool is_recorded = !Sidecar_HasTargetDeparted(sidecar) ||
                        BbRowWriter_IsDone(sidecar->record);
-    bool is_drained = open_calls(sidecar) == 0 && is_flushed(sidecar) &&
-                      is_recorded && since_s >= SHUTDOWN_MIN_S &&
-                      are_callers_gone;
+    bool is_drained = open_calls(sidecar) == 0 &&
+                      !BbHopServer_HasCallsWithoutBody(sidecar->hop_server) &&
+                      is_flushed(sidecar) && is_recorded &&
+                      since_s >= SHUTDOWN_MIN_S && are_callers_gone;
 
     if (since_s >= REFUSE_AFTER_S) {
         BbCallIo_RefuseNewCalls(sidecar->call_io);
     }
     double end_s = sidecar->settings->shutdown_s - SHUTDOWN_MARGIN_S;
     if (since_s >= end_s) {
+        BbHopServer_RefuseCallsWithoutBody(sidecar->hop_server);
+        BbCallIo_EndWaitingCalls(sidecar->call_io);
+    }
+    if (since_s >= end_s + WITHDRAW_S) {
         BbCallIo_FailOpenCalls(sidecar->call_io);
     }
     if (is_drained || since_s >= end_s + FINAL_RESPONSES_S) {
@@ -239,6 +247,12 @@
     options.pace = sidecar->pace;
     options.uses_target_load = settings->is_target_load_enabled;
     sidecar->target_io = BbTargetIo_New(&options);
+    if (settings->is_late_nested_counted) {
+        BbCallTree_CountLate(BbTargetIo_CallTree(sidecar->target_io));
+    }
+    if (settings->is_second_check_enabled) {
+        BbCallTree_EnableSecondCheck(BbTargetIo_CallTree(sidecar->target_io));
+    }
 }
 
 /* At the first start of a fleet no records exist that could be missing. */
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -656,6 +656,137 @@
     EXPECT_EQ(target.RunCount("c8"), 0);
 }
 
+// Guards against status 502 for forwarded calls that wait at a node when its
+// process ends: for a slot, or for the body that the node has requested.
+TEST_F(MeshIoTwoNodes, ShutdownRefusesForwardedCallsThatWait)
+{
+    other_target.on_request = [](const Target::Request &) {};
+    node.MarkOwnTargetNotReady();
+    std::vector<std::unique_ptr<Caller>> callers;
+    auto call = [&](const std::string &request) {
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(request);
+        loop.RunFor(0.02);
+    };
+    for (int i = 0; i < 4; i++) { // the target has 4 slots
+        call(Caller::Request("GET", "/safe/1", "r" + std::to_string(i)));
+    }
+    call(Caller::Request("GET", "/safe/1", "w1"));
+    call(Caller::Request("POST", "/once/1", "w2", "x"));
+    std::string late = Caller::Request("POST", "/once/1", "w3", "x");
+    late.pop_back();
+    call(late);
+    ASSERT_EQ(other_target.requests.size(), 4u);
+    ASSERT_TRUE(BbHopServer_HasCallsWithoutBody(other.hop_server));
+    BbHopServer_RefuseCallsWithoutBody(other.hop_server);
+    BbCallIo_FailOpenCalls(other.calls);
+    for (size_t i = 4; i < callers.size(); i++) {
+        std::string response = callers[i]->Wait(1, 1);
+        EXPECT_EQ(Status(response), "503") << i;
+        EXPECT_NE(HeaderField(response, "Retry-After"), "") << i;
+    }
+    other_target.requests[0].connection->Send(Target::Response("r0", "ok"));
+    EXPECT_EQ(Status(callers[0]->Wait(1, 1)), "200");
+    EXPECT_EQ(other_target.requests.size(), 4u);
+}
+
+// Guards against status 504 for calls that wait at another node when the
+// process of their caller's node ends, and against status 503 for those that
+// run there.
+TEST_F(MeshIoTwoNodes, ShutdownWithdrawsForwardedCallsThatWait)
+{
+    other_target.on_request = [](const Target::Request &) {};
+    node.MarkOwnTargetNotReady();
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 7; i++) { // the target has 4 slots
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        std::string id = "c" + std::to_string(i);
+        callers.back()->connection.Send(
+            i % 2 == 0 ? Caller::Request("GET", "/safe/1", id)
+                       : Caller::Request("POST", "/once/1", id, "x"));
+        loop.RunFor(0.02);
+    }
+    ASSERT_EQ(other_target.requests.size(), 4u);
+    BbCallIo_EndWaitingCalls(node.calls);
+    for (size_t i = 0; i < callers.size(); i++) {
+        std::string response = callers[i]->Wait(1, 1);
+        EXPECT_EQ(Status(response), i < 4 ? "504" : "503") << i;
+        EXPECT_EQ(HeaderField(response, "Retry-After").empty(), i < 4) << i;
+    }
+    loop.RunFor(0.05);
+    EXPECT_EQ(other_target.requests.size(), 4u);
+}
+
+// Guards against runs that fail during a shutdown because their nested calls
+// are refused like new calls.
+TEST_F(MeshIoTwoNodes, ShutdownAcceptsNestedCallsOfRunningCalls)
+{
+    target.on_request = [](const Target::Request &) {};
+    Caller parent(&loop, node.caller_address);
+    parent.connection.Send(Caller::Request("POST", "/once/1", "c1", "x"));
+    ASSERT_TRUE(loop.RunUntil([&] { return target.RunCount("c1") == 1; }));
+    BbCallIo_SetDraining(node.calls);
+    BbTargetIo_SetNodeDraining(node.target_io);
+    BbCallIo_RefuseNewCalls(node.calls);
+    Caller nested(&loop, node.caller_address);
+    EXPECT_EQ(Status(nested.Call(Caller::Request("GET", "/safe/1", "c1.1"))),
+              "200");
+    Caller other_caller(&loop, node.caller_address);
+    EXPECT_EQ(
+        Status(other_caller.Call(Caller::Request("GET", "/safe/1", "c2"))),
+        "503");
+    target.requests[0].connection->Send(Target::Response("c1", "ok"));
+    EXPECT_EQ(Status(parent.Wait(1)), "200");
+}
+
+// Guards against waiting calls that are started although their nested calls
+// have become short, and against a second refusal at another target.
+TEST_F(MeshIo, WaitingCallsAreCheckedAgainAndRefusedOnce)
+{
+    target.on_request = [](const Target::Request &) {};
+    bb_call_tree_t *tree = BbTargetIo_CallTree(node.target_io);
+    BbCallTree_EnableSecondCheck(tree);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < 8; i++) { // the target has 4 slots
+        callers.push_back(
+            std::make_unique<Caller>(&loop, node.caller_address));
+        callers.back()->connection.Send(
+            Caller::Request("GET", "/safe/1", "c" + std::to_string(i)));
+        loop.RunFor(0.01);
+    }
+    ASSERT_EQ(target.requests.size(), 4u);
+    Target other_target(&loop);
+    Node other(&loop, "n2", "a", &other_target);
+    node.AddNodeRecord(&other, 9);
+    double now = BbClock_Now(loop.loop), age_s;
+    bb_call_run_t *run = BbCallTree_StartRun(tree, "x", "safe", now);
+    ASSERT_TRUE(BbCallTree_BeginNested(tree, "x.1", "once", now, &age_s));
+    BbCallTree_EndRun(tree, run);
+    bb_nested_end_t end = {"x.1", "once", true, false, 0};
+    for (int i = 0; i < 50; i++) {
+        BbCallTree_EndNested(tree, &end, now);
+    }
+    for (size_t i = 0; i < 2; i++) {
+        const Target::Request &request = target.requests[i];
+        request.connection->Send(Target::Response(request.id, "ok"));
+    }
+    // One of the four is within the tenth that goes on; the last one is not
+    // checked, since no call waits for its slot.
+    ASSERT_TRUE(loop.RunUntil([&] { return target.requests.size() == 6; }, 1));
+    loop.RunFor(0.05);
+    int refused = 0;
+    for (size_t i = 4; i < callers.size(); i++) {
+        const std::string &response = callers[i]->connection.received;
+        refused += Status(response) == "503";
+        EXPECT_EQ(Status(response) == "503",
+                  !HeaderField(response, "Retry-After").empty());
+    }
+    EXPECT_EQ(refused, 2);
+    EXPECT_TRUE(other_target.requests.empty());
+}
+
 // Guards against a stack that grows with the number of calls that are refused
 // at the same time: it would overflow while a target has no slots for long.
 TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
@@ -908,8 +1039,8 @@
     bb_sync_client_t *client;
 };
 
-const bb_h1_handler_t SyncNode::kHandler = {OnHead, nullptr, nullptr,
-                                            OnConnectionLost, nullptr};
+const bb_h1_handler_t SyncNode::kHandler = {
+    OnHead, nullptr, nullptr, OnConnectionLost, nullptr, nullptr};
 
 } // namespace
 
