HTTP client: reuse no connection with surplus bytes

Cause: a request was written to an idle connection whose surplus bytes (sent by the target after a complete response) were in the receive buffer, but not read yet. They were parsed as the response to that request, which ended with 502.

Change: BbH1_Start() looks for bytes or the end of the stream on an idle connection and closes it if there is any. Surplus that is a valid sealed response without a call id can't be told from a response after the request was written.

Tests: H1Client.ConnectionsWithUnreadInputAreNotReused and MeshIo.SurplusBytesAfterTheNextRequestAreNotItsResponse fail on the code before and pass now. H1Client.KeptConnectionsAreReadAfterAPause uses a shared fixture, its checks are unchanged.

--- a/lib/common/bb_error.c
+++ b/lib/common/bb_error.c
@@ -38,6 +38,8 @@
         return "not-owner-of-month";
     case BB_ERR_ADDRESS_IN_USE:
         return "address-in-use";
+    case BB_ERR_SURPLUS:
+        return "surplus-bytes";
     default:
         return "unknown-error";
     }
--- a/lib/common/bb_error.h
+++ b/lib/common/bb_error.h
@@ -33,6 +33,7 @@
     BB_ERR_UNKNOWN = -14,    /* a write may or may not have taken effect */
     BB_ERR_NOT_OWNER = -15,  /* not the owner assigned to the month */
     BB_ERR_ADDRESS_IN_USE = -16,
+    BB_ERR_SURPLUS = -17, /* bytes of an earlier response on a connection */
 };
 
 /* Returns the symbolic name of an error number, "unknown-error" otherwise. */
--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -51,6 +51,7 @@
     bb_h1_exchange_t *exchange;
     int depth; /* callbacks in progress; it is freed at 0 once closed */
     bool is_connected;
+    bool is_reused; /* an earlier request was sent on it */
     /* The response being read is an interim one or one to another request;
      * its body is dropped. */
     bool is_response_dropped;
@@ -327,7 +328,9 @@
         end_exchange(connection);
     }
     else if (has_unexpected_bytes) {
-        fail_exchange(connection, BB_ERR_PARSE);
+        bool is_surplus =
+            connection->is_reused && !connection->has_response_head;
+        fail_exchange(connection, is_surplus ? BB_ERR_SURPLUS : BB_ERR_PARSE);
     }
 }
 
@@ -477,17 +480,50 @@
     return peer;
 }
 
+static void
+close_and_release(bb_h1_client_connection_t *connection)
+{
+    connection->depth++;
+    if (connection->exchange != NULL) {
+        drop_exchange(connection->exchange);
+    }
+    else {
+        close_connection(connection);
+    }
+    release_connection(connection);
+}
+
+/* Whether bytes, the end of the stream or an error can be read from an idle
+ * connection. The event loop may not have reported them yet. */
+static bool
+has_pending_input(const bb_h1_client_connection_t *connection)
+{
+    char byte;
+    ssize_t size;
+
+    do {
+        size = recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    } while (size < 0 && errno == EINTR);
+    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 static bb_h1_client_connection_t *
 take_idle(bb_h1_peer_t *peer, double max_idle_s, ev_tstamp now)
 {
     bb_h1_client_connection_t *connection = peer->idle;
 
+    while (connection != NULL && now - connection->idle_since <= max_idle_s &&
+           has_pending_input(connection)) {
+        close_and_release(connection);
+        connection = peer->idle;
+    }
     if (connection == NULL || now - connection->idle_since > max_idle_s) {
         return NULL;
     }
     DL_DELETE(peer->idle, connection);
     peer->idle_count--;
     ev_timer_stop(connection->client->loop, &connection->timer);
+    connection->is_reused = true;
     connection->is_response_ended = false;
     connection->has_response_head = false;
     connection->dropped = 0;
@@ -639,19 +675,6 @@
 
 /* ---- client ---- */
 
-static void
-close_and_release(bb_h1_client_connection_t *connection)
-{
-    connection->depth++;
-    if (connection->exchange != NULL) {
-        drop_exchange(connection->exchange);
-    }
-    else {
-        close_connection(connection);
-    }
-    release_connection(connection);
-}
-
 static void
 free_peer(gpointer data)
 {
--- a/lib/http/bb_h1_client.h
+++ b/lib/http/bb_h1_client.h
@@ -14,10 +14,15 @@
  *
  * ERRORS
  *   on_fail gets BB_ERR_UNAVAILABLE (no connection), BB_ERR_IO (the connection
- *   broke) or BB_ERR_PARSE (not a valid HTTP response, or too many bytes
- *   before its head: see MAX_DROPPED_BYTES).
+ *   broke), BB_ERR_SURPLUS (the bytes before the head of the response to a
+ *   request on a reused connection are not valid HTTP, as when the server sent
+ *   bytes after an earlier response) or BB_ERR_PARSE (not a valid HTTP
+ *   response, or too many bytes before its head: see MAX_DROPPED_BYTES).
  *
  * LIMITS
+ *   A connection with bytes or its end ready to be read is not reused. Surplus
+ *   bytes that arrive only after the next request was written, and that are a
+ *   valid response, are told from its response only by belongs_to_request.
  *   One request at a time on a connection. Only the connect has a timeout; the
  *   owner enforces deadlines with BbH1_Cancel().
  */
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -46,6 +46,8 @@
     bb_hop_load_report_t load_report;
     bb_endpoint_t *tried[BB_PLACEMENT_MAX_TRIED];
     size_t tried_count;
+    /* Tried node that may be chosen once more; NULL when there is none. */
+    const bb_endpoint_t *retryable;
     int attempts;
     int draining_refusals; /* attempts refused by a draining node or target */
     int full_refusals;     /* attempts refused because no slot was free */
@@ -134,6 +136,12 @@
                                              bb_reason_t reason,
                                              double retry_after_s);
 
+/* Lets the call try the node once more if its attempt there was lost to
+ * surplus bytes on a reused connection, which a new connection does not have.
+ */
+void BbMeshCall_AllowRetry(bb_mesh_call_t *call, const bb_endpoint_t *endpoint,
+                           bb_reason_t reason);
+
 /* The call's handler, with the call as argument. */
 extern const bb_attempt_handler_t BbMeshCall_Handler;
 
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -222,6 +222,15 @@
     return outcome;
 }
 
+void
+BbMeshCall_AllowRetry(bb_mesh_call_t *call, const bb_endpoint_t *endpoint,
+                      bb_reason_t reason)
+{
+    if (reason == BB_REASON_TARGET_SURPLUS) {
+        call->retryable = endpoint;
+    }
+}
+
 static void
 call_refused(bb_reason_t reason, double retry_after_s, void *arg)
 {
@@ -242,6 +251,7 @@
 {
     bb_mesh_call_t *call = arg;
 
+    BbMeshCall_AllowRetry(call, call->endpoint, reason);
     call->may_have_run = true;
     call->targets_reached++;
     BbMeshCall_EndAttempt(call, reason == BB_REASON_RESPONSE_LOST
@@ -488,6 +498,37 @@
     }
 }
 
+/* Chooses among the nodes that have not been tried and the retryable one,
+ * which is then no longer retryable. */
+static bb_endpoint_t *
+choose_retryable(bb_mesh_call_t *call)
+{
+    size_t kept = 0;
+    bb_endpoint_t *endpoint = NULL;
+
+    for (size_t i = 0; i < call->tried_count; i++) {
+        if (call->tried[i] == call->retryable) {
+            endpoint = call->tried[i];
+        }
+        else {
+            call->tried[kept++] = call->tried[i];
+        }
+    }
+    call->retryable = NULL;
+    if (endpoint == NULL) {
+        return NULL;
+    }
+    call->tried_count = kept;
+    bb_endpoint_t *chosen = BbMeshCall_ChooseEndpoint(call, NULL);
+    if (chosen == endpoint) {
+        BbEndpoint_Unref(endpoint); /* the new attempt takes its own */
+    }
+    else {
+        call->tried[call->tried_count++] = endpoint;
+    }
+    return chosen;
+}
+
 void
 BbMeshCall_StartNextAttempt(bb_mesh_call_t *call)
 {
@@ -507,6 +548,9 @@
         call->is_new_turn = false;
         endpoint = BbMeshCall_ChooseEndpoint(call, &is_full);
     }
+    if (endpoint == NULL && call->retryable != NULL) {
+        endpoint = choose_retryable(call);
+    }
     if (endpoint == NULL) {
         bb_reason_t reason =
             is_full ? BB_REASON_QUEUE_FULL : BB_REASON_NO_LIVE_TARGET;
--- a/lib/mesh/bb_mesh_call_hedge.c
+++ b/lib/mesh/bb_mesh_call_hedge.c
@@ -147,6 +147,7 @@
         BbMeshCall_Handler.on_lost(reason, call);
         return;
     }
+    BbMeshCall_AllowRetry(call, hedge->endpoint, reason);
     call->may_have_run = true;
     call->targets_reached++;
     end_hedge(hedge, reason == BB_REASON_RESPONSE_LOST ? BB_ATTEMPT_UNREACHABLE
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -463,6 +463,13 @@
                          : BB_REASON_TARGET_CONNECT);
         return;
     }
+    if (error == BB_ERR_SURPLUS) {
+        /* The target may have sent surplus bytes on its other connections too.
+         * A retry must not meet them. */
+        BbH1Client_CloseIdle(call->io->client, call->io->address);
+        fail_call(call, BB_REASON_TARGET_SURPLUS, error);
+        return;
+    }
     fail_call(call, BB_REASON_TARGET_LOST, error);
 }
 
--- a/tests/unit/endless_response_test.cc
+++ b/tests/unit/endless_response_test.cc
@@ -212,44 +212,41 @@
     }
 };
 
-} // namespace
-
-TEST_P(EndlessResponseTest, EndsByTheDeadlineInBoundedMemory)
-{
-    for (const EndlessResponse &endless : EndlessResponses()) {
-        RunCase(endless);
-    }
-}
-
-// Guards against a persistent connection that is never read again because the
-// previous response on it ended while reading was paused.
-TEST(H1Client, KeptConnectionsAreReadAfterAPause)
-{
+// A client of one target, whose requests pause reading at each body.
+class H1Client : public testing::Test {
+  protected:
     struct Exchange {
         bb_h1_exchange_t *exchange;
         bool is_ended = false, is_failed = false;
     };
-    static const bb_h1_exchange_handler_t handler = [] {
-        bb_h1_exchange_handler_t callbacks = {};
-        callbacks.on_head = [](int, const bb_h1_fields_t *, void *) {};
-        callbacks.on_data = [](const char *, size_t, void *arg) {
-            BbH1_PauseResponse(static_cast<Exchange *>(arg)->exchange, true);
-        };
-        callbacks.on_end = [](void *arg) {
-            static_cast<Exchange *>(arg)->is_ended = true;
-        };
-        callbacks.on_fail = [](int, bool, void *arg) {
-            static_cast<Exchange *>(arg)->is_failed = true;
-        };
-        return callbacks;
-    }();
-    Loop loop;
-    Target target(&loop);
-    bb_h1_client_options_t client_options = {loop.loop, 0, 0, 0, nullptr};
-    bb_h1_client_t *client = BbH1Client_New(&client_options);
-    bb_h1_fields_t fields;
-    BbH1Fields_Init(&fields);
-    for (int i = 0; i < 2; i++) {
+    H1Client() : target(&loop)
+    {
+        bb_h1_client_options_t options = {loop.loop, 0, 0, 0, nullptr};
+        client = BbH1Client_New(&options);
+        BbH1Fields_Init(&fields);
+    }
+    ~H1Client()
+    {
+        BbH1Fields_Free(&fields);
+        BbH1Client_Free(client);
+    }
+    void Request()
+    {
+        static const bb_h1_exchange_handler_t handler = [] {
+            bb_h1_exchange_handler_t callbacks = {};
+            callbacks.on_head = [](int, const bb_h1_fields_t *, void *) {};
+            callbacks.on_data = [](const char *, size_t, void *arg) {
+                BbH1_PauseResponse(static_cast<Exchange *>(arg)->exchange,
+                                   true);
+            };
+            callbacks.on_end = [](void *arg) {
+                static_cast<Exchange *>(arg)->is_ended = true;
+            };
+            callbacks.on_fail = [](int, bool, void *arg) {
+                static_cast<Exchange *>(arg)->is_failed = true;
+            };
+            return callbacks;
+        }();
         Exchange exchange;
         bb_h1_exchange_options_t options = {};
         options.address = target.address.c_str();
@@ -263,14 +260,55 @@
         exchange.exchange = BbH1_Start(client, &options);
         EXPECT_TRUE(loop.RunUntil(
             [&] { return exchange.is_ended || exchange.is_failed; }, 1.0));
-        EXPECT_TRUE(exchange.is_ended) << i;
+        EXPECT_TRUE(exchange.is_ended);
         if (!exchange.is_ended && !exchange.is_failed) {
             BbH1_Cancel(exchange.exchange);
         }
     }
+    Loop loop;
+    Target target;
+    bb_h1_client_t *client;
+    bb_h1_fields_t fields;
+};
+
+} // namespace
+
+TEST_P(EndlessResponseTest, EndsByTheDeadlineInBoundedMemory)
+{
+    for (const EndlessResponse &endless : EndlessResponses()) {
+        RunCase(endless);
+    }
+}
+
+// Guards against a persistent connection that is never read again because the
+// previous response on it ended while reading was paused.
+TEST_F(H1Client, KeptConnectionsAreReadAfterAPause)
+{
+    for (int i = 0; i < 2; i++) {
+        SCOPED_TRACE(i);
+        Request();
+    }
     EXPECT_EQ(target.connections.size(), 1u);
-    BbH1Fields_Free(&fields);
-    BbH1Client_Free(client);
+}
+
+// Guards against a request on a connection whose surplus bytes or end have
+// arrived, but have not been read yet: the loop does not run between the end
+// of one request and the next.
+TEST_F(H1Client, ConnectionsWithUnreadInputAreNotReused)
+{
+    for (bool is_closed : {false, true}) {
+        SCOPED_TRACE(is_closed);
+        Request();
+        size_t count = target.connections.size();
+        if (is_closed) {
+            target.connections.back()->Close(false);
+        }
+        else {
+            target.connections.back()->Send("surplus");
+        }
+        Request();
+        EXPECT_EQ(target.connections.size(), count + 1);
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -248,6 +248,41 @@
     EXPECT_EQ(target.connections.size(), 2u);
 }
 
+// Guards against surplus bytes that are taken for the response to the next
+// call, whose request was written before they arrived: an idempotent call is
+// sent again, another one is not, and no caller gets any of them.
+TEST_F(MeshIo, SurplusBytesAfterTheNextRequestAreNotItsResponse)
+{
+    Target unused(&loop);
+    Node forwarding(&loop, "n2", "a", &unused);
+    forwarding.AddNodeRecord(&node, 2);
+    forwarding.MarkOwnTargetNotReady();
+    bool has_surplus = false;
+    target.on_request = [&](const Target::Request &request) {
+        request.connection->Send((has_surplus ? "surplus" : "") +
+                                 Target::Response(request.id, "ok"));
+        has_surplus = false;
+    };
+    for (Node *serving : {&node, &forwarding}) {
+        SCOPED_TRACE(serving->name);
+        Caller caller(&loop, serving->caller_address);
+        auto call = [&](const std::string &id, bool is_idempotent) {
+            std::string response = caller.Call(
+                is_idempotent ? Caller::Request("GET", "/safe/1", id)
+                              : Caller::Request("POST", "/once/1", id, "x"));
+            EXPECT_EQ(response.find("surplus"), std::string::npos);
+            return Status(response);
+        };
+        for (bool is_idempotent : {true, false}) {
+            std::string id = serving->name + (is_idempotent ? "safe" : "once");
+            EXPECT_EQ(call(id + "1", is_idempotent), "200");
+            has_surplus = true;
+            EXPECT_EQ(call(id, is_idempotent), is_idempotent ? "200" : "502");
+            EXPECT_EQ(target.RunCount(id), is_idempotent ? 2 : 1);
+        }
+    }
+}
+
 // Guards against incomplete or malformed responses that are passed on as
 // complete, and against success without the target's seal field.
 TEST_F(MeshIo, IncompleteOrUnsealedResponsesAreErrors)
