HTTP: one module reads the lengths of messages

Cause: lengths were read by http_parser, and again by strtoll in bb_attempt.c and bb_hop.c, which accepts signs, text behind the digits and values above 2^63-1 (as 2^63-1). A malformed chunk size in a caller's request closed the connection without a response.

Change: bb_h1_length reads Content-Length for requests of callers, responses of targets and of the store, and messages between nodes; BbHop_Parse() uses it for the length in the call header. A malformed or repeated value, one above 2^63-1, or one beside a Transfer-Encoding is an error. Chunk sizes stay with http_parser and are limited to 2^63-1. A request whose body is malformed is answered with 400 unless its response was started. A call header whose length contradicts the framing of its message is refused as bad_hop, and bad_hop closes the connection.

Not covered: http_parser takes what follows a blank behind a chunk size for an extension ("5 5" is 5).

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -11,6 +11,7 @@
 #include <utlist.h>
 
 #include "bb_error.h"
+#include "bb_h1_length.h"
 
 #define READ_BYTES 65536
 
@@ -239,6 +240,10 @@
         }
         return connection->is_closed ? -1 : 0;
     }
+    int64_t length;
+    if (BbH1Length_Read(fields, &length) != 0) {
+        return -1;
+    }
     if (exchange->handler->belongs_to_request != NULL &&
         !exchange->handler->belongs_to_request(fields, exchange->arg)) {
         connection->is_response_dropped = true;
@@ -290,6 +295,7 @@
     .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
+    .on_chunk_header = BbH1Length_OnChunkHeader,
 };
 
 /* Counts the bytes before the head of the response to this request and
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -9,6 +9,7 @@
 #include <utlist.h>
 
 #include "bb_error.h"
+#include "bb_h1_length.h"
 #include "bb_h1_server_private.h"
 
 #define READ_BYTES 65536
@@ -212,31 +213,20 @@
 }
 
 static void
-store_head(bb_h1_connection_t *connection, bb_h1_request_t *request)
+store_head(bb_h1_connection_t *connection, bb_h1_request_t *request,
+           int64_t length)
 {
     bb_h1_reader_t *reader = &connection->reader;
     http_parser *parser = &reader->parser;
     GString *text = request->fields.text;
 
-    BbH1Reader_EndHead(reader);
     request->method = http_method_str((enum http_method)parser->method);
     request->is_head_request = parser->method == HTTP_HEAD;
     g_string_assign(request->target, reader->target->str);
     request->fields.text = reader->fields.text;
     reader->fields.text = text;
-    if (parser->flags & F_CHUNKED) {
-        request->content_length = BB_H1_CHUNKED;
-    }
-    else if (parser->content_length == 0 ||
-             parser->content_length == UINT64_MAX) {
-        request->content_length =
-            BbH1Fields_Get(&request->fields, "Content-Length") != NULL
-                ? 0
-                : BB_H1_NO_BODY;
-    }
-    else {
-        request->content_length = (int64_t)parser->content_length;
-    }
+    request->content_length =
+        parser->flags & F_CHUNKED ? BB_H1_CHUNKED : length;
 }
 
 static int
@@ -245,13 +235,14 @@
     bb_h1_connection_t *connection = connection_of(parser);
     bb_h1_server_t *server = connection->server;
     bb_h1_request_t *request = connection->current_request;
+    int64_t length;
 
-    bool has_length = parser->content_length != UINT64_MAX;
+    BbH1Reader_EndHead(&connection->reader);
     if (connection->reader.head_bytes > server->max_head_bytes ||
-        (has_length && parser->content_length > INT64_MAX)) {
+        BbH1Length_Read(&connection->reader.fields, &length) != 0) {
         return -1;
     }
-    store_head(connection, request);
+    store_head(connection, request, length);
     connection->has_partial_head = false;
     if (connection->is_broken) {
         return -1;
@@ -310,6 +301,7 @@
     .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
+    .on_chunk_header = BbH1Length_OnChunkHeader,
 };
 
 /* Responds to a request that cannot be parsed, and closes the connection after
@@ -326,8 +318,14 @@
     if (request != NULL && request->is_head_reported) {
         /* The body is malformed; the handler was called and may have
          * responded. */
-        BbH1Connection_Close(connection);
-        return;
+        if (request->is_response_started || request->is_response_ended) {
+            BbH1Connection_Close(connection);
+            return;
+        }
+        if (connection->server->handler->on_connection_lost != NULL) {
+            connection->server->handler->on_connection_lost(
+                request, connection->server->arg);
+        }
     }
     if (request == NULL) {
         /* The error is in the first bytes: on_message_begin() was not
--- a/lib/mesh/bb_attempt.c
+++ b/lib/mesh/bb_attempt.c
@@ -1,9 +1,10 @@
 #include "bb_attempt.h"
 
-#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include "bb_h1_length.h"
+
 void
 BbBody_Init(bb_body_t *body)
 {
@@ -86,7 +87,8 @@
 int64_t
 BbAttempt_ContentLength(const bb_h1_fields_t *fields)
 {
-    const char *text = BbH1Fields_Get(fields, "Content-Length");
+    int64_t length;
+    bool has_length = BbH1Length_Read(fields, &length) == 0 && length >= 0;
 
-    return text != NULL ? strtoll(text, NULL, 10) : BB_H1_CHUNKED;
+    return has_length ? length : BB_H1_CHUNKED;
 }
--- a/lib/mesh/bb_hop.c
+++ b/lib/mesh/bb_hop.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "bb_error.h"
+#include "bb_h1_length.h"
 
 enum {
     FIELD_SERVICE,
@@ -54,6 +55,17 @@
     return end != text && *end == '\0';
 }
 
+/* Parses a length, BB_H1_NO_BODY or BB_H1_CHUNKED. */
+static bool
+parse_length(const char *text, int64_t *out)
+{
+    if (strcmp(text, "-1") == 0 || strcmp(text, "-2") == 0) {
+        *out = text[1] == '1' ? BB_H1_NO_BODY : BB_H1_CHUNKED;
+        return true;
+    }
+    return BbH1Length_Parse(text, strlen(text), out) == 0;
+}
+
 /* Parses "nAGE", "digest,account" or both. An account may contain commas. */
 static bool
 parse_optional(const char *text, bb_hop_call_t *out)
@@ -98,14 +110,13 @@
         parse_int(fields[FIELD_DUE_IN], &out->due_in_ms) &&
         parse_int(fields[FIELD_RANK], &out->rank) &&
         parse_int(fields[FIELD_ONCE], &once) &&
-        fields[FIELD_LENGTH][0] != '\0' &&
+        parse_length(fields[FIELD_LENGTH], &out->content_length) &&
         (count == FIELD_COUNT || parse_optional(fields[FIELD_OPTIONAL], out));
     if (is_valid) {
         out->service = g_strdup(fields[FIELD_SERVICE]);
         out->caller_service = g_strdup(fields[FIELD_CALLER]);
         out->class_name = g_strdup(fields[FIELD_CLASS]);
         out->is_at_most_once = once != 0;
-        out->content_length = strtoll(fields[FIELD_LENGTH], NULL, 10);
     }
     g_strfreev(fields);
     return is_valid ? 0 : BB_ERR_PARSE;
--- a/lib/mesh/bb_hop_server.c
+++ b/lib/mesh/bb_hop_server.c
@@ -5,6 +5,7 @@
 
 #include "bb_clock.h"
 #include "bb_counters.h"
+#include "bb_error.h"
 #include "bb_hop.h"
 #include "bb_transfer_gate.h"
 
@@ -111,6 +112,9 @@
     BbH1Fields_Add(&fields, BB_HOP_REASON, BbReason_Name(reason));
     g_ascii_formatd(seconds, sizeof(seconds), "%.3f", retry_after_s);
     BbH1Fields_Add(&fields, "Retry-After", seconds);
+    if (reason == BB_REASON_BAD_HOP) {
+        BbH1Fields_Add(&fields, "Connection", "close");
+    }
     BbH1_Respond(call->request, status, &fields, NULL, 0);
     BbH1Fields_Free(&fields);
 }
@@ -191,6 +195,19 @@
 
 /* ---- calls ---- */
 
+/* Whether the message is framed as its call header says. A call without a body
+ * that must not run twice has an empty chunked one. */
+static bool
+is_framed_as_announced(const hop_call_t *call)
+{
+    int64_t length = call->call_header.content_length;
+    bool is_empty = length == BB_H1_NO_BODY || length == 0;
+
+    return call->request->content_length ==
+           (call->call_header.is_at_most_once && is_empty ? BB_H1_CHUNKED
+                                                          : length);
+}
+
 static hop_call_t *
 new_hop_call(bb_hop_server_t *server, bb_h1_request_t *request, int *error)
 {
@@ -227,6 +244,9 @@
         .due_at = now + call->call_header.due_in_ms / MS_PER_S,
         .deadline_at = now + call->call_header.deadline_ms / MS_PER_S,
     };
+    if (*error == 0 && !is_framed_as_announced(call)) {
+        *error = BB_ERR_PARSE;
+    }
     request->rank = call->attempt_request.rank;
     request->due_at = call->attempt_request.due_at;
     return call;
