Targets can't send the header fields between nodes

Cause: the node beside a target copied all end-to-end fields of a response, also those that nodes use among themselves. Confirmed by a test on the code before: a target's "Burdock-Outcome: not-run" made the caller's node take a call that had run for one that had not (503 in the test; with another node left the call is sent again, also one that must not run twice), and its Burdock-Load replaced the load report of the node (7 slots instead of 4).

Change: fields with the prefix Burdock- are stripped from responses of targets in bb_target_io.

Tests: MeshIoTwoNodes.TargetsCannotSendTheFieldsBetweenNodes fails on the code before and passes now, also in the sanitizer build.

--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -399,7 +399,7 @@
     }
     bb_h1_fields_t forwarded_fields;
     BbH1Fields_Init(&forwarded_fields);
-    BbH1Fields_CopyEndToEnd(&forwarded_fields, fields);
+    BbAttempt_CopyEndToEnd(&forwarded_fields, fields);
     call->is_head_forwarded = true;
     call->status = status;
     record_result(call->io, status >= 500);
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -283,6 +283,32 @@
     }
 }
 
+// Guards against header fields between nodes that a target sends: the caller's
+// node would take them for the words of the target's node, and run a call
+// again that has run, or believe a wrong load.
+TEST_F(MeshIoTwoNodes, TargetsCannotSendTheFieldsBetweenNodes)
+{
+    other_target.on_request = [](const Target::Request &request) {
+        request.connection->Send(Target::Response(
+            request.id, "own body", "200 OK",
+            "Seal: s\r\nBurdock-Outcome: not-run\r\nburdock-reason: "
+            "target_shed\r\nBurdock-Load: 3,7,7,7,7,7,7\r\n"));
+    };
+    node.MarkOwnTargetNotReady();
+    Caller caller(&loop, node.caller_address);
+    std::string response =
+        caller.Call(Caller::Request("POST", "/once/1", "c1", "x"));
+    EXPECT_EQ(Status(response), "200");
+    EXPECT_NE(response.find("own body"), std::string::npos);
+    EXPECT_EQ(response.find("urdock-"), std::string::npos);
+    EXPECT_EQ(target.RunCount("c1") + other_target.RunCount("c1"), 1);
+    EXPECT_EQ(BbFleet_Find(node.fleet, "n2")->load.slots, 4);
+    Caller direct(&loop, other.caller_address);
+    response = direct.Call(Caller::Request("POST", "/once/1", "c2", "x"));
+    EXPECT_EQ(Status(response), "200");
+    EXPECT_EQ(response.find("urdock-"), std::string::npos);
+}
+
 // Guards against incomplete or malformed responses that are passed on as
 // complete, and against success without the target's seal field.
 TEST_F(MeshIo, IncompleteOrUnsealedResponsesAreErrors)
