--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -399,7 +399,7 @@
     }
     bb_h1_fields_t forwarded_fields;
     BbH1Fields_Init(&forwarded_fields);
-    BbH1Fields_CopyEndToEnd(&forwarded_fields, fields);
+    BbAttempt_CopyEndToEnd(&forwarded_fields, fields);
     call->is_head_forwarded = true;
     call->status = status;
     record_result(call->io, status >= 500);
@@ -463,6 +463,13 @@
                          : BB_REASON_TARGET_CONNECT);
         return;
     }
+    if (error == BB_ERR_SURPLUS) {
+        /* The target may have sent surplus bytes on its other connections too.
+         * A retry must not meet them. */
+        BbH1Client_CloseIdle(call->io->client, call->io->address);
+        fail_call(call, BB_REASON_TARGET_SURPLUS, error);
+        return;
+    }
     fail_call(call, BB_REASON_TARGET_LOST, error);
 }
 
