--- a/tests/scripted/check_config.sh
+++ b/tests/scripted/check_config.sh
@@ -27,7 +27,8 @@
   {"name":"r4","prefix":"/d/","kind":"safe","timeout_s":2,"target_latency_s":1,"service":"orders","public":true},
   {"name":"r5","prefix":"/d/","kind":"safe","timeout_s":2,"target_latency_s":1,"service":"orders","public":true}]}]}
 JSON
-sed 's/"service":"old"/"service":"missing"/; s/secret-3/secret-1/' \
+sed 's/"service":"old"/"service":"missing"/; s/secret-3/secret-1/
+     s/{"name":"gone"/{"name":"odd","rate_per_s":"10","burst":-1},&/' \
     "$work/current.json" >"$work/bad.json"
 {
     "$bbsidecar" --check-config "$work/new.json" --in-force "$work/current.json"
--- a/tests/unit/account_test.cc
+++ b/tests/unit/account_test.cc
@@ -135,6 +135,31 @@
     }
 }
 
+// Guards against a quota of the wrong type that is read as 0, which lifts the
+// limit, and against a finding that does not name the account and the field.
+TEST(AccountConfig, RejectsQuotasThatAreNotNumbers)
+{
+    for (const char *field : {"\"rate_per_s\":7", "\"burst\":9"}) {
+        const std::string name =
+            std::string(field).substr(0, strlen(field) - 1);
+        for (const char *value : {"\"7\"", "true", "null", "[7]", "{}"}) {
+            const std::string text = Replace(kConfig, field, name + value);
+            bb_mesh_config_t *config = nullptr;
+            bb_findings_t findings;
+            BbFindings_Init(&findings);
+            EXPECT_EQ(Platform_DecodeConfig(text.data(), text.size(),
+                                            &findings, &config),
+                      BB_ERR_INVALID)
+                << text;
+            ASSERT_EQ(findings.count, 1u) << text;
+            EXPECT_STREQ(findings.items[0].row, "t1");
+            EXPECT_EQ("\"" + std::string(findings.items[0].column) + "\":",
+                      name);
+            BbFindings_Free(&findings);
+        }
+    }
+}
+
 // Guards against names that end a header field or a line of a quota report,
 // which would put the account beyond its limit; against limits that overflow
 // an integer; and against a key of which the part before a NUL is accepted.
