Quotas: give back the credit of calls that have not run

Cause: a call kept its credit when a target had refused it as not run (status 421 or the not-run field), because that counts as a target reached, and when its caller disconnected during an attempt, also if the call still waited for a slot or the other node had not requested its body.

Change: a call gives its credit back when it ends unless it may have run at a target. A caller that disconnects sets this only if the attempt has started, and so does each response from a target.

--- a/lib/account/bb_call_quota.h
+++ b/lib/account/bb_call_quota.h
@@ -16,7 +16,8 @@
      * was admitted; *retry_after_s is set for one that is refused. */
     bool (*admit)(const char *account, uint32_t *ticket, double *retry_after_s,
                   void *arg);
-    /* The call admitted with this ticket has reached no target. */
+    /* The call admitted with this ticket has not run at a target and never
+     * will. Called at most once for a ticket. */
     void (*give_back)(const char *account, uint32_t ticket, void *arg);
     void *arg;
 } bb_call_quota_t;
--- a/lib/account/bb_quota.h
+++ b/lib/account/bb_quota.h
@@ -22,7 +22,7 @@
  *   BbQuota_SetAccounts() for each configuration;
  *   BbQuota_SetOwners() for each slot when the node records change;
  *   is_admitted = BbQuota_Admit(quota, name, now, &ticket, &retry_after_s);
- *   BbQuota_Return(quota, name, ticket, now) if the call reached no target;
+ *   BbQuota_Return(quota, name, ticket, now) if the call has not run;
  *   every BB_QUOTA_TICK_S, for each slot, BbQuota_NextMessage() until it
  *   returns false; then BbQuota_HandleResponse() or BbQuota_HandleFailure().
  *
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -48,8 +48,7 @@
 {
     const bb_call_quota_t *quota = &call->io->quota;
 
-    if (call->has_quota_ticket && call->targets_reached == 0 &&
-        !call->may_have_run) {
+    if (call->has_quota_ticket && !call->may_have_run) {
         quota->give_back(call->account->name, call->quota_ticket, quota->arg);
     }
 }
@@ -361,7 +360,9 @@
     }
     if (call->attempt != NULL) {
         bb_attempt_t *attempt = call->attempt;
-        call->may_have_run = true;
+        if (!attempt->ops->is_not_started(attempt)) {
+            call->may_have_run = true;
+        }
         BbMeshCall_EndAttempt(call, BB_ATTEMPT_DROPPED);
         attempt->ops->cancel(attempt);
     }
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -51,7 +51,7 @@
     int full_refusals;     /* attempts refused because no slot was free */
     int targets_reached;   /* attempts that a target may have received */
     bool is_new_turn;      /* part of a roll-out's share of the new version */
-    bool may_have_run;
+    bool may_have_run;     /* at a target; also set once one has responded */
     bb_reason_t last_reason;
     double retry_after_s;
     double attempt_started_at;
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -336,21 +336,19 @@
     bb_mesh_call_t *call = arg;
     bool is_failure = call->status >= 500;
 
+    call->may_have_run = true;
     call->targets_reached++;
     BbMeshCall_EndAttempt(call,
                           is_failure ? BB_ATTEMPT_FAILED : BB_ATTEMPT_SERVED);
     if (is_failure && BbMeshCall_IsHedged(call)) {
-        call->may_have_run = true;
         call->has_failed_response = true;
         return;
     }
     BbMeshCall_CancelHedge(call);
-    if (is_failure && call->route->is_idempotent && !call->is_streaming) {
-        call->may_have_run = true;
-        if (can_finish_in_time(call) && may_retry(call, true)) {
-            retry_call(call, BB_REASON_OTHER);
-            return;
-        }
+    if (is_failure && call->route->is_idempotent && !call->is_streaming &&
+        can_finish_in_time(call) && may_retry(call, true)) {
+        retry_call(call, BB_REASON_OTHER);
+        return;
     }
     BbMeshCall_RespondFromTarget(call);
 }
--- a/tests/unit/quota_io_test.cc
+++ b/tests/unit/quota_io_test.cc
@@ -101,6 +101,60 @@
     }
 }
 
+// Guards against calls that use up the quota although each target that got
+// them has refused them as not run.
+TEST_F(QuotaIoTest, GivesBackCallsThatTargetsRefuseAsNotRun)
+{
+    target.on_request = [](const Target::Request &request) {
+        request.connection->Send(Target::Response(
+            request.id, "", "503 Service Unavailable", "Not-Run: 1\r\n"));
+    };
+    Caller caller(&loop, a.caller_address);
+    loop.RunFor(1.5);
+    for (int i = 0; i < 100; i++) {
+        EXPECT_EQ(Status(Call(&caller, "k-limited", i)), "503");
+    }
+    EXPECT_GT(target.requests.size(), 50U);
+}
+
+// Guards against calls that use up the quota although their callers have
+// disconnected before a target got them, and against giving back those that a
+// target may have run.
+TEST_F(QuotaIoTest, GivesBackCallsOfCallersThatLeaveWhileTheyWait)
+{
+    BbFleet_Find(a.fleet, "b")->record.is_ready = false;
+    target.on_request = [](const Target::Request &) {};
+    loop.RunFor(1.5);
+    auto count_refused = [&] {
+        int refused = 0;
+        for (int i = 0; i < 60; i++) {
+            Caller caller(&loop, a.caller_address);
+            std::string text =
+                Caller::Request("GET", "/safe/x", "c" + std::to_string(i));
+            caller.connection.Send(
+                text.insert(text.size() - 2, "Key: k-limited\r\n"));
+            loop.RunFor(0.01);
+            refused += Status(caller.connection.received) == "429";
+        }
+        return refused;
+    };
+    EXPECT_GT(count_refused(), 20); // a target runs them
+    loop.RunFor(1.5);
+    std::vector<std::unique_ptr<Caller>> running;
+    size_t reached = target.requests.size();
+    for (int i = 0; i < 16; i++) { // the target has 16 slots
+        running.push_back(std::make_unique<Caller>(&loop, a.caller_address));
+        std::string text =
+            Caller::Request("GET", "/safe/x", "r" + std::to_string(i));
+        running.back()->connection.Send(
+            text.insert(text.size() - 2, "Key: k-free\r\n"));
+    }
+    ASSERT_TRUE(
+        loop.RunUntil([&] { return target.requests.size() == reached + 16; }));
+    EXPECT_EQ(count_refused(), 0);
+    EXPECT_EQ(target.requests.size(), reached + 16);
+}
+
 void
 AddNode(bb_fleet_t *fleet, int number, int link_mbps)
 {
