Quotas: list all tight accounts, and split long reports

Cause: a response listed at most 16 tight accounts that the node had not reported on, always the latest ones, so with more of them a node took the rest for calm and admitted on credit. A report above 256 KiB was refused, which the node took for the loss of its owner.

Change: with more than 16 tight accounts, a response lists the next 16 in turn and each account whose state has changed since the last response that the node has seen, at most 400. COMPLETE is 2 if there are more, and the node then sends its next report at once; a node of an earlier release takes 2 for 0. A report ends after 64 KiB of lines, and the rest is sent as soon as the response has arrived. A lost message concerns its own lines only. With up to 16 tight accounts and short reports the messages are unchanged, except that the number of tight accounts is now taken after the report has been applied. As before, an owner that has got a report but whose response was lost counts the credit again if it is the next one to be asked.

--- a/lib/account/bb_quota.h
+++ b/lib/account/bb_quota.h
@@ -25,6 +25,7 @@
  *   BbQuota_Return(quota, name, ticket, now) if the call has not run;
  *   every BB_QUOTA_TICK_S, for each slot, BbQuota_NextMessage() until it
  *   returns false; then BbQuota_HandleResponse() or BbQuota_HandleFailure().
+ *   After a response, BbQuota_NextMessage() again if BbQuota_IsContinued().
  *
  * LIMITS
  *   A restarted node has no tokens and no credit. One report per owner is
@@ -121,6 +122,10 @@
 void BbQuota_HandleFailure(bb_quota_t *quota, size_t slot, size_t candidate,
                            double now);
 
+/* Whether a message is due at once because the last one had no room for all
+ * news, or because the owner has more to list. */
+bool BbQuota_IsContinued(const bb_quota_t *quota, size_t slot);
+
 /* Whether any account has a limit. */
 bool BbQuota_HasLimits(const bb_quota_t *quota);
 
--- a/lib/account/bb_quota_candidates.c
+++ b/lib/account/bb_quota_candidates.c
@@ -89,6 +89,8 @@
     slot->is_owner_new = true;
     slot->lost_at = now;
     slot->sent_at = 0;
+    slot->has_unsent = false;
+    slot->has_more = false;
     g_hash_table_iter_init(&iter, quota->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         bb_quota_entry_t *entry = value;
--- a/lib/account/bb_quota_io.c
+++ b/lib/account/bb_quota_io.c
@@ -159,6 +159,8 @@
     g_free(message);
 }
 
+static void send_due_reports(bb_quota_io_t *io, size_t slot);
+
 static void
 handle_fetched(const bb_h1_fetch_result_t *fetched, void *arg)
 {
@@ -177,7 +179,11 @@
         BbQuota_HandleFailure(io->quota, message->slot, message->candidate,
                               now);
     }
+    size_t slot = message->slot;
     free_message(message);
+    if (BbQuota_IsContinued(io->quota, slot)) {
+        send_due_reports(io, slot);
+    }
 }
 
 /* This node owns the slot. */
--- a/lib/account/bb_quota_owner.c
+++ b/lib/account/bb_quota_owner.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <string.h>
+#include <utlist.h>
 
 /* An account is tight below this share of its burst, and calm again above the
  * other. */
@@ -65,10 +66,14 @@
 #define COUNT_INTERVAL_S 0.05
 
 /* Tight accounts that are listed in each response without having been
- * reported. */
+ * reported. If there are more, these are the next ones in turn, and the
+ * response also lists each account whose state has changed since the last
+ * response that the node has seen, at most CHANGES_MAX: about 12 KB, 10 ms on
+ * a link of 10 Mbit/s. The node requests the rest at once. */
 #define LISTED_MAX 16
+#define CHANGES_MAX 400
 
-typedef struct {
+typedef struct account {
     char *name;
     double rate_per_s;
     double burst;
@@ -77,7 +82,9 @@
     bb_quota_state_t state;
     double demand; /* calls/s of all nodes at demand_at */
     double demand_at;
-    int64_t listed_in; /* number of the last response with this account */
+    int64_t listed_in;  /* number of the last response with this account */
+    int64_t changed_in; /* number of the last change of state; 0 for none */
+    struct account *prev, *next; /* in the order of changed_in */
 } account_t;
 
 typedef struct {
@@ -85,6 +92,10 @@
     int64_t sequence;
     double heard_until;
     bool is_idle; /* has no calls of accounts */
+    /* Changes of state up to these numbers were listed in responses that the
+     * node has seen, and in the last response. */
+    int64_t seen_changes;
+    int64_t sent_changes;
 } node_t;
 
 struct bb_quota_owner {
@@ -93,11 +104,15 @@
     GHashTable *limits;   /* name to bb_account_t, a copy */
     GHashTable *nodes;    /* name to node_t */
     GPtrArray *tight;     /* account_t, borrowed from accounts */
+    account_t *changed;   /* borrowed from accounts; the latest change last */
+    int64_t changes;      /* number of the latest change of a state */
+    guint next_listed;    /* index in tight */
     size_t node_count;
     double fraction; /* nodes heard from by nodes known, without idle ones */
     double fraction_at;
     double owner_since; /* time of the first report after a pause */
     double last_report_at;
+    GString *lines; /* of the response that is being composed */
     int64_t responses;
     int64_t leased;
 };
@@ -156,6 +171,9 @@
 
     if (limit == NULL) {
         g_ptr_array_remove_fast(owner->tight, account);
+        if (account->changed_in > 0) {
+            DL_DELETE(owner->changed, account);
+        }
         return TRUE;
     }
     account->rate_per_s = limit->rate_per_s;
@@ -272,30 +290,39 @@
     owner->node_count = count;
 }
 
-/* Notes the report of a node. Returns whether the node has seen the response
- * to its previous report; false for a node beyond the most that are kept. */
-static bool
+/* Notes the report of a node. Returns NULL for a node beyond the most that are
+ * kept. *is_in_order is set if the node has seen the response to its previous
+ * report. */
+static node_t *
 note_node(bb_quota_owner_t *owner, const bb_quota_report_head_t *head,
-          double now)
+          double now, bool *is_in_order)
 {
+    *is_in_order = false;
     node_t *node = g_hash_table_lookup(owner->nodes, head->node);
 
     if (node == NULL) {
         if (g_hash_table_size(owner->nodes) >= NODES_MAX) {
-            return false;
+            return NULL;
         }
         node = g_new0(node_t, 1);
         g_hash_table_insert(owner->nodes, g_strdup(head->node), node);
     }
-    bool is_in_order = node->incarnation != head->incarnation ||
-                       node->sequence == head->acknowledged;
+    *is_in_order = node->incarnation != head->incarnation ||
+                   node->sequence == head->acknowledged;
+    if (head->is_new || node->incarnation != head->incarnation) {
+        /* It has forgotten what this node has listed. */
+        node->seen_changes = 0;
+    }
+    else if (*is_in_order) {
+        node->seen_changes = node->sent_changes;
+    }
     node->incarnation = head->incarnation;
     node->sequence = head->sequence;
     node->is_idle = head->is_idle;
     double return_s =
         CLAMP((double)head->return_ms / 1000.0, 0.0, RETURN_MAX_S);
     node->heard_until = now + HEARD_FACTOR * return_s;
-    return is_in_order;
+    return node;
 }
 
 /* A node that has asked another owner, or was restarted, may have admitted
@@ -355,6 +382,11 @@
           double now)
 {
     account->state = state;
+    if (account->changed_in > 0) {
+        DL_DELETE(owner->changed, account);
+    }
+    account->changed_in = ++owner->changes;
+    DL_APPEND(owner->changed, account);
     if (state == BB_QUOTA_TIGHT) {
         g_ptr_array_add(owner->tight, account);
     }
@@ -485,6 +517,24 @@
     BbQuotaWire_AddGrant(response, &grant);
 }
 
+/* Adds an account that the node has not reported on, and that the response
+ * does not list yet. */
+static void
+list_account(bb_quota_owner_t *owner, account_t *account, double now,
+             GString *response)
+{
+    bb_quota_grant_t grant = describe(owner, account, now);
+
+    if (account->listed_in == owner->responses) {
+        return;
+    }
+    if (account->state == BB_QUOTA_CALM) {
+        grant.tokens = (int64_t)credit_limit(owner, account, 0, 0);
+    }
+    account->listed_in = owner->responses;
+    BbQuotaWire_AddGrant(response, &grant);
+}
+
 /* Lists tight accounts that the node has not reported on. */
 static void
 add_tight_accounts(bb_quota_owner_t *owner, double now, GString *response)
@@ -497,11 +547,82 @@
         update_state(owner, account, now);
         if (account->state == BB_QUOTA_TIGHT &&
             account->listed_in != owner->responses) {
-            bb_quota_grant_t grant = describe(owner, account, now);
-            BbQuotaWire_AddGrant(response, &grant);
+            list_account(owner, account, now, response);
+            listed++;
+        }
+    }
+}
+
+/* Lists the next tight accounts in turn. This also detects those that have
+ * become calm without a report. */
+static void
+add_next_tight_accounts(bb_quota_owner_t *owner, double now, GString *response)
+{
+    for (int i = 0; i < LISTED_MAX && owner->tight->len > 0; i++) {
+        if (owner->next_listed >= owner->tight->len) {
+            owner->next_listed = 0;
+        }
+        account_t *account =
+            g_ptr_array_index(owner->tight, owner->next_listed);
+        refill(owner, account, now);
+        update_state(owner, account, now);
+        /* One that has become calm was replaced by another one. */
+        owner->next_listed += account->state == BB_QUOTA_TIGHT;
+        list_account(owner, account, now, response);
+    }
+}
+
+/* Lists the accounts whose state has changed since the last response that the
+ * node has seen. Returns whether there are more. */
+static bool
+add_changes(bb_quota_owner_t *owner, node_t *node, double now,
+            GString *response)
+{
+    account_t *first = NULL;
+    size_t listed = 0;
+
+    if (owner->changed != NULL) {
+        account_t *account = owner->changed->prev; /* the latest change */
+        while (account->changed_in > node->seen_changes) {
+            first = account;
+            if (account == owner->changed) {
+                break;
+            }
+            account = account->prev;
+        }
+    }
+    node->sent_changes = node->seen_changes;
+    for (account_t *account = first; account != NULL;
+         account = account->next) {
+        if (listed == CHANGES_MAX) {
+            return true;
+        }
+        /* A node that has seen no list takes each account for calm. */
+        if (account->state == BB_QUOTA_TIGHT || node->seen_changes > 0) {
+            list_account(owner, account, now, response);
             listed++;
         }
+        node->sent_changes = account->changed_in;
+    }
+    return false;
+}
+
+/* Lists the accounts that the node has not reported on and that it should know
+ * of, as far as there is room. */
+static void
+add_unreported(bb_quota_owner_t *owner, node_t *node, double now,
+               bb_quota_grant_head_t *head, GString *response)
+{
+    head->is_complete = owner->tight->len <= LISTED_MAX;
+    if (head->is_complete) {
+        add_tight_accounts(owner, now, response);
+        if (node != NULL) {
+            node->sent_changes = owner->changes;
+        }
+        return;
     }
+    add_next_tight_accounts(owner, now, response);
+    head->has_more = node != NULL && add_changes(owner, node, now, response);
 }
 
 bool
@@ -516,22 +637,25 @@
         return false;
     }
     count_nodes(owner, now);
-    bool is_in_order = note_node(owner, &head, now);
+    bool is_in_order;
+    node_t *node = note_node(owner, &head, now, &is_in_order);
     if (head.is_new) {
         charge_new_node(owner);
     }
     owner->last_report_at = now;
     owner->responses++;
-    const bb_quota_grant_head_t grant_head = {
+    bb_quota_grant_head_t grant_head = {
         .sequence = head.sequence,
         .age_ms = (int64_t)((now - owner->owner_since) * 1000),
-        .is_complete = owner->tight->len <= LISTED_MAX,
     };
-    BbQuotaWire_AddGrantHead(response, &grant_head);
+    GString *lines = owner->lines;
+    g_string_truncate(lines, 0);
     while (BbQuotaWire_NextReport(&cursor, &report)) {
-        apply_report(owner, &report, is_in_order, now, response);
+        apply_report(owner, &report, is_in_order, now, lines);
     }
-    add_tight_accounts(owner, now, response);
+    add_unreported(owner, node, now, &grant_head, lines);
+    BbQuotaWire_AddGrantHead(response, &grant_head);
+    g_string_append_len(response, lines->str, (gssize)lines->len);
     return true;
 }
 
@@ -562,6 +686,7 @@
     owner->nodes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     owner->tight = g_ptr_array_new();
+    owner->lines = g_string_new(NULL);
     return owner;
 }
 
@@ -573,6 +698,7 @@
         g_hash_table_destroy(owner->limits);
         g_hash_table_destroy(owner->nodes);
         g_ptr_array_unref(owner->tight);
+        g_string_free(owner->lines, TRUE);
         g_free(owner);
     }
 }
--- a/lib/account/bb_quota_private.h
+++ b/lib/account/bb_quota_private.h
@@ -94,6 +94,9 @@
     double lost_at;      /* time of the last change */
     double sent_at;      /* last message to the owner; 0 in a new epoch */
     double return_s;     /* the next one follows within this time */
+    double batch_at;     /* first message of the current batch */
+    bool has_unsent;     /* news that did not fit into the last message */
+    bool has_more;       /* the owner has more accounts to list */
     GPtrArray *news;     /* bb_quota_entry_t, borrowed */
     GPtrArray *tight;    /* bb_quota_entry_t, borrowed; those in this state */
 } bb_quota_slot_t;
--- a/lib/account/bb_quota_report.c
+++ b/lib/account/bb_quota_report.c
@@ -154,18 +154,26 @@
     return now - slot->sent_at >= after_s;
 }
 
-/* Adds all news, except of calm accounts with a low demand whose time has not
- * come. */
-static void
-add_reports(const bb_quota_t *quota, bb_quota_slot_t *slot, double now,
+/* Adds the news of accounts that the current batch has not reported, except of
+ * calm ones with a low demand whose time has not come. Returns false if some
+ * did not fit. */
+static bool
+add_reports(const bb_quota_t *quota, const bb_quota_slot_t *slot, double now,
             GString *text)
 {
     for (guint i = 0; i < slot->news->len; i++) {
         bb_quota_entry_t *entry = g_ptr_array_index(slot->news, i);
-        if (!isinf(report_after_s(quota, slot, entry, now))) {
-            add_report(entry, now, text);
+        bool is_reported =
+            slot->has_unsent && entry->reported_at >= slot->batch_at;
+        if (is_reported || isinf(report_after_s(quota, slot, entry, now))) {
+            continue;
+        }
+        if (text->len >= BB_QUOTA_REPORT_BYTES) {
+            return false;
         }
+        add_report(entry, now, text);
     }
+    return true;
 }
 
 /* Composes a message from the lines of the accounts. */
@@ -216,12 +224,16 @@
     bool has_news = is_news_due(quota, slot, now);
     GString *lines = quota->lines;
 
-    if (!has_news && slot->sent_at > 0 &&
-        now - slot->sent_at < slot->return_s) {
+    if (!has_news && !slot->has_unsent && !slot->has_more &&
+        slot->sent_at > 0 && now - slot->sent_at < slot->return_s) {
         return false;
     }
+    if (!slot->has_unsent) {
+        slot->batch_at = now;
+    }
     g_string_truncate(lines, 0);
-    add_reports(quota, slot, now, lines);
+    slot->has_unsent = !add_reports(quota, slot, now, lines);
+    slot->has_more = false;
     slot->return_s = keep_alive_s(quota, slot, lines->len > 0, now);
     slot->sent_at = now;
     compose(quota, &slot->candidates[slot->current], slot->return_s,
@@ -247,6 +259,14 @@
     return try_failed_candidate(quota, slot, now, text, index);
 }
 
+bool
+BbQuota_IsContinued(const bb_quota_t *quota, size_t slot_index)
+{
+    const bb_quota_slot_t *slot = BbQuota_SlotAt(quota, slot_index);
+
+    return slot->has_unsent || slot->has_more;
+}
+
 static void
 apply_grant(bb_quota_t *quota, bb_quota_slot_t *slot, size_t slot_index,
             const bb_quota_grant_t *grant, double sent_at, double now)
@@ -331,6 +351,7 @@
     slot->has_responded = true;
     slot->responded_at = now;
     slot->is_owner_new = head.age_ms < NEW_OWNER_MS;
+    slot->has_more = head.has_more;
     while (BbQuotaWire_NextGrant(&cursor, &grant)) {
         apply_grant(quota, slot, slot_index, &grant, candidate->sent_at, now);
     }
--- a/lib/account/bb_quota_wire.c
+++ b/lib/account/bb_quota_wire.c
@@ -10,6 +10,11 @@
  * figures do not overflow 64 bits. */
 #define FIGURE_MAX ((int64_t)1000000000000)
 
+/* Values of the field COMPLETE. */
+#define NOT_COMPLETE 0
+#define COMPLETE 1
+#define MORE_FOLLOW 2
+
 static bool
 is_name_usable(const char *name)
 {
@@ -43,7 +48,9 @@
 {
     g_string_append_printf(text, "%d %" PRId64 " %" PRId64 " %d\n",
                            WIRE_VERSION, head->sequence, head->age_ms,
-                           head->is_complete);
+                           head->is_complete ? COMPLETE
+                           : head->has_more  ? MORE_FOLLOW
+                                             : NOT_COMPLETE);
 }
 
 void
@@ -159,7 +166,8 @@
     }
     *out = (bb_quota_grant_head_t){.sequence = figures[1],
                                    .age_ms = figures[2],
-                                   .is_complete = *rest == '1'};
+                                   .is_complete = *rest == '0' + COMPLETE,
+                                   .has_more = *rest == '0' + MORE_FOLLOW};
     return true;
 }
 
--- a/lib/account/bb_quota_wire.h
+++ b/lib/account/bb_quota_wire.h
@@ -13,6 +13,10 @@
  *   1 SEQUENCE AGE_MS COMPLETE
  *   STATE TOKENS CHANCE DEMAND ACCOUNT
  *
+ * COMPLETE is 1 if each tight account has a line, 2 if the owner has more to
+ * list, which the node requests with its next report, and otherwise 0. A node
+ * of an earlier release takes 2 for 0.
+ *
  * LIMITS
  *   The names of accounts and nodes must not contain a line break; such an
  *   account is left out. Lines that cannot be parsed are skipped. Figures out
@@ -33,6 +37,11 @@
 /* Path of the request between nodes. */
 #define BB_QUOTA_PATH "/burdockbarrow/quota"
 
+/* Size that the lines of a report may reach before the rest is left to the
+ * next one. A node accepts 256 KiB, and a message must arrive well within
+ * BB_QUOTA_TIMEOUT_S: 64 KiB take 52 ms on a link of 10 Mbit/s. */
+#define BB_QUOTA_REPORT_BYTES (64 * 1024)
+
 typedef struct {
     int64_t incarnation;  /* of the process of the node */
     int64_t sequence;     /* of this message to this owner */
@@ -59,6 +68,7 @@
     int64_t sequence;
     int64_t age_ms;   /* for how long this node has been the owner */
     bool is_complete; /* each account that is tight has a line */
+    bool has_more;    /* the next response lists further accounts */
 } bb_quota_grant_head_t;
 
 typedef enum {
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -33,8 +33,9 @@
 // nodes chosen by their weights.
 class Fleet {
   public:
-    Fleet(int count, double rate, uint32_t seed)
-        : generator_(seed), nodes(static_cast<size_t>(count)), rate_(rate)
+    Fleet(int count, double rate, uint32_t seed, size_t tight = 0)
+        : generator_(seed), nodes(static_cast<size_t>(count)), rate_(rate),
+          tight_(tight)
     {
         for (size_t i = 0; i < nodes.size(); i++) {
             nodes[i].name = "n" + std::to_string(i);
@@ -70,7 +71,7 @@
         BbQuotaOwner_SetNodeCount(node.owner, nodes.size());
         SetOwners(index, nodes.size() < 4 ? std::vector<size_t>{0, 1}
                                           : std::vector<size_t>{0, 1, 2, 3});
-        SetLimit(node, rate_);
+        SetLimit(node, rate_, tight_);
     }
     void SetOwners(size_t index, const std::vector<size_t> &order)
     {
@@ -82,13 +83,23 @@
         BbQuota_SetOwners(nodes[index].quota, 0, names.data(), names.size(),
                           now);
     }
-    static void SetLimit(SimNode &node, double rate)
+    static std::string TightName(size_t number)
+    {
+        return "tight " + std::to_string(number);
+    }
+    // tight: number of accounts that share the demand of others_per_s.
+    static void SetLimit(SimNode &node, double rate, size_t tight = 0)
     {
         bb_account_table_t *table = BbAccountTable_New();
         bb_account_t account = {const_cast<char *>(kAccount), 1, rate, rate};
         BbAccountTable_Add(table, &account);
         bb_account_t others = {const_cast<char *>(kOthers), 1, 5000, 5000};
         BbAccountTable_Add(table, &others);
+        for (size_t i = 0; i < tight; i++) {
+            std::string name = TightName(i);
+            bb_account_t account = {name.data(), 1, kTightRate, kTightRate};
+            BbAccountTable_Add(table, &account);
+        }
         BbQuota_SetAccounts(node.quota, table);
         BbQuotaOwner_SetAccounts(node.owner, table);
         BbAccountTable_Free(table);
@@ -251,8 +262,10 @@
         int calls = std::poisson_distribution<int>(expected)(generator_);
         for (int i = 0; i < calls; i++) {
             SimNode &node = nodes[generator_() % nodes.size()];
-            if (IsRunning(node)) {
-                Admit(node, kOthers);
+            std::string name =
+                tight_ > 0 ? TightName(generator_() % tight_) : kOthers;
+            if (IsRunning(node) && Admit(node, name.c_str())) {
+                others_admitted[name].push_back(now);
             }
         }
     }
@@ -282,6 +295,8 @@
     double now = 100;
     std::vector<SimNode> nodes;
     std::vector<double> weights, admitted, refused;
+    std::map<std::string, std::vector<double>> others_admitted;
+    static constexpr double kTightRate = 2;
     size_t messages = 0;
     double others_per_s = 0, measured_from = 104;
     bool gives_back = false; // no call reaches a target
@@ -289,6 +304,7 @@
 
   private:
     double rate_;
+    size_t tight_;
 };
 
 const double kCalm = 1 / 1.6; // usual demand as a share of the limit
@@ -427,6 +443,31 @@
     });
 }
 
+// Guards against accounts that are not limited at nodes which have not heard
+// that they are tight, since a response has no room for all, and against
+// refusals of a calm account because of them.
+TEST_P(QuotaTest, HoldsTheBoundWithManyTightAccounts)
+{
+    size_t refused = 0, calls = 0;
+    for (int seed = 1; calls < 500; seed++) {
+        Fleet fleet(kNodes, GetParam(), seed, 100);
+        fleet.others_per_s = 100 * 3 * Fleet::kTightRate;
+        fleet.Run(8, Usual());
+        refused += Fleet::CountFrom(fleet.refused, fleet.measured_from);
+        calls += Fleet::CountFrom(fleet.refused, fleet.measured_from) +
+                 Fleet::CountFrom(fleet.admitted, fleet.measured_from);
+        fleet.Run(8, Hot());
+        fleet.nodes[0].is_dead = true;
+        fleet.Run(6, Hot());
+        EXPECT_LE(fleet.WorstWindow(), Fleet::Bound(GetParam()));
+        for (const auto &other : fleet.others_admitted) {
+            fleet.admitted = other.second;
+            EXPECT_LE(fleet.WorstWindow(), Fleet::Bound(Fleet::kTightRate));
+        }
+    }
+    EXPECT_LT(refused * 100, calls);
+}
+
 // Guards against tokens and credit of the old limit after it was lowered.
 TEST_P(QuotaTest, AppliesALoweredLimit)
 {
@@ -844,4 +885,100 @@
     EXPECT_GE(report.credit, 10); // less the share of at most 1 s
 }
 
+// One node, and an owner of many accounts.
+class NodeOfManyAccounts : public NodeOfOneOwner {
+  protected:
+    void SetAccounts(size_t count, size_t name_size, double rate)
+    {
+        bb_account_table_t *table = BbAccountTable_New();
+        for (size_t i = 0; i < count; i++) {
+            std::string number = std::to_string(i);
+            names.push_back(std::string(name_size - number.size(), 'x') +
+                            number);
+            bb_account_t account = {names[i].data(), 1, rate, 2};
+            BbAccountTable_Add(table, &account);
+        }
+        BbQuota_SetAccounts(quota, table);
+        BbQuotaOwner_SetAccounts(owner, table);
+        BbAccountTable_Free(table);
+    }
+    size_t AdmitOneOfEach()
+    {
+        size_t admitted = 0;
+        for (const std::string &name : names) {
+            bb_quota_ticket_t ticket;
+            double retry_after_s;
+            admitted += BbQuota_Admit(quota, name.c_str(), now, &ticket,
+                                      &retry_after_s);
+        }
+        return admitted;
+    }
+    // Another node has 10 calls of each account.
+    void ReportOthers(int sequence)
+    {
+        std::string report = "1 9 " + std::to_string(sequence) + " " +
+                             std::to_string(sequence - 1) + " 60000 0 0 m\n";
+        for (const std::string &name : names) {
+            report += "10 10 0 -1 0 100 " + name + "\n";
+        }
+        Report(report, now);
+    }
+    std::vector<std::string> names;
+};
+
+// Guards against a node that takes tight accounts for calm because they do not
+// fit into one response, and against accounts that it takes for tight for
+// ever.
+TEST_F(NodeOfManyAccounts, LearnsTheStatesOfAllAccounts)
+{
+    SetAccounts(1000, 8, 1);
+    BbQuotaOwner_SetNodeCount(owner, 2);
+    ReportOthers(1);
+    now += 3; // the owner is no longer new
+    ReportOthers(2);
+    Tick();
+    EXPECT_EQ(AdmitOneOfEach(), 0u);
+    for (double end = now + 80; now < end;) {
+        Tick();
+    }
+    EXPECT_EQ(AdmitOneOfEach(), names.size());
+}
+
+// Guards against reports that are refused for their size, and against lines
+// that are left out or repeated when one message of several is lost.
+TEST_F(NodeOfManyAccounts, SplitReportsCountEachCallOnce)
+{
+    std::map<std::string, int64_t> credit;
+    size_t candidate, sent = 0; // messages
+    SetAccounts(5000, 100, 1e-6);
+    for (double end = now + 3; now < end;) {
+        Tick();
+    }
+    ASSERT_EQ(AdmitOneOfEach(), names.size());
+    ASSERT_EQ(AdmitOneOfEach(), names.size());
+    for (double end = now + 2; now < end; now += BB_QUOTA_TICK_S) {
+        while (BbQuota_NextMessage(quota, 0, now, message, &candidate)) {
+            EXPECT_LT(message->len, 128u * 1024);
+            if (++sent == 3) {
+                BbQuota_HandleFailure(quota, 0, candidate, now);
+                continue;
+            }
+            std::string text = message->str;
+            bb_quota_report_head_t head;
+            bb_quota_report_t report;
+            char *cursor = text.data();
+            ASSERT_TRUE(BbQuotaWire_ParseReportHead(&cursor, &head));
+            while (BbQuotaWire_NextReport(&cursor, &report)) {
+                credit[report.name] += report.credit;
+            }
+            std::string response = Report(message->str, now);
+            BbQuota_HandleResponse(quota, 0, candidate, response.data(), now);
+            EXPECT_TRUE(sent > 3 || BbQuota_IsContinued(quota, 0));
+        }
+    }
+    for (const std::string &name : names) {
+        ASSERT_EQ(credit[name], 2) << name;
+    }
+}
+
 } // namespace
