--- a/lib/mesh/bb_follower.c
+++ b/lib/mesh/bb_follower.c
@@ -17,6 +17,9 @@
     double backoff_first_s;
     double backoff_max_s;
     int64_t version;
+    double called_at;   /* start of the feed call or full read in progress */
+    double call_wait_s; /* wait of the feed call in progress */
+    double current_at;
     bool has_snapshot;
     bool is_connected;
     bool is_suspended;
@@ -62,11 +65,25 @@
                                          follower->options.arg);
 }
 
+/* The store may have prepared a response at any time since the call. Only one
+ * without changes that came after the whole wait was prepared at the end of
+ * the wait. */
+static double
+proven_at(const bb_follower_t *follower, bool is_unchanged)
+{
+    double wait_end_at = follower->called_at + follower->call_wait_s;
+    bool has_waited =
+        is_unchanged && BbClock_Now(follower->options.loop) >= wait_end_at;
+
+    return has_waited ? wait_end_at : follower->called_at;
+}
+
 static void
-report_confirmed(bb_follower_t *follower)
+report_confirmed(bb_follower_t *follower, bool is_unchanged)
 {
     const bb_follower_handler_t *handler = follower->options.handler;
 
+    follower->current_at = proven_at(follower, is_unchanged);
     if (handler->on_confirmed != NULL) {
         handler->on_confirmed(follower->options.arg);
     }
@@ -110,6 +127,7 @@
     follower->keys =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_clear_pointer(&follower->last_key, g_free);
+    follower->called_at = BbClock_Now(follower->options.loop);
     read_page(follower);
 }
 
@@ -140,7 +158,7 @@
                              follower->options.arg);
     }
     g_clear_pointer(&follower->keys, g_hash_table_destroy);
-    report_confirmed(follower);
+    report_confirmed(follower, false);
     if (!follower->is_suspended) {
         poll_feed(follower);
     }
@@ -173,7 +191,7 @@
     }
     deliver_rows(follower, result);
     follower->version = MAX(follower->version, result->version);
-    report_confirmed(follower);
+    report_confirmed(follower, result->count == 0);
     if (result->count == 0) {
         poll_feed(follower);
         return;
@@ -192,6 +210,8 @@
     double wait_s = is_check ? 0.0 : follower->options.feed_wait_s;
 
     follower->is_check_requested = false;
+    follower->called_at = BbClock_Now(follower->options.loop);
+    follower->call_wait_s = wait_s;
     follower->pending =
         store->ops->feed(store, follower->table, follower->version, wait_s,
                          handle_feed, follower);
@@ -312,6 +332,12 @@
     return follower->version;
 }
 
+double
+BbFollower_CurrentAt(const bb_follower_t *follower)
+{
+    return follower->current_at;
+}
+
 bool
 BbFollower_IsConnected(const bb_follower_t *follower)
 {
--- a/lib/mesh/bb_follower.h
+++ b/lib/mesh/bb_follower.h
@@ -81,6 +81,11 @@
  * read. */
 int64_t BbFollower_Version(const bb_follower_t *follower);
 
+/* The latest moment (of BbClock_Now()) at which the rows passed to on_row so
+ * far were certainly those of the store; 0 before the first full read. Within
+ * on_row it is that of the previous successful call. */
+double BbFollower_CurrentAt(const bb_follower_t *follower);
+
 /* Whether the last call succeeded; false before the first one. */
 bool BbFollower_IsConnected(const bb_follower_t *follower);
 
--- a/lib/rollout/bb_rollout.c
+++ b/lib/rollout/bb_rollout.c
@@ -22,6 +22,12 @@
 #define DECIDE_LATEST_SHARE 0.8
 #define DECIDE_EARLIEST_SHARE 0.4
 
+/* Part of the time up to the decision that is left for the canary, if the
+ * order was read late: the rest may be deducted. A version needs some seconds
+ * of calls to show a fault, and a good one as many to show that it has none.
+ */
+#define CANARY_LEFT_SHARE 0.5
+
 /* Time reserved between the shift and the deadline, besides the longest call:
  * for the store and for the reports of the old targets. */
 #define SHIFT_RESERVE_S 2.0
@@ -132,7 +138,7 @@
 
 static void
 start_row(bb_rollout_t *rollout, const bb_rollout_order_t *order,
-          const bb_rollout_row_t *before, int64_t wall_ms)
+          const bb_rollout_row_t *before)
 {
     rollout->row = (bb_rollout_row_t){
         .service = g_strdup(order->service),
@@ -143,7 +149,6 @@
         .phase = is_completed_before(order, before) ? BB_ROLLOUT_COMPLETED
                                                     : BB_ROLLOUT_CANARY,
         .duration_s = order->duration_s,
-        .started_ms = wall_ms,
         .decider = g_strdup(rollout->own_node),
         .active = no_names(),
         .rejected = BbRolloutRow_RejectedAfter(before, order->to),
@@ -162,28 +167,59 @@
     rollout->row.decider = g_strdup(rollout->own_node);
 }
 
+static double decide_after_s(const bb_rollout_t *rollout);
+
+/* The order was written between the two moments of the sighting. An earlier
+ * deciding node may have known more; its wall clock is believed between them.
+ * Without that node, the earlier moment counts, within CANARY_LEFT_SHARE. */
+static double
+find_start(const bb_rollout_t *rollout, const bb_rollout_sighting_t *sighting,
+           bool is_continued, int64_t wall_ms, double now)
+{
+    bool has_row_start = is_continued && rollout->row.started_ms > 0;
+    double row_at = now - (double)(wall_ms - rollout->row.started_ms) / 1000.0;
+    double largest_deduction_s =
+        (1 - CANARY_LEFT_SHARE) * decide_after_s(rollout);
+
+    if (sighting->absent_at <= 0) {
+        return has_row_start ? MIN(row_at, sighting->seen_at)
+                             : sighting->seen_at;
+    }
+    return has_row_start
+               ? CLAMP(row_at, sighting->absent_at, sighting->seen_at)
+               : MAX(sighting->absent_at,
+                     sighting->seen_at - largest_deduction_s);
+}
+
 bb_rollout_t *
 BbRollout_New(const bb_rollout_options_t *options,
               const bb_rollout_order_t *order, const bb_rollout_row_t *before,
-              double elapsed_s, int64_t wall_ms, double now)
+              const bb_rollout_sighting_t *sighting, int64_t wall_ms,
+              double now)
 {
     bb_rollout_t *rollout = g_new0(bb_rollout_t, 1);
 
     rollout->options = *options;
     rollout->own_node = g_strdup(options->node);
-    rollout->started_at = now - elapsed_s;
     rollout->shifted_at = now;
     rollout->new_seen_at = now;
     rollout->reason = "order";
     rollout->evidence = BbRolloutEvidence_New();
     rollout->nodes =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
-    if (before != NULL && before->order == order->version &&
-        before->epoch > 0) {
+    bool is_continued =
+        before != NULL && before->order == order->version && before->epoch > 0;
+    if (is_continued) {
         continue_row(rollout, before);
     }
     else {
-        start_row(rollout, order, before, wall_ms);
+        start_row(rollout, order, before);
+    }
+    rollout->started_at =
+        find_start(rollout, sighting, is_continued, wall_ms, now);
+    if (!is_continued) {
+        rollout->row.started_ms =
+            wall_ms - (int64_t)((now - rollout->started_at) * 1000.0);
     }
     return rollout;
 }
@@ -233,8 +269,6 @@
     node->version = g_strdup(version);
 }
 
-static double decide_after_s(const bb_rollout_t *rollout);
-
 /* Takes over what an earlier deciding node knew: the nodes that had reported,
  * and the longest lease that it may have granted them. */
 static void
@@ -817,6 +851,12 @@
     return &rollout->verdict;
 }
 
+double
+BbRollout_ElapsedS(const bb_rollout_t *rollout, double now)
+{
+    return now - rollout->started_at;
+}
+
 uint64_t
 BbRollout_NewRuns(const bb_rollout_t *rollout)
 {
--- a/lib/rollout/bb_rollout.h
+++ b/lib/rollout/bb_rollout.h
@@ -61,6 +61,13 @@
     int64_t version; /* of the order's row */
 } bb_rollout_order_t;
 
+/* When the deciding node learned of an order. */
+typedef struct {
+    double seen_at;   /* it first read the order's row */
+    double absent_at; /* the latest moment at which the store certainly had no
+                         such row; 0 if the row was there when it started */
+} bb_rollout_sighting_t;
+
 /* A target of the service, from the record of the node beside it. */
 typedef struct {
     const char *node;
@@ -86,10 +93,12 @@
 /* before is the newest known row of the service, or NULL. If it belongs to the
  * same order, the roll-out is continued with a higher epoch; else it starts
  * anew and the version of an order that was not completed is rejected.
- * elapsed_s is the time since the order. */
+ * The deadline counts from the latest moment that is certainly not later than
+ * the order, as far as that leaves time for the canary. */
 bb_rollout_t *BbRollout_New(const bb_rollout_options_t *options,
                             const bb_rollout_order_t *order,
-                            const bb_rollout_row_t *before, double elapsed_s,
+                            const bb_rollout_row_t *before,
+                            const bb_rollout_sighting_t *sighting,
                             int64_t wall_ms, double now);
 void BbRollout_Free(bb_rollout_t *rollout);
 
@@ -141,6 +150,9 @@
 /* The last verdict in canary; valid until the next BbRollout_Tick(). */
 const bb_rollout_verdict_t *BbRollout_Verdict(const bb_rollout_t *rollout);
 
+/* Time since the moment from which the deadline counts. */
+double BbRollout_ElapsedS(const bb_rollout_t *rollout, double now);
+
 /* Calls counted so far: of the new version, and of both. */
 uint64_t BbRollout_NewRuns(const bb_rollout_t *rollout);
 uint64_t BbRollout_AllRuns(const bb_rollout_t *rollout);
--- a/programs/bbsidecar/sidecar_rollout.c
+++ b/programs/bbsidecar/sidecar_rollout.c
@@ -248,8 +248,9 @@
 
 static void
 take_order(sidecar_rollouts_t *rollouts, const platform_rollout_order_t *read,
-           int64_t version, bool is_start)
+           int64_t version, double absent_at)
 {
+    bool is_start = absent_at <= 0;
     rollout_order_t *order =
         g_hash_table_lookup(rollouts->orders, read->service);
 
@@ -261,16 +262,16 @@
     order->to = g_strdup(read->to);
     order->duration_s = read->duration_s;
     order->version = version;
-    order->seen_at = rollouts_now(rollouts);
-    order->heard_at = order->seen_at;
-    order->is_start = is_start;
+    order->sighting =
+        (bb_rollout_sighting_t){rollouts_now(rollouts), absent_at};
+    order->heard_at = order->sighting.seen_at;
     g_hash_table_replace(rollouts->orders, order->service, order);
     log_order(order->service, order->to, order->duration_s, version,
               "ordered");
     const bb_rollout_order_t decoded = {order->service, order->to,
                                         order->duration_s, version};
     if (BbRolloutLocal_ApplyOrder(rollouts->local, &decoded, is_start,
-                                  order->seen_at)) {
+                                  order->sighting.seen_at)) {
         row_changed(rollouts,
                     BbRolloutLocal_Row(rollouts->local, order->service),
                     "order");
@@ -283,7 +284,7 @@
 
 void
 SidecarRollouts_HandleOrder(sidecar_rollouts_t *rollouts,
-                            const bb_table_row_t *row, bool is_start)
+                            const bb_table_row_t *row, double absent_at)
 {
     platform_rollout_order_t read;
 
@@ -299,7 +300,7 @@
     }
     else if (Platform_DecodeRolloutOrder(row->key, row->value, row->size,
                                          &read) == 0) {
-        take_order(rollouts, &read, row->version, is_start);
+        take_order(rollouts, &read, row->version, absent_at);
         Platform_FreeRolloutOrder(&read);
     }
     else {
--- a/programs/bbsidecar/sidecar_rollout.h
+++ b/programs/bbsidecar/sidecar_rollout.h
@@ -44,9 +44,10 @@
 
 int64_t SidecarRollouts_Revision(const sidecar_rollouts_t *rollouts);
 
-/* A row of an order was read from the store. is_start: at the first read. */
+/* A row of an order was read from the store. absent_at: the latest moment at
+ * which the store certainly had no such row; 0 at the first read. */
 void SidecarRollouts_HandleOrder(sidecar_rollouts_t *rollouts,
-                                 const bb_table_row_t *row, bool is_start);
+                                 const bb_table_row_t *row, double absent_at);
 
 /* Withdraws the orders whose keys a full read did not contain. */
 void SidecarRollouts_KeepOrders(sidecar_rollouts_t *rollouts,
--- a/programs/bbsidecar/sidecar_rollout_decide.c
+++ b/programs/bbsidecar/sidecar_rollout_decide.c
@@ -55,28 +55,14 @@
 
 /* ---- log ---- */
 
-/* Time since the order. A process that has found it at its start takes the
- * wall clock that the row says. */
-static double
-elapsed_s(const sidecar_rollouts_t *rollouts, const rollout_order_t *order,
-          const bb_rollout_row_t *row)
-{
-    double seen_s = rollouts_now(rollouts) - order->seen_at;
-    double row_s =
-        row != NULL && row->order == order->version && row->started_ms > 0
-            ? (double)(g_get_real_time() / 1000 - row->started_ms) / 1000.0
-            : 0;
-
-    return order->is_start ? MAX(seen_s, row_s) : seen_s;
-}
-
 static void
 log_phase(const rollout_duty_t *duty)
 {
     const bb_rollout_t *rollout = duty->rollout;
     const bb_rollout_row_t *row = BbRollout_Row(rollout);
     const bb_rollout_verdict_t *verdict = BbRollout_Verdict(rollout);
-    double since_order_s = elapsed_s(duty->rollouts, duty->order, row);
+    double since_order_s =
+        BbRollout_ElapsedS(rollout, rollouts_now(duty->rollouts));
 
     BbCounters_Add(BB_COUNTER_ROLLOUT_PHASES, 1);
     if (BbEvent_Allows(BB_EVENT_ROLLOUT)) {
@@ -228,8 +214,7 @@
     const bb_rollout_order_t decoded = {order->service, order->to,
                                         order->duration_s, order->version};
 
-    return BbRollout_New(&options, &decoded, before,
-                         elapsed_s(rollouts, order, before),
+    return BbRollout_New(&options, &decoded, before, &order->sighting,
                          g_get_real_time() / 1000, rollouts_now(rollouts));
 }
 
--- a/programs/bbsidecar/sidecar_rollout_internal.h
+++ b/programs/bbsidecar/sidecar_rollout_internal.h
@@ -27,8 +27,7 @@
     char *to;
     double duration_s;
     int64_t version;
-    double seen_at;
-    bool is_start; /* read at the start: its age is not known */
+    bb_rollout_sighting_t sighting;
     bool is_withdrawn;
     double heard_at;           /* last push of the deciding node */
     struct rollout_duty *duty; /* NULL while another node decides */
--- a/programs/bbsidecar/sidecar_sync.c
+++ b/programs/bbsidecar/sidecar_sync.c
@@ -136,8 +136,9 @@
         apply_config(row->value, row->size, "store", arg);
     }
     else if (g_str_has_prefix(row->key, PLATFORM_ROLLOUT_PREFIX)) {
-        bool is_start = BbFollower_Version(sidecar->config_follower) == 0;
-        SidecarRollouts_HandleOrder(sidecar->rollouts, row, is_start);
+        SidecarRollouts_HandleOrder(
+            sidecar->rollouts, row,
+            BbFollower_CurrentAt(sidecar->config_follower));
     }
 }
 
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "bb_clock.h"
 #include "bb_follower.h"
 #include "bb_row_writer.h"
 #include "fake_store.h"
@@ -49,6 +50,7 @@
     static void OnRow(const bb_table_row_t *row, void *arg)
     {
         auto *test = static_cast<PlatformStore *>(arg);
+        test->current_at = BbFollower_CurrentAt(test->follower);
         if (row->is_removed) {
             test->seen.erase(row->key);
         }
@@ -79,6 +81,7 @@
     bb_row_writer_t *writer = nullptr;
     std::map<std::string, std::string> seen;
     bool is_connected = false;
+    double current_at = 0; // at the last row
 };
 
 const bb_follower_handler_t PlatformStore::kFollowerHandler = {
@@ -192,6 +195,27 @@
         loop.RunUntil([&] { return seen["a"] == "new"; }, kStableWindow));
 }
 
+// Guards against a deadline that counts from a moment after the order, or long
+// before it: the copy is known to be current until about the last feed call
+// before the change.
+TEST_F(RelayedStore, KnowsUntilWhenItsCopyWasCurrent)
+{
+    FollowTheTable();
+    EXPECT_EQ(current_at, 0);
+    for (double silent_s : {0.0, 1.5, 4.0}) {
+        loop.RunFor(2 * kConfigFeedWait + 0.5);
+        std::string value = std::to_string(silent_s);
+        relay.is_silent = silent_s > 0;
+        double put_at = BbClock_Now(loop.loop);
+        fake_store.Put("t", "a", value);
+        loop.RunFor(silent_s);
+        relay.is_silent = false;
+        ASSERT_TRUE(loop.RunUntil([&] { return seen["a"] == value; }, 5.0));
+        EXPECT_LE(current_at, put_at);
+        EXPECT_GE(current_at, put_at - kConfigFeedWait - 0.2);
+    }
+}
+
 // Guards against a version that arrives late after a silence of the store.
 TEST_F(RelayedStore, LearnsAChangeSoonAfterASilentStore)
 {
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -82,10 +82,15 @@
         return nodes.back().get();
     }
     // The operator's order; the deciding node is the first one of an epoch.
-    void Order(int64_t version = 10, const char *to = "v2")
+    // The store answers until just before the order, then after silent_s.
+    void Order(int64_t version = 10, const char *to = "v2",
+               double silent_s = 0)
     {
         order_ = {kService, to, options.duration_s, version};
         ordered_at = now;
+        double absent_at = now - 0.1;
+        RunFor(silent_s);
+        sighting = {now, absent_at};
         for (auto &node : nodes) {
             BbRolloutLocal_ApplyOrder(node->local, &order_, false, now);
         }
@@ -98,7 +103,8 @@
             BbRolloutLocal_Row(nodes.back()->local, kService);
         bb_rollout_options_t decider = {name, 0.1, 50, kLongestCall};
         bb_rollout_t *next =
-            BbRollout_New(&decider, &order_, known, now - ordered_at, 0, now);
+            BbRollout_New(&decider, &order_, known, &sighting,
+                          static_cast<int64_t>(now * 1000), now);
         BbRollout_Free(rollout);
         rollout = next;
         is_deciding = true;
@@ -162,6 +168,7 @@
     bb_rollout_t *rollout = nullptr;
     bool is_deciding = false, is_store_up = true;
     double ordered_at = 0;
+    bb_rollout_sighting_t sighting = {};
     int all_calls = 0, new_calls = 0, unplaced = 0, bad_responses = 0;
     double bad_50_at = 0, last_new_call_at = 0;
     int old_open_at_completion = -1;
@@ -664,6 +671,44 @@
     EXPECT_EQ(fleet.old_open_at_completion, 0);
 }
 
+// Guards against a deadline that counts from the first read of an order that
+// was written while the store was silent, and against a good version that is
+// rolled back because the silence left no time for the canary.
+TEST(Rollout, DeadlineCountsFromTheOrder)
+{
+    for (double silent_s : {8.0, 28.0}) {
+        Fleet fleet(Options{});
+        fleet.Order(10, "v2", silent_s);
+        EXPECT_EQ(fleet.RunUntilFinal(), BB_ROLLOUT_COMPLETED)
+            << fleet.Reason();
+        if (silent_s < 10) {
+            EXPECT_LE(fleet.now - fleet.ordered_at, 30);
+        }
+    }
+}
+
+// Guards against a later deciding node that counts from another moment than
+// the first one, or from one at which the order was certainly not there.
+TEST(Rollout, StartAfterATakeover)
+{
+    const struct {
+        bb_rollout_sighting_t sighting;
+        double elapsed_s; // at 110 s; the first node counts from 99.9 s
+    } cases[] = {
+        {{100, 99.5}, 10.1}, {{104, 50}, 10.1}, {{99.8, 99.0}, 10.2},
+        {{108, 103}, 7.0},   {{109, 0}, 10.1},
+    };
+    for (const auto &c : cases) {
+        Fleet fleet(Options{});
+        fleet.Order();
+        fleet.RunFor(10);
+        fleet.sighting = c.sighting;
+        fleet.StartDecider("d2");
+        EXPECT_NEAR(BbRollout_ElapsedS(fleet.rollout, fleet.now), c.elapsed_s,
+                    0.03);
+    }
+}
+
 // Guards against new targets that get calls when their version has none to
 // compare, and against a wait beyond the deadline.
 TEST(Rollout, WithoutNewTargetsEndsAtTheDeadline)
