Roll-outs: a replaced order is reported as rolled back

Cause: the duty of a replaced order ends with it, and the first status write of the new order overwrote the `running` of the earlier one.

Change: the first status write of an order conflicts with the earlier row and returns it. If that says `running` for a version that the new order has rejected, the deciding node stores its own row again and writes `rolled_back` for that version before `running` of the new one. This needs no memory of the earlier order, so it also holds after a takeover or a silence of the store. The log event rollout_status names the version. An order of the same version writes nothing in between, since the row names only the version.

--- a/lib/rollout/bb_rollout.c
+++ b/lib/rollout/bb_rollout.c
@@ -832,6 +832,13 @@
     return true;
 }
 
+bool
+BbRollout_MustEndEarlier(const bb_rollout_t *rollout, const char *to)
+{
+    return !BbRolloutPhase_IsFinal(rollout->row.phase) &&
+           BbRolloutRow_IsRejected(&rollout->row, to);
+}
+
 void
 BbRollout_SetReported(bb_rollout_t *rollout)
 {
--- a/lib/rollout/bb_rollout.h
+++ b/lib/rollout/bb_rollout.h
@@ -139,6 +139,12 @@
  * to be stored and published again, and returns true. */
 bool BbRollout_Outbid(bb_rollout_t *rollout, const bb_rollout_row_t *other);
 
+/* Whether the operator's status row, which says that the roll-out of this
+ * version is running, is that of an earlier order that this one has replaced:
+ * it is to be changed to "rolled_back" first. False once this roll-out has
+ * ended, since the final state of this one is then due. */
+bool BbRollout_MustEndEarlier(const bb_rollout_t *rollout, const char *to);
+
 /* The final phase is in the operator's status row. */
 void BbRollout_SetReported(bb_rollout_t *rollout);
 
--- a/programs/bbsidecar/sidecar_rollout_decide.c
+++ b/programs/bbsidecar/sidecar_rollout_decide.c
@@ -4,7 +4,9 @@
  * Writes of one roll-out are made one after the other, in this order: the row
  * that fences off an earlier deciding node; the row of a step that needs the
  * store; the row of a step back; the operator's status row, after the row of
- * the same phase; the row that says that the final status was written. */
+ * the same phase; the row that says that the final status was written. Before
+ * the first status row of an order, the status of the order that it replaces
+ * is changed from running to rolled_back. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,10 +31,11 @@
 
 typedef enum {
     WRITE_NOTHING,
-    WRITE_FENCE,  /* the row of this node, for the first time */
-    WRITE_NEXT,   /* the row of a step that waits for the store */
-    WRITE_ROW,    /* the row as it is */
-    WRITE_STATUS, /* the operator's status row */
+    WRITE_FENCE,          /* the row of this node, for the first time */
+    WRITE_NEXT,           /* the row of a step that waits for the store */
+    WRITE_ROW,            /* the row as it is */
+    WRITE_STATUS,         /* the operator's status row */
+    WRITE_EARLIER_STATUS, /* the same, of the order that was replaced */
 } write_kind_t;
 
 typedef struct rollout_duty {
@@ -50,6 +53,8 @@
     int64_t status_version;
     bool must_fence_again; /* before the status row is written over another */
     const char *status;    /* last state written; NULL before the first */
+    char *earlier_to; /* version of a replaced order that the status row says
+                         to be running; NULL if there is none */
     double final_at;
 } rollout_duty_t;
 
@@ -106,12 +111,13 @@
 }
 
 static void
-log_status(const rollout_duty_t *duty, const char *state, int error)
+log_status(const rollout_duty_t *duty, const char *to, const char *state,
+           int error)
 {
     if (BbEvent_Allows(BB_EVENT_ROLLOUT_STATUS)) {
         BbEvent_Write(BB_EVENT_ROLLOUT_STATUS,
-                      json_pack("{s:s, s:s, s:s, s:s}", "service",
-                                duty->order->service, "state", state,
+                      json_pack("{s:s, s:s, s:s, s:s, s:s}", "service",
+                                duty->order->service, "to", to, "state", state,
                                 "outcome", error == 0 ? "written" : "refused",
                                 "error",
                                 error != 0 ? BbError_Name(error) : ""));
@@ -129,6 +135,7 @@
     }
     BbRolloutRow_Clear(&duty->writing);
     BbRollout_Free(duty->rollout);
+    g_free(duty->earlier_to);
     g_free(duty);
 }
 
@@ -319,7 +326,10 @@
         return WRITE_ROW;
     }
     if (g_strcmp0(wanted_status(duty), duty->status) != 0) {
-        return WRITE_STATUS;
+        return duty->earlier_to != NULL && BbRollout_MustEndEarlier(
+                                               duty->rollout, duty->earlier_to)
+                   ? WRITE_EARLIER_STATUS
+                   : WRITE_STATUS;
     }
     if (BbRollout_NextRow(duty->rollout, out)) {
         return WRITE_NEXT;
@@ -401,21 +411,26 @@
 handle_status_conflict(rollout_duty_t *duty, const bb_table_result_t *result)
 {
     const bb_table_row_t *found = result->count > 0 ? &result->rows[0] : NULL;
-    char state[32];
+    platform_rollout_status_t status;
 
+    g_clear_pointer(&duty->earlier_to, g_free);
     duty->status_version =
         found != NULL && !found->is_removed ? found->version : 0;
     if (found == NULL || found->value == NULL) {
         return;
     }
-    Platform_RolloutStatusState(found->value, found->size, duty->order->to,
-                                state, sizeof(state));
-    if (strcmp(state, wanted_status(duty)) == 0) {
+    Platform_DecodeRolloutStatus(found->value, found->size, &status);
+    bool is_own = strcmp(status.to, duty->order->to) == 0;
+    if (is_own && strcmp(status.state, wanted_status(duty)) == 0) {
         duty->status = wanted_status(duty);
     }
     else {
         duty->must_fence_again = true;
+        if (!is_own && strcmp(status.state, "running") == 0) {
+            duty->earlier_to = g_strdup(status.to);
+        }
     }
+    Platform_FreeRolloutStatus(&status);
 }
 
 static void
@@ -430,13 +445,33 @@
     }
 }
 
+static void
+handle_earlier_status_written(const bb_table_result_t *result, void *arg)
+{
+    rollout_duty_t *duty = arg;
+
+    duty->write = NULL;
+    log_status(duty, duty->earlier_to,
+               BbRolloutPhase_Name(BB_ROLLOUT_ROLLED_BACK), result->error);
+    if (result->error == 0) {
+        duty->status_version = result->version;
+        g_clear_pointer(&duty->earlier_to, g_free);
+    }
+    else if (result->error == BB_ERR_CONFLICT) {
+        handle_status_conflict(duty, result);
+    }
+    else {
+        duty->retry_at = rollouts_now(duty->rollouts) + WRITE_RETRY_S;
+    }
+}
+
 static void
 handle_status_written(const bb_table_result_t *result, void *arg)
 {
     rollout_duty_t *duty = arg;
 
     duty->write = NULL;
-    log_status(duty, wanted_status(duty), result->error);
+    log_status(duty, duty->order->to, wanted_status(duty), result->error);
     if (result->error == 0) {
         duty->status_version = result->version;
         duty->status = BbRolloutPhase_IsFinal(duty->writing.phase)
@@ -470,19 +505,19 @@
 }
 
 static void
-write_status(rollout_duty_t *duty)
+write_status(rollout_duty_t *duty, const char *to, const char *state,
+             bb_table_done_t done)
 {
     bb_table_store_t *store = duty->rollouts->sidecar->store;
     char *key =
         g_strconcat(PLATFORM_ROLLOUT_PREFIX, duty->order->service, NULL);
-    char *text =
-        Platform_FormatRolloutStatus(duty->order->to, wanted_status(duty));
+    char *text = Platform_FormatRolloutStatus(to, state);
 
     BbRolloutRow_Clear(&duty->writing);
     BbRolloutRow_Copy(&duty->writing, BbRollout_Row(duty->rollout));
-    duty->write = store->ops->write(store, PLATFORM_STATUS_TABLE, key, text,
-                                    strlen(text), duty->status_version,
-                                    handle_status_written, duty);
+    duty->write =
+        store->ops->write(store, PLATFORM_STATUS_TABLE, key, text,
+                          strlen(text), duty->status_version, done, duty);
     g_free(key);
     g_free(text);
 }
@@ -512,7 +547,13 @@
     case WRITE_NOTHING:
         break;
     case WRITE_STATUS:
-        write_status(duty);
+        write_status(duty, duty->order->to, wanted_status(duty),
+                     handle_status_written);
+        break;
+    case WRITE_EARLIER_STATUS:
+        write_status(duty, duty->earlier_to,
+                     BbRolloutPhase_Name(BB_ROLLOUT_ROLLED_BACK),
+                     handle_earlier_status_written);
         break;
     case WRITE_FENCE:
     case WRITE_NEXT:
--- a/tests/unit/sidecar_rollout_test.cc
+++ b/tests/unit/sidecar_rollout_test.cc
@@ -65,11 +65,11 @@
             Target::Response(HeaderField(request.head, "X-Attempt-Id"), "ok",
                              status, "X-Server-Seal: s\r\n"));
     }
-    void Order(double duration_s)
+    void Order(double duration_s, const std::string &to = "v2")
     {
         store.Put("op", "rollout/one",
-                  "{\"service\":\"one\",\"to\":\"v2\",\"duration_s\":" +
-                      std::to_string(duration_s) + "}");
+                  "{\"service\":\"one\",\"to\":\"" + to +
+                      "\",\"duration_s\":" + std::to_string(duration_s) + "}");
     }
     std::string StatusRow()
     {
@@ -186,6 +186,36 @@
               std::string::npos);
 }
 
+// Guards against an order whose end the operator is not told of because
+// another one replaces it, also while the store is silent.
+TEST_F(SidecarRollout, ReplacedOrderIsReportedAsRolledBack)
+{
+    std::string seen;
+    auto is_running = [&](const std::string &to) {
+        std::string row = StatusRow();
+        seen += seen.size() >= row.size() &&
+                        seen.substr(seen.size() - row.size()) == row
+                    ? ""
+                    : row;
+        return HasState("running") && row.find(to) != std::string::npos;
+    };
+    Order(12);
+    EXPECT_TRUE(loop.RunUntil([&] { return is_running("v2"); }, 3));
+    Order(12, "v3");
+    EXPECT_TRUE(loop.RunUntil([&] { return is_running("v3"); }, 3));
+    store.is_silent = true;
+    loop.RunFor(1.5); // calls that wait for changes have ended
+    Order(12, "v4");
+    loop.RunFor(1);
+    store.is_silent = false;
+    EXPECT_TRUE(loop.RunUntil([&] { return is_running("v4"); }, 6));
+    EXPECT_EQ(seen, "{\"to\":\"v2\",\"state\":\"running\"}"
+                    "{\"to\":\"v2\",\"state\":\"rolled_back\"}"
+                    "{\"to\":\"v3\",\"state\":\"running\"}"
+                    "{\"to\":\"v3\",\"state\":\"rolled_back\"}"
+                    "{\"to\":\"v4\",\"state\":\"running\"}");
+}
+
 // Guards against additional store calls without an order.
 TEST_F(SidecarRollout, WithoutOrderTheTablesAreNotTouched)
 {
