SidecarLeave: calls wait until the node has its configuration

IsKnownAfterAnOrderlyRestart failed in 1 of 9 runs: the target was not called before the restart.

Cause: a race in the test. A node reads the node table and the configuration separately. It writes a record with "ready":true once the former is read and a heartbeat has arrived; the test called it then. In the failing run beside load the call came 0.2 ms before the configuration and was refused with 503, no_config, as intended for a node without a configuration.

Change: IsTargetCalled() first waits until /healthz of the node answers 200, and fails if it does not. This is stricter for the calls that must not reach the target as well: a refusal for lack of a configuration no longer counts.

--- a/tests/unit/sidecar_leave_test.cc
+++ b/tests/unit/sidecar_leave_test.cc
@@ -49,9 +49,12 @@
         node.Start();
         return has_ended && node.IsUp();
     }
-    // Whether a call of the VM is run by the target.
+    // Whether a call of the VM is run by the target. The node must have its
+    // configuration by then: a call that it refuses for lack of one shows
+    // nothing about the target.
     bool IsTargetCalled()
     {
+        EXPECT_TRUE(node.HasConfig());
         size_t before = node.target.requests.size();
         node.Call("/x");
         return node.target.requests.size() > before;
--- a/tests/unit/sidecar_process.h
+++ b/tests/unit/sidecar_process.h
@@ -42,12 +42,14 @@
         directory_ = mkdtemp(directory);
         callers = FreeAddress();
         announcements = FreeAddress();
+        std::string forwarded = FreeAddress();
+        admin_ = FreeAddress();
         std::ofstream out(SettingsPath());
         out << "[node]\nname = \"" << name
             << "\"\ndata_centre = \"a\"\nservice = \"one\""
             << "\ntarget_address = \"" << target.address
             << "\"\n[listen]\ncallers = \"" << callers << "\"\nforwarded = \""
-            << FreeAddress() << "\"\nadmin = \"" << FreeAddress()
+            << forwarded << "\"\nadmin = \"" << admin_
             << "\"\nannouncements = \"" << announcements
             << "\"\n[platform]\naddress = \"" << store_address
             << "\"\n[limits]\nshutdown_s = 6\nrepeat_ratio = 0.2\n"
@@ -139,6 +141,20 @@
         }
         return false;
     }
+    // Waits until the process has a configuration; without one it refuses all
+    // calls. Heartbeats are accepted, and the record is written, before that.
+    bool HasConfig(double limit_s = 5.0)
+    {
+        ev_tstamp end = ev_time() + limit_s;
+        while (ev_time() < end) {
+            if (Send(admin_, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") ==
+                "200") {
+                return true;
+            }
+            loop_->RunFor(0.02);
+        }
+        return false;
+    }
     // Sends a call as a caller of the VM does and returns its status.
     std::string Call(const std::string &path)
     {
@@ -196,7 +212,7 @@
     }
     Loop *loop_;
     FakeStore *store_;
-    std::string name_, version_, directory_;
+    std::string name_, version_, directory_, admin_;
 
   public:
     Target target;
