--- a/lib/admission/bb_call_tree.c
+++ b/lib/admission/bb_call_tree.c
@@ -20,10 +20,6 @@
 /* The others go on, so that a recovery is seen. */
 #define MAX_REFUSAL_SHARE 0.9
 
-/* A call first sent this long ago is a retry. The spread of Retry-After begins
- * at 0.8 of its value; calls that only tried other nodes are seldom as old. */
-#define RETRY_AGE_S (0.5 * BB_CALL_TREE_RETRY_AFTER_S)
-
 /* Weight of the newest run in the mean number of nested calls. */
 #define COUNT_WEIGHT 0.02
 
@@ -48,7 +44,6 @@
     long runs;
     bool is_refusing;
     double refusal_credit; /* refusals owed, see BbCallTree_MustRefuse() */
-    double later_credit;   /* the same for BbCallTree_MustRefuseLater() */
     /* results of nested calls of this class, decayed */
     double results, failed;
     double decayed_at;
@@ -66,7 +61,6 @@
     GHashTable *classes; /* name to call_class_t */
     GHashTable *runs;    /* id to bb_call_run_t */
     bool counts_late;
-    bool has_second_check;
 };
 
 static void
@@ -339,18 +333,6 @@
     return class->is_refusing ? MIN(failing, MAX_REFUSAL_SHARE) : 0;
 }
 
-/* Adds a share to the refusals owed; true if a whole one is owed. */
-static bool
-take_refusal(double *credit, double share)
-{
-    *credit += share;
-    if (*credit < 1) {
-        return false;
-    }
-    *credit -= 1;
-    return true;
-}
-
 bool
 BbCallTree_MustRefuse(bb_call_tree_t *tree, const char *class_name, double now)
 {
@@ -360,38 +342,10 @@
         return false;
     }
     call_class_t *class = g_hash_table_lookup(tree->classes, class_name);
-    return take_refusal(&class->refusal_credit, share);
-}
-
-void
-BbCallTree_EnableSecondCheck(bb_call_tree_t *tree)
-{
-    tree->has_second_check = true;
-}
-
-bool
-BbCallTree_HasSecondCheck(const bb_call_tree_t *tree)
-{
-    return tree->has_second_check;
-}
-
-bool
-BbCallTree_MustRefuseLater(bb_call_tree_t *tree, const char *class_name,
-                           double share, double now)
-{
-    if (!tree->has_second_check) {
-        return false;
-    }
-    double present = BbCallTree_RefusalShare(tree, class_name, now);
-    if (present <= share) {
+    class->refusal_credit += share;
+    if (class->refusal_credit < 1) {
         return false;
     }
-    call_class_t *class = g_hash_table_lookup(tree->classes, class_name);
-    return take_refusal(&class->later_credit, (present - share) / (1 - share));
-}
-
-bool
-BbCallTree_IsExempt(const bb_call_tree_t *tree, double first_try_age_s)
-{
-    return tree->has_second_check && first_try_age_s >= RETRY_AGE_S;
+    class->refusal_credit -= 1;
+    return true;
 }
--- a/lib/admission/bb_call_tree.h
+++ b/lib/admission/bb_call_tree.h
@@ -31,10 +31,6 @@
 extern "C" {
 #endif
 
-/* Retry-After in seconds of a refused root: the time constant with which a
- * recovery is seen. */
-#define BB_CALL_TREE_RETRY_AFTER_S 1.0
-
 typedef struct bb_call_tree bb_call_tree_t;
 typedef struct bb_call_run bb_call_run_t;
 
@@ -89,23 +85,6 @@
 bool BbCallTree_MustRefuse(bb_call_tree_t *tree, const char *class_name,
                            double now);
 
-/* Checks roots again when they leave the queue, from now on. Off at first. */
-void BbCallTree_EnableSecondCheck(bb_call_tree_t *tree);
-bool BbCallTree_HasSecondCheck(const bb_call_tree_t *tree);
-
-/* Whether the class of a root that has waited is so much shorter of nested
- * calls than at the first check that it must be refused now. share: that of
- * BbCallTree_RefusalShare() at the first check, 0 if there was none. The share
- * of refusals of both checks together is the present one. Always false while
- * the second check is not enabled. */
-bool BbCallTree_MustRefuseLater(bb_call_tree_t *tree, const char *class_name,
-                                double share, double now);
-
-/* Whether a root is not checked: with the second check enabled, a call that
- * its caller has first sent this long ago is a retry, and it may have been
- * refused for the same reason at another target. */
-bool BbCallTree_IsExempt(const bb_call_tree_t *tree, double first_try_age_s);
-
 #ifdef __cplusplus
 }
 #endif
--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -83,9 +83,6 @@
     {"admission", "late_nested", TYPE_FLAG, FIELD(is_late_nested_counted),
      true, 0, 0, 0,
      "calls are refused also when their nested calls would be late"},
-    {"admission", "second_check", TYPE_FLAG, FIELD(is_second_check_enabled),
-     true, 0, 0, 0,
-     "calls that have waited are refused if their nested calls would fail"},
 };
 
 static const setting_t *
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -57,7 +57,6 @@
     bool is_hedge_enabled;
     /* [admission] */
     bool is_late_nested_counted;
-    bool is_second_check_enabled;
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -39,6 +39,10 @@
 /* Weight of the newest call in the moving average of the failure rate. */
 #define FAIL_RATE_WEIGHT 0.05
 
+/* Retry-After of a call whose nested calls have no capacity: the time constant
+ * with which a recovery is seen. */
+#define NESTED_RETRY_AFTER_S 1.0
+
 typedef struct target_call {
     bb_attempt_t base; /* must be first */
     bb_target_io_t *io;
@@ -47,8 +51,7 @@
     void *arg;
     bb_slot_ticket_t ticket;
     bb_link_reservation_t reservation;
-    double refusal_share; /* for lack of nested calls, when it was offered */
-    int status;           /* of the response; 0 before its head */
+    int status; /* of the response; 0 before its head */
     size_t response_bytes;
     bb_call_run_t *run; /* while it has a slot; may be NULL */
     ev_timer deadline_timer;
@@ -300,11 +303,8 @@
     bb_target_io_t *io = call->io;
     const bb_attempt_handler_t *handler = call->handler;
     void *arg = call->arg;
-    double retry_after_s =
-        reason == BB_REASON_NESTED_SHORT
-            ? BB_CALL_TREE_RETRY_AFTER_S
-            : BbSlotQueue_PredictTicketWait(io->queue, &call->ticket,
-                                            BbClock_Now(io->loop));
+    double retry_after_s = BbSlotQueue_PredictTicketWait(
+        io->queue, &call->ticket, BbClock_Now(io->loop));
 
     record_refusal(call, reason);
     release_ticket(call, false);
@@ -572,31 +572,6 @@
     return BbDroppedKeys_Contains(io->dropped_keys, request->key_digest);
 }
 
-/* Whether a call is checked for the capacity that its nested calls need. Only
- * while calls wait: a slot that no other call needs costs nothing. */
-static bool
-needs_nested_check(const bb_target_io_t *io,
-                   const bb_attempt_request_t *request, double arrived_at)
-{
-    double first_try_at = request->due_at - request->target_latency_s;
-
-    return !request->is_nested && BbSlotQueue_Waiting(io->queue) > 0 &&
-           !BbCallTree_IsExempt(io->tree, arrived_at - first_try_at);
-}
-
-/* Whether a call that leaves the queue is refused because the capacity for its
- * nested calls has become short while it waited. */
-static bool
-has_become_short(const target_call_t *call)
-{
-    const bb_target_io_t *io = call->io;
-
-    return needs_nested_check(io, &call->request, call->ticket.arrived_at) &&
-           BbCallTree_MustRefuseLater(io->tree, call->request.class_name,
-                                      call->refusal_share,
-                                      BbClock_Now(io->loop));
-}
-
 /* Starts and refuses the calls that the queue returns. Refusing a call ends
  * here again; that inner run leaves the rest to the outer one, so that the
  * stack does not grow with the number of refused calls. */
@@ -621,9 +596,6 @@
         else if (io->is_node_ending) {
             refuse(call, BB_REASON_NODE_DRAINING);
         }
-        else if (has_become_short(call)) {
-            refuse(call, BB_REASON_NESTED_SHORT);
-        }
         else {
             start_call(call);
         }
@@ -781,14 +753,15 @@
                                    retry_after_s);
 }
 
-/* Whether the call is refused because its nested calls would fail. */
+/* Whether the call is refused because its nested calls would fail. Only while
+ * calls wait: a slot that no other call needs costs nothing. */
 static bool
 is_nested_short(const bb_target_io_t *io, const bb_attempt_request_t *request)
 {
-    double now = BbClock_Now(io->loop);
-
-    return !request->is_checked && needs_nested_check(io, request, now) &&
-           BbCallTree_MustRefuse(io->tree, request->class_name, now);
+    return !request->is_checked && !request->is_nested &&
+           BbSlotQueue_Waiting(io->queue) > 0 &&
+           BbCallTree_MustRefuse(io->tree, request->class_name,
+                                 BbClock_Now(io->loop));
 }
 
 bb_reason_t
@@ -811,7 +784,7 @@
         reason = BB_REASON_LINK_FULL;
     }
     else if (reason == BB_REASON_NONE && is_nested_short(io, request)) {
-        *retry_after_s = BB_CALL_TREE_RETRY_AFTER_S;
+        *retry_after_s = NESTED_RETRY_AFTER_S;
         reason = BB_REASON_NESTED_SHORT;
     }
     return reason != BB_REASON_NONE ? report_refusal(io, request, reason)
@@ -835,7 +808,7 @@
         return report_refusal(io, request, BB_REASON_LINK_FULL);
     }
     if (is_nested_short(io, request)) {
-        *retry_after_s = BB_CALL_TREE_RETRY_AFTER_S;
+        *retry_after_s = NESTED_RETRY_AFTER_S;
         return report_refusal(io, request, BB_REASON_NESTED_SHORT);
     }
     target_call_t *call = g_new0(target_call_t, 1);
@@ -846,11 +819,6 @@
     call->arg = arg;
     call->ticket = make_ticket(request);
     call->ticket.arg = call;
-    if (BbCallTree_HasSecondCheck(io->tree) &&
-        needs_nested_check(io, request, now)) {
-        call->refusal_share =
-            BbCallTree_RefusalShare(io->tree, request->class_name, now);
-    }
     if (BbSlotQueue_Offer(io->queue, &call->ticket, now) == BB_SLOT_REFUSED) {
         reason = call->ticket.reason;
         *retry_after_s =
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -250,9 +250,6 @@
     if (settings->is_late_nested_counted) {
         BbCallTree_CountLate(BbTargetIo_CallTree(sidecar->target_io));
     }
-    if (settings->is_second_check_enabled) {
-        BbCallTree_EnableSecondCheck(BbTargetIo_CallTree(sidecar->target_io));
-    }
 }
 
 /* At the first start of a fleet no records exist that could be missing. */
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -139,35 +139,6 @@
     }
 }
 
-// Guards against a second check that refuses more or less than the growth of
-// the shortage since the first one, that refuses where it is not enabled, and
-// that checks callers' retries.
-TEST(AdmissionCallTree, SecondCheckRefusesWhatTheFirstCouldNotKnow)
-{
-    bb_call_tree_t *tree = BbCallTree_New(".");
-    for (int i = 0; i < 100; i++) {
-        RunMenu(tree, i % 2 == 0, 1.0);
-    }
-    double share = BbCallTree_RefusalShare(tree, "menu", 1.0);
-    ASSERT_GT(share, 0.6);
-    auto refused = [&](double first_share) {
-        int count = 0;
-        for (int i = 0; i < 100; i++) {
-            count += BbCallTree_MustRefuseLater(tree, "menu", first_share, 1);
-        }
-        return count;
-    };
-    EXPECT_EQ(refused(0), 0);
-    EXPECT_FALSE(BbCallTree_IsExempt(tree, 1.0));
-    BbCallTree_EnableSecondCheck(tree);
-    EXPECT_NEAR(refused(0), 100 * share, 1);
-    EXPECT_NEAR(refused(0.5), 100 * (share - 0.5) / 0.5, 1);
-    EXPECT_EQ(refused(share), 0);
-    EXPECT_TRUE(BbCallTree_IsExempt(tree, 0.8));
-    EXPECT_FALSE(BbCallTree_IsExempt(tree, 0.1));
-    BbCallTree_Free(tree);
-}
-
 // Guards against calls that are taken for nested ones, and against a node that
 // learns from ids that do not show nested calls.
 TEST(AdmissionCallTree, FindsOnlyCallsNestedInRuns)
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -802,52 +802,6 @@
     EXPECT_EQ(Status(parent.Wait(1)), "200");
 }
 
-// Guards against waiting calls that are started although their nested calls
-// have become short, and against a second refusal at another target.
-TEST_F(MeshIo, WaitingCallsAreCheckedAgainAndRefusedOnce)
-{
-    target.on_request = [](const Target::Request &) {};
-    bb_call_tree_t *tree = BbTargetIo_CallTree(node.target_io);
-    BbCallTree_EnableSecondCheck(tree);
-    std::vector<std::unique_ptr<Caller>> callers;
-    for (int i = 0; i < 8; i++) { // the target has 4 slots
-        callers.push_back(
-            std::make_unique<Caller>(&loop, node.caller_address));
-        callers.back()->connection.Send(
-            Caller::Request("GET", "/safe/1", "c" + std::to_string(i)));
-        loop.RunFor(0.01);
-    }
-    ASSERT_EQ(target.requests.size(), 4u);
-    Target other_target(&loop);
-    Node other(&loop, "n2", "a", &other_target);
-    node.AddNodeRecord(&other, 9);
-    double now = BbClock_Now(loop.loop), age_s;
-    bb_call_run_t *run = BbCallTree_StartRun(tree, "x", "safe", now);
-    ASSERT_TRUE(BbCallTree_BeginNested(tree, "x.1", "once", now, &age_s));
-    BbCallTree_EndRun(tree, run);
-    bb_nested_end_t end = {"x.1", "once", true, false, 0};
-    for (int i = 0; i < 50; i++) {
-        BbCallTree_EndNested(tree, &end, now);
-    }
-    for (size_t i = 0; i < 2; i++) {
-        const Target::Request &request = target.requests[i];
-        request.connection->Send(Target::Response(request.id, "ok"));
-    }
-    // One of the four is within the tenth that goes on; the last one is not
-    // checked, since no call waits for its slot.
-    ASSERT_TRUE(loop.RunUntil([&] { return target.requests.size() == 6; }, 1));
-    loop.RunFor(0.05);
-    int refused = 0;
-    for (size_t i = 4; i < callers.size(); i++) {
-        const std::string &response = callers[i]->connection.received;
-        refused += Status(response) == "503";
-        EXPECT_EQ(Status(response) == "503",
-                  !HeaderField(response, "Retry-After").empty());
-    }
-    EXPECT_EQ(refused, 2);
-    EXPECT_TRUE(other_target.requests.empty());
-}
-
 // Guards against a stack that grows with the number of calls that are refused
 // at the same time: it would overflow while a target has no slots for long.
 TEST_F(MeshIo, StackDoesNotGrowWithRefusedCalls)
