--- a/lib/admission/bb_call_tree.c
+++ b/lib/admission/bb_call_tree.c
@@ -45,7 +45,7 @@
     bool is_refusing;
     double refusal_credit; /* refusals owed, see BbCallTree_MustRefuse() */
     /* results of nested calls of this class, decayed */
-    double results, failed;
+    double results, refused;
     double decayed_at;
 } call_class_t;
 
@@ -60,7 +60,6 @@
     char *separator;
     GHashTable *classes; /* name to call_class_t */
     GHashTable *runs;    /* id to bb_call_run_t */
-    bool counts_late;
 };
 
 static void
@@ -260,36 +259,20 @@
     double factor = exp(-MAX(now - class->decayed_at, 0.0) / RESULT_DECAY_S);
 
     class->results *= factor;
-    class->failed *= factor;
+    class->refused *= factor;
     class->decayed_at = now;
 }
 
 void
-BbCallTree_CountLate(bb_call_tree_t *tree)
+BbCallTree_EndNested(bb_call_tree_t *tree, const char *class_name,
+                     bool is_refused, double now)
 {
-    tree->counts_late = true;
-}
-
-void
-BbCallTree_EndNested(bb_call_tree_t *tree, const bb_nested_end_t *end,
-                     double now)
-{
-    call_class_t *class = g_hash_table_lookup(tree->classes, end->class_name);
-    bool is_late = end->due_at > 0 && now > end->due_at;
+    call_class_t *class = g_hash_table_lookup(tree->classes, class_name);
 
-    if (class == NULL) {
-        return;
-    }
-    if (end->is_abandoned &&
-        (!tree->counts_late ||
-         (!is_late && !BbCallTree_IsNested(tree, end->id)))) {
-        return;
-    }
-    decay_results(class, now);
-    class->results += 1;
-    if (end->is_refused ||
-        (tree->counts_late && (is_late || end->is_abandoned))) {
-        class->failed += 1;
+    if (class != NULL) {
+        decay_results(class, now);
+        class->results += 1;
+        class->refused += is_refused ? 1 : 0;
     }
 }
 
@@ -306,7 +289,7 @@
         call_class_t *nested = count->nested;
         decay_results(nested, now);
         if (nested->results >= MIN_RESULTS) {
-            success *= pow(1 - nested->failed / nested->results, count->mean);
+            success *= pow(1 - nested->refused / nested->results, count->mean);
         }
     }
     return 1 - success;
--- a/lib/admission/bb_call_tree.h
+++ b/lib/admission/bb_call_tree.h
@@ -4,9 +4,9 @@
  * A nested call arrives at the address for callers while its parent runs at
  * the local target; its id is the id of the parent, a separator and a suffix.
  * The node learns which nested calls the runs of each class make, and which
- * share of them is refused for lack of capacity, or late. A new call (a root)
- * whose nested calls would most likely be refused can be refused before it
- * takes a slot that other calls wait for.
+ * share of them is refused for lack of capacity. A new call (a root) whose
+ * nested calls would most likely be refused can be refused before it takes a
+ * slot that other calls wait for.
  *
  * The share of refused roots is at most the share that would fail anyway and
  * leaves a tenth, so that a recovery is seen. It follows the nested service's
@@ -56,24 +56,9 @@
 /* Whether the call is nested in a run at the local target. Learns nothing. */
 bool BbCallTree_IsNested(const bb_call_tree_t *tree, const char *id);
 
-/* How a nested call has ended. */
-typedef struct {
-    const char *id;
-    const char *class_name;
-    bool is_refused;   /* for lack of capacity; the call has not run */
-    bool is_abandoned; /* its parent has closed the connection */
-    double due_at;     /* end of its target latency; 0 without one */
-} bb_nested_end_t;
-
-/* Counts late and abandoned nested calls like refused ones from now on: their
- * parents fail or are late. Off at first. */
-void BbCallTree_CountLate(bb_call_tree_t *tree);
-
-/* An abandoned call whose parent no longer runs is not counted if it is not
- * late: the parent was cancelled, for example because its own caller has
- * disconnected. */
-void BbCallTree_EndNested(bb_call_tree_t *tree, const bb_nested_end_t *end,
-                          double now);
+/* is_refused: for lack of capacity; the call has not run. */
+void BbCallTree_EndNested(bb_call_tree_t *tree, const char *class_name,
+                          bool is_refused, double now);
 
 /* Share of new calls of the class to refuse because their nested calls would
  * be refused; 0 in normal operation. */
--- a/lib/common/bb_sidecar_settings.c
+++ b/lib/common/bb_sidecar_settings.c
@@ -80,9 +80,6 @@
      "their hardware"},
     {"hedge", "enabled", TYPE_FLAG, FIELD(is_hedge_enabled), true, 0, 0, 0,
      "late idempotent calls get a second attempt at another node"},
-    {"admission", "late_nested", TYPE_FLAG, FIELD(is_late_nested_counted),
-     true, 0, 0, 0,
-     "calls are refused also when their nested calls would be late"},
 };
 
 static const setting_t *
--- a/lib/common/bb_sidecar_settings.h
+++ b/lib/common/bb_sidecar_settings.h
@@ -55,8 +55,6 @@
     bool is_target_load_enabled;
     /* [hedge] */
     bool is_hedge_enabled;
-    /* [admission] */
-    bool is_late_nested_counted;
 } bb_sidecar_settings_t;
 
 int BbSidecarSettings_Load(const char *path, bb_findings_t *findings,
--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -371,7 +371,6 @@
                                 "peer", BbMeshCall_PeerName(call), "took_s",
                                 BbMeshCall_Now(call) - call->arrived_at));
     }
-    BbMeshCall_EndNested(call, false, true);
     if (call->attempt != NULL) {
         bb_attempt_t *attempt = call->attempt;
         if (!attempt->ops->is_not_started(attempt)) {
--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -167,10 +167,6 @@
 /* Name of the node of the last attempt, "" before the first. */
 const char *BbMeshCall_PeerName(const bb_mesh_call_t *call);
 
-/* Reports the end of a nested call, see bb_call_tree.h. */
-void BbMeshCall_EndNested(const bb_mesh_call_t *call, bool is_refused,
-                          bool is_abandoned);
-
 /* Each of the following functions ends the call and frees it. */
 /* Sends an error response of this node. A response that is being streamed is
  * aborted instead. */
--- a/lib/mesh/bb_mesh_call_response.c
+++ b/lib/mesh/bb_mesh_call_response.c
@@ -89,22 +89,13 @@
     }
 }
 
-void
-BbMeshCall_EndNested(const bb_mesh_call_t *call, bool is_refused,
-                     bool is_abandoned)
+static void
+end_nested(const bb_mesh_call_t *call, bool is_refused)
 {
     if (call->is_nested) {
-        const bb_nested_end_t end = {
-            .id = call->call_id,
-            .class_name = call->route->name,
-            .is_refused = is_refused,
-            .is_abandoned = is_abandoned,
-            .due_at = call->route->target_latency_s > 0
-                          ? call->attempt_request.due_at
-                          : 0,
-        };
         BbCallTree_EndNested(BbTargetIo_CallTree(call->io->options.target),
-                             &end, BbMeshCall_Now(call));
+                             call->route->name, is_refused,
+                             BbMeshCall_Now(call));
     }
 }
 
@@ -117,7 +108,7 @@
 
     log_error_response(call, status, reason);
     count_error_response(call, status, reason);
-    BbMeshCall_EndNested(call, is_capacity_refusal(call, reason), false);
+    end_nested(call, is_capacity_refusal(call, reason));
     BbH1Fields_Init(&fields);
     if (call->call_id[0] != '\0') {
         BbH1Fields_Add(&fields, call->io->options.names->call_id,
@@ -171,7 +162,7 @@
 {
     bb_h1_request_t *request = call->request;
 
-    BbMeshCall_EndNested(call, false, false);
+    end_nested(call, false);
     BbHistogram_Add(BB_HISTOGRAM_CALL_SERVED,
                     BbMeshCall_Now(call) - call->arrived_at);
     if (BbEvent_Allows(BB_EVENT_CALL_SERVED)) {
--- a/programs/bbsidecar/sidecar.c
+++ b/programs/bbsidecar/sidecar.c
@@ -247,9 +247,6 @@
     options.pace = sidecar->pace;
     options.uses_target_load = settings->is_target_load_enabled;
     sidecar->target_io = BbTargetIo_New(&options);
-    if (settings->is_late_nested_counted) {
-        BbCallTree_CountLate(BbTargetIo_CallTree(sidecar->target_io));
-    }
 }
 
 /* At the first start of a fleet no records exist that could be missing. */
