EndlessResponseTest: wait for the end of the connection instead of 0.1 s

Change: it waits for the end within the 1.0 s that it already allowed for the response. A connection that stays open fails as before.

--- a/tests/unit/endless_response_test.cc
+++ b/tests/unit/endless_response_test.cc
@@ -174,10 +174,12 @@
             << "the node has not closed its connection to the target";
         ExpectBoundedMemory(before_kb);
         caller.connection.ResumeReading();
+        // The caller first reads what the kernel holds for it, up to 9 MB.
+        bool is_whole = std::string(endless.name) == "bytes after a response";
         loop.RunUntil(
             [&] {
                 return caller.connection.is_closed ||
-                       caller.ResponseCount() > 0;
+                       (is_whole && caller.ResponseCount() > 0);
             },
             1.0);
         loop.RunFor(0.1);
