Roll-outs: an undecided canary ends before the deadline

Change: it is rolled back 0.5 s earlier.

Result: Rollout.WithoutNewTargetsEndsAtTheDeadline, which now also checks the time, fails without the reserve; all 41 Rollout tests pass.

--- a/lib/rollout/bb_rollout.c
+++ b/lib/rollout/bb_rollout.c
@@ -48,6 +48,10 @@
  * all nodes and calls on their way to an old target are refused. */
 #define SETTLE_S 1.0
 
+/* Time before the deadline at which an undecided canary is rolled back, so
+ * that the status row is written by the deadline, with one repeated write. */
+#define STATUS_RESERVE_S 0.5
+
 /* Without a ready new target for this long after the shift: rolled back. */
 #define ALL_LOST_S 1.0
 
@@ -638,7 +642,8 @@
     if (tally->lost >= MIN_LOST && tally->lost * 2 > tally->used) {
         return "targets_lost";
     }
-    bool is_late = now - rollout->started_at >= rollout->row.duration_s;
+    bool is_late = now - rollout->started_at >=
+                   rollout->row.duration_s - STATUS_RESERVE_S;
     return is_late ? "deadline" : NULL;
 }
 
--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -759,7 +759,8 @@
 }
 
 // Guards against new targets that get calls when their version has none to
-// compare, and against a wait beyond the deadline.
+// compare, and against a wait until the deadline, after which the status row
+// is written too late.
 TEST(Rollout, WithoutNewTargetsEndsAtTheDeadline)
 {
     Options options;
@@ -768,6 +769,7 @@
     fleet.Order();
     EXPECT_EQ(fleet.RunUntilFinal(), BB_ROLLOUT_ROLLED_BACK);
     EXPECT_EQ(fleet.Reason(), "deadline");
+    EXPECT_LE(fleet.now - fleet.ordered_at, options.duration_s - 0.4);
     EXPECT_EQ(fleet.unplaced, 0);
 }
 
