--- a/tests/unit/rollout_test.cc
+++ b/tests/unit/rollout_test.cc
@@ -563,10 +563,10 @@
 // Guards against a bad version that is completed because it has run too few
 // calls for a full verdict, and against a good one that is rolled back then.
 // A bad version may pass with a chance of 0.03, 4 of 40 with a certainty of
-// 0.99; after 2 calls without a failure it passes with 0.25, 17 of 40. A version
-// of which 0.05 of the calls fail like those of the old one is completed at
-// least if none of its calls has failed: 4 calls with 0.81, 26 of 40, and 10
-// calls with 0.6, 16 of 40; from 10 calls/s on always.
+// 0.99; after 2 calls without a failure it passes with 0.25, 17 of 40. A
+// version of which 0.05 of the calls fail like those of the old one is
+// completed at least if none of its calls has failed: 4 calls with 0.81, 26 of
+// 40, and 10 calls with 0.6, 16 of 40; from 10 calls/s on always.
 TEST(Rollout, FewCallsMustSpeakForTheVersion)
 {
     const struct {
