Load tests: one queue of events in virtual time

Three test files had the same event structure, queue and loop. They use tests/unit/event_queue.h now.

--- a/tests/unit/admission_load_test.cc
+++ b/tests/unit/admission_load_test.cc
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -16,6 +15,7 @@
 #include "bb_placement.h"
 #include "bb_retry_after.h"
 #include "bb_slot_queue.h"
+#include "event_queue.h"
 
 namespace {
 
@@ -60,7 +60,7 @@
     std::map<int, std::vector<ClassResult>> seconds;
 };
 
-class AdmissionLoad {
+class AdmissionLoad : private EventQueue {
   public:
     explicit AdmissionLoad(const LoadOptions &options)
         : options_(options), engine_(options.seed), arrivals_(options.seed),
@@ -98,25 +98,11 @@
                 ScheduleNextCall(static_cast<int>(i));
             }
         }
-        while (!events_.empty()) {
-            Event event = events_.top();
-            events_.pop();
-            now_ = event.at;
-            event.run();
-        }
+        RunEvents();
         return result_;
     }
 
   private:
-    struct Event {
-        double at;
-        long order;
-        std::function<void()> run;
-        bool operator<(const Event &other) const
-        {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
     struct Node { // with its target
         int index;
         const LoadService *service;
@@ -151,10 +137,6 @@
     {
         return options_.classes[call->index];
     }
-    void Schedule(double at, std::function<void()> run)
-    {
-        events_.push({at, order_++, std::move(run)});
-    }
     void AddTarget(const LoadService &service)
     {
         auto node = std::make_unique<Node>();
@@ -189,7 +171,7 @@
     }
     double Clock() const // the modules take a time of 0 as "never"
     {
-        return now_ + 1000;
+        return now + 1000;
     }
     static double Draw(std::mt19937 *engine)
     {
@@ -198,18 +180,18 @@
     void ScheduleNextCall(int index)
     {
         const LoadClass &load = options_.classes[index];
-        bool is_burst = now_ >= load.start_s && now_ < load.end_s;
+        bool is_burst = now >= load.start_s && now < load.end_s;
         double rate = load.calls_per_s * (is_burst ? load.burst : 1);
         double total = options_.accounts + options_.hot_factor - 1;
         if (options_.accounts > 0) {
             rate *= total / options_.accounts;
         }
         double at =
-            now_ + std::exponential_distribution<double>(rate)(arrivals_);
+            now + std::exponential_distribution<double>(rate)(arrivals_);
         if (at > options_.length_s) {
             return;
         }
-        Schedule(at, [this, index, total] {
+        At(at, [this, index, total] {
             auto call = std::make_shared<Call>();
             double drawn =
                 Draw(&arrivals_) * total - (options_.hot_factor - 1);
@@ -226,14 +208,14 @@
         const LoadClass &load = options_.classes[index];
         call->index = index;
         call->node = node;
-        call->id += std::to_string(order_);
+        call->id += std::to_string(added);
         if (call->is_nested) {
             EXPECT_TRUE(BbCallTree_BeginNested(node->tree, call->id.c_str(),
-                                               load.name, now_,
+                                               load.name, now,
                                                &call->parent_age_s));
         }
-        call->first_at = now_;
-        call->deadline_at = now_ + load.deadline_s;
+        call->first_at = now;
+        call->deadline_at = now + load.deadline_s;
         std::mt19937 *engine = call->is_nested ? &engine_ : &arrivals_;
         std::lognormal_distribution<double> spread(-0.08, 0.4);
         call->work_s =
@@ -242,7 +224,7 @@
     }
     void Arrive(const CallPtr &call)
     {
-        call->arrived_at = now_;
+        call->arrived_at = now;
         call->due_at = call->first_at + ClassOf(call).latency_s;
         call->refusals = 0;
         call->tried.clear();
@@ -267,14 +249,14 @@
             double room_at = call->node->room_at[call->index];
             Refuse(call, call->refusals > 0 ? call->wait_s
                          : options_.has_admission
-                             ? std::max(room_at - now_, 0.0)
+                             ? std::max(room_at - now, 0.0)
                              : 0.3);
             return;
         }
         call->tried.push_back(endpoint);
         call->target = nodes_[atoi(endpoint->node + 1)].get();
         BbPlacement_BeginAttempt(endpoint);
-        Schedule(now_ + HopTime(call), [this, call] { Offer(call); });
+        At(now + HopTime(call), [this, call] { Offer(call); });
     }
     static double HopTime(const CallPtr &call)
     {
@@ -312,16 +294,16 @@
         RunQueue(call->target);
         if (call->ticket.state == BB_SLOT_WAITING) {
             Node *target = call->target;
-            Schedule(now_ + 0.02, [this, target] { CheckQueue(target); });
+            At(now + 0.02, [this, target] { CheckQueue(target); });
         }
     }
     void CheckQueue(Node *target)
     {
         RunQueue(target);
         if (BbSlotQueue_Waiting(target->queue) > 0 &&
-            checked_at_[target] < now_) {
-            checked_at_[target] = now_ + 0.019;
-            Schedule(now_ + 0.02, [this, target] { CheckQueue(target); });
+            checked_at_[target] < now) {
+            checked_at_[target] = now + 0.019;
+            At(now + 0.02, [this, target] { CheckQueue(target); });
         }
     }
     void RunQueue(Node *target)
@@ -350,7 +332,7 @@
                                         load.name, call->first_at);
         call->nested_left =
             static_cast<int>(load.nested_count + Draw(&engine_));
-        Schedule(now_ + call->work_s / 2, [this, call] { RunNested(call); });
+        At(now + call->work_s / 2, [this, call] { RunNested(call); });
     }
     // The nested calls follow each other in the middle of the run.
     void RunNested(const CallPtr &call)
@@ -370,8 +352,7 @@
             StartCall(nested, ClassOf(call).nested, call->target);
             return;
         }
-        Schedule(now_ + call->work_s / 2,
-                 [this, call] { Finish(call, true); });
+        At(now + call->work_s / 2, [this, call] { Finish(call, true); });
     }
     void Finish(const CallPtr &call, bool is_success)
     {
@@ -396,19 +377,19 @@
                  : BbSlotQueue_ServiceTime(call->target->queue, Clock())) *
             1000);
         bool is_refused = call->ticket.state == BB_SLOT_REFUSED;
-        Schedule(now_ + HopTime(call),
-                 [this, call, load, is_refused, handle = std::move(handle)] {
-                     BbPlacement_EndAttempt(call->tried.back(),
-                                            is_refused ? BB_ATTEMPT_REFUSED
-                                                       : BB_ATTEMPT_SERVED,
-                                            &load, Clock());
-                     handle();
-                 });
+        At(now + HopTime(call),
+           [this, call, load, is_refused, handle = std::move(handle)] {
+               BbPlacement_EndAttempt(call->tried.back(),
+                                      is_refused ? BB_ATTEMPT_REFUSED
+                                                 : BB_ATTEMPT_SERVED,
+                                      &load, Clock());
+               handle();
+           });
     }
     void Refused(const CallPtr &call, double wait_s)
     {
         BbPlacement_SetFull(call->tried.back(), ClassOf(call).name, Clock());
-        call->node->room_at[call->index] = now_ + wait_s;
+        call->node->room_at[call->index] = now + wait_s;
         if (call->refusals == 0 || wait_s < call->wait_s) {
             call->wait_s = wait_s;
         }
@@ -428,8 +409,8 @@
                 ? BbRetryAfter_Spread(retry_after_s, Draw(&engine_))
                 : std::min(retry_after_s > 0 ? retry_after_s : 0.3, 2.0);
         if (call->tries++ == 0 && !call->is_nested &&
-            wait_s <= (call->deadline_at - now_) / 3) {
-            Schedule(now_ + wait_s, [this, call] { Arrive(call); });
+            wait_s <= (call->deadline_at - now) / 3) {
+            At(now + wait_s, [this, call] { Arrive(call); });
             return;
         }
         if (call->tries > 1) {
@@ -440,7 +421,7 @@
     void End(const CallPtr &call, int ClassResult::*outcome)
     {
         const LoadClass &load = ClassOf(call);
-        double took_s = now_ - call->first_at;
+        double took_s = now - call->first_at;
         if (outcome == &ClassResult::in_time) {
             outcome = took_s <= load.latency_s    ? &ClassResult::in_time
                       : took_s <= load.deadline_s ? &ClassResult::late
@@ -469,12 +450,9 @@
     std::mt19937 arrivals_; // same calls for each kind of admission
     bb_random_t *random_;
     std::vector<std::unique_ptr<Node>> nodes_;
-    std::priority_queue<Event> events_;
     std::map<bb_slot_ticket_t *, CallPtr> waiting_;
     std::map<Node *, double> checked_at_;
     LoadResult result_;
-    double now_ = 0;
-    long order_ = 0;
 };
 
 // In-time share of a class among the calls that began in [from_s, to_s).
--- a/tests/unit/placement_load_test.cc
+++ b/tests/unit/placement_load_test.cc
@@ -8,13 +8,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "bb_placement.h"
 #include "bb_slot_queue.h"
+#include "event_queue.h"
 
 namespace {
 
@@ -70,7 +70,7 @@
 
 // One simulation. A node knows only the load report of the last response from
 // a target.
-class FleetSimulation {
+class FleetSimulation : private EventQueue {
   public:
     explicit FleetSimulation(const SimulationOptions &options)
         : options_(options), engine_(options.seed),
@@ -95,25 +95,11 @@
     SimulationResult Run()
     {
         ScheduleNextCall();
-        while (!events_.empty()) {
-            Event event = events_.top();
-            events_.pop();
-            now_ = event.at;
-            event.run();
-        }
+        RunEvents();
         return result_;
     }
 
   private:
-    struct Event {
-        double at;
-        long order;
-        std::function<void()> run;
-        bool operator<(const Event &other) const
-        {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
     struct Target {
         int index, data_centre;
         double speed;
@@ -133,10 +119,6 @@
         int refusals;
     };
 
-    void Schedule(double at, std::function<void()> run)
-    {
-        events_.push({at, order_++, std::move(run)});
-    }
     static std::string DataCentreName(int data_centre)
     {
         return "dc" + std::to_string(data_centre);
@@ -184,15 +166,15 @@
     double CurrentRate() const
     {
         bool is_burst =
-            now_ > options_.length_s / 3 && now_ < options_.length_s * 2 / 3;
+            now > options_.length_s / 3 && now < options_.length_s * 2 / 3;
         return options_.calls_per_s * (is_burst ? options_.burst : 1.0);
     }
     void ScheduleNextCall()
     {
         double gap_s =
             std::exponential_distribution<double>(CurrentRate())(engine_);
-        if (now_ + gap_s < options_.length_s) {
-            Schedule(now_ + gap_s, [this] {
+        if (now + gap_s < options_.length_s) {
+            At(now + gap_s, [this] {
                 ScheduleNextCall();
                 StartCall();
             });
@@ -210,7 +192,7 @@
     {
         auto call = std::make_shared<Call>();
         call->node = &nodes_[PickNode()];
-        call->arrived_at = now_;
+        call->arrived_at = now;
         call->work_s =
             options_.work_s * std::lognormal_distribution<double>(
                                   -options_.spread * options_.spread / 2,
@@ -243,7 +225,7 @@
         call->target = targets_[atoi(endpoint->node + 1)].get();
         result_.attempts++;
         BbPlacement_BeginAttempt(endpoint);
-        Schedule(now_ + HopTime(*call), [this, call] { Offer(call); });
+        At(now + HopTime(*call), [this, call] { Offer(call); });
     }
     double HopTime(const Call &call) const
     {
@@ -253,7 +235,7 @@
     // Starts at 1000, because the modules take a time of 0 as "never".
     double Clock() const
     {
-        return now_ + 1000;
+        return now + 1000;
     }
     void Offer(const std::shared_ptr<Call> &call)
     {
@@ -293,7 +275,7 @@
     {
         double took_s = call->work_s / call->target->speed;
         result_.by_target[call->target->index]++;
-        Schedule(now_ + took_s, [this, call] {
+        At(now + took_s, [this, call] {
             BbSlotQueue_Finish(call->target->queue, &call->ticket, true,
                                Clock());
             Respond(call, true);
@@ -314,7 +296,7 @@
     {
         bb_load_t load = ReportLoad(*call->target);
         waiting_.erase(&call->ticket);
-        Schedule(now_ + HopTime(*call), [this, call, load, is_served] {
+        At(now + HopTime(*call), [this, call, load, is_served] {
             HandleResponse(call, load, is_served);
         });
     }
@@ -339,7 +321,7 @@
     }
     void CountServed(const std::shared_ptr<Call> &call)
     {
-        double took_s = now_ - call->arrived_at;
+        double took_s = now - call->arrived_at;
         bool is_in_time = took_s <= options_.target_latency_s;
         (is_in_time ? result_.in_time : result_.late)++;
         result_.remote += call->target->data_centre != call->node->data_centre;
@@ -356,11 +338,8 @@
     bb_random_t *random_;
     std::vector<std::unique_ptr<Target>> targets_;
     std::vector<Node> nodes_;
-    std::priority_queue<Event> events_;
     std::map<bb_slot_ticket_t *, std::shared_ptr<Call>> waiting_;
     SimulationResult result_;
-    double now_ = 0;
-    long order_ = 0;
 };
 
 // Required share of calls in time, for each load and in each data centre: the
--- a/tests/unit/target_simulation.h
+++ b/tests/unit/target_simulation.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,6 +16,7 @@
 #include "bb_pace.h"
 #include "bb_placement.h"
 #include "bb_slot_queue.h"
+#include "event_queue.h"
 
 namespace simulation {
 
@@ -54,7 +54,7 @@
     }
 };
 
-class Fleet {
+class Fleet : public EventQueue {
   public:
     struct Call;
     using CallPtr = std::shared_ptr<Call>;
@@ -110,18 +110,9 @@
         }
         BbRandom_Free(random_);
     }
-    void At(double at, std::function<void()> run)
-    {
-        events_.push({at, order_++, std::move(run)});
-    }
     Result Run()
     {
-        while (!events_.empty()) {
-            Event event = events_.top();
-            events_.pop();
-            now = event.at;
-            event.run();
-        }
+        RunEvents();
         return result;
     }
     // Starts a new incarnation that is slow for some seconds.
@@ -192,18 +183,8 @@
     std::mt19937 engine;
     std::vector<Target> targets;
     Result result;
-    double now = 0;
 
   private:
-    struct Event {
-        double at;
-        long order;
-        std::function<void()> run;
-        bool operator<(const Event &other) const
-        {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
     static std::string Name(int index)
     {
         return "t" + std::to_string(index);
@@ -482,9 +463,7 @@
     bb_random_t *random_;
     std::vector<bb_fleet_t *> fleets_;
     std::vector<bb_hedge_t *> hedges_;
-    std::priority_queue<Event> events_;
     std::map<bb_slot_ticket_t *, CallPtr> waiting_;
-    long order_ = 0;
     int64_t revision_ = 0;
 };
 
