Tests: one node record and one decoder of configurations

Nine tests of mesh_io_test.cc filled in the same node record; account_test.cc and platform_adapter_test.cc each decoded configurations on their own. They use OrdersRecord() and config_text.h now. account_test.cc gets the check that findings come with an error only, which the other one had.

--- a/tests/unit/account_test.cc
+++ b/tests/unit/account_test.cc
@@ -7,10 +7,13 @@
 #include "bb_account.h"
 #include "bb_error.h"
 #include "bb_hop.h"
+#include "config_text.h"
 #include "mesh_rig.h"
 #include "platform.h"
 
 using namespace mesh_rig;
+using config_text::DecodeConfig;
+using config_text::ReplaceFirst;
 
 namespace {
 
@@ -23,23 +26,6 @@
     "\"s1\",\"public\":false},{\"name\":\"p\",\"prefix\":\"/p/\",\"kind\":"
     "\"safe\",\"service\":\"s1\",\"public\":true}]}]}";
 
-int
-Decode(const std::string &text, bb_mesh_config_t **config)
-{
-    bb_findings_t findings;
-    BbFindings_Init(&findings);
-    int error =
-        Platform_DecodeConfig(text.data(), text.size(), &findings, config);
-    BbFindings_Free(&findings);
-    return error;
-}
-
-std::string
-Replace(std::string text, const std::string &from, const std::string &to)
-{
-    return text.replace(text.find(from), from.size(), to);
-}
-
 // A node whose configuration has the accounts "t1" with the key "k1" and "t2"
 // with the key "k2", and whose route /public/ needs no key.
 class AccountIo : public ::testing::Test {
@@ -96,7 +82,7 @@
 TEST(AccountConfig, DecodesAccountsAndDownloads)
 {
     bb_mesh_config_t *config = nullptr;
-    ASSERT_EQ(Decode(kConfig, &config), 0);
+    ASSERT_EQ(DecodeConfig(kConfig, &config), 0);
     const bb_account_table_t *accounts = BbMeshConfig_Accounts(config);
     ASSERT_NE(accounts, nullptr);
     uint64_t first, second;
@@ -122,16 +108,16 @@
 {
     const std::string good = kConfig;
     const std::string bad[] = {
-        Replace(good, "\"k3\"", "\"k1\""),
-        Replace(good, "\"k3\"", "\"\""),
-        Replace(good, "\"k3\"", "7"),
-        Replace(good, "\"name\":\"t2\"", "\"name\":\"t1\""),
-        Replace(good, "\"name\":\"t2\",", ""),
-        Replace(good, "\"rate_per_s\":7", "\"rate_per_s\":-7"),
+        ReplaceFirst(good, "\"k3\"", "\"k1\""),
+        ReplaceFirst(good, "\"k3\"", "\"\""),
+        ReplaceFirst(good, "\"k3\"", "7"),
+        ReplaceFirst(good, "\"name\":\"t2\"", "\"name\":\"t1\""),
+        ReplaceFirst(good, "\"name\":\"t2\",", ""),
+        ReplaceFirst(good, "\"rate_per_s\":7", "\"rate_per_s\":-7"),
     };
     for (const auto &text : bad) {
         bb_mesh_config_t *config = nullptr;
-        EXPECT_EQ(Decode(text, &config), BB_ERR_INVALID) << text;
+        EXPECT_EQ(DecodeConfig(text, &config), BB_ERR_INVALID) << text;
     }
 }
 
@@ -143,7 +129,8 @@
         const std::string name =
             std::string(field).substr(0, strlen(field) - 1);
         for (const char *value : {"\"7\"", "true", "null", "[7]", "{}"}) {
-            const std::string text = Replace(kConfig, field, name + value);
+            const std::string text =
+                ReplaceFirst(kConfig, field, name + value);
             bb_mesh_config_t *config = nullptr;
             bb_findings_t findings;
             BbFindings_Init(&findings);
@@ -167,19 +154,19 @@
 {
     const std::string good = kConfig;
     std::vector<std::string> bad = {
-        Replace(good, "\"k3\"", "\"k3\\u0000x\""),
-        Replace(good, "\"rate_per_s\":7", "\"rate_per_s\":1e300"),
-        Replace(good, "\"burst\":9", "\"burst\":1e300"),
+        ReplaceFirst(good, "\"k3\"", "\"k3\\u0000x\""),
+        ReplaceFirst(good, "\"rate_per_s\":7", "\"rate_per_s\":1e300"),
+        ReplaceFirst(good, "\"burst\":9", "\"burst\":1e300"),
     };
     for (const char *name :
          {"t\\n2", "t\\r2", "t\\u00002", " t2", "t2 ", ""}) {
-        bad.push_back(Replace(good, "\"name\":\"t2\"",
-                              std::string("\"name\":\"") + name + "\""));
+        bad.push_back(ReplaceFirst(good, "\"name\":\"t2\"",
+                                   std::string("\"name\":\"") + name + "\""));
     }
     for (const auto &text : bad) {
         bb_mesh_config_t *config = nullptr;
         ASSERT_NE(text, good);
-        EXPECT_EQ(Decode(text, &config), BB_ERR_INVALID) << text;
+        EXPECT_EQ(DecodeConfig(text, &config), BB_ERR_INVALID) << text;
     }
 }
 
--- a/tests/unit/mesh_io_test.cc
+++ b/tests/unit/mesh_io_test.cc
@@ -17,6 +17,19 @@
 
 namespace {
 
+// A target of the service "orders". The strings must outlive the record.
+bb_node_record_t
+OrdersRecord(const std::string &address, const char *target_id,
+             const char *data_centre = "a")
+{
+    bb_node_record_t record = {};
+    record.address = const_cast<char *>(address.c_str());
+    record.data_centre = const_cast<char *>(data_centre);
+    record.service = const_cast<char *>("orders");
+    record.target_id = const_cast<char *>(target_id);
+    return record;
+}
+
 struct MeshIo : testing::Test {
     MeshIo() : target(&loop), node(&loop, "n1", "a", &target)
     {
@@ -455,11 +468,7 @@
 {
     Target silent(&loop); // accepts connections and never responds
     silent.on_request = [](const Target::Request &) {};
-    bb_node_record_t record = {};
-    record.address = const_cast<char *>(silent.address.c_str());
-    record.data_centre = const_cast<char *>("a");
-    record.service = const_cast<char *>("orders");
-    record.target_id = const_cast<char *>("i-9");
+    bb_node_record_t record = OrdersRecord(silent.address, "i-9");
     record.slots = 50;
     record.is_ready = true;
     BbFleet_Merge(node.fleet, "silent", &record, 9, 0);
@@ -483,11 +492,7 @@
     slow.on_request = [&](const Target::Request &request) {
         held.push_back(request);
     };
-    bb_node_record_t record = {};
-    record.address = const_cast<char *>(slow.address.c_str());
-    record.data_centre = const_cast<char *>("a");
-    record.service = const_cast<char *>("orders");
-    record.target_id = const_cast<char *>("i-9");
+    bb_node_record_t record = OrdersRecord(slow.address, "i-9");
     record.slots = 50;
     record.is_ready = true;
     BbFleet_Merge(node.fleet, "slow", &record, 9, 0);
@@ -1067,11 +1072,7 @@
     Loop loop;
     SyncNode old_node(&loop, "old"), restarted(&loop, "restarted");
     BbVersions_Add(old_node.versions, 7, "the tables", 10);
-    bb_node_record_t record = {};
-    record.address = const_cast<char *>(restarted.address.c_str());
-    record.data_centre = const_cast<char *>("a");
-    record.service = const_cast<char *>("orders");
-    record.target_id = const_cast<char *>("i-1");
+    bb_node_record_t record = OrdersRecord(restarted.address, "i-1");
     BbFleet_Merge(old_node.fleet, "restarted", &record, 5, 0);
     BbFleet_Merge(old_node.fleet, "restarted", nullptr, 6, 0);
     BbSyncClient_SetStoreUnreachable(old_node.client, true);
@@ -1088,11 +1089,7 @@
     SyncNode reader(&loop, "r"), node(&loop, "n");
     BbVersions_Add(reader.versions, 7, "the tables", 10);
     reader.is_connected = true;
-    bb_node_record_t record = {};
-    record.address = const_cast<char *>(reader.address.c_str());
-    record.data_centre = const_cast<char *>("a");
-    record.service = const_cast<char *>("orders");
-    record.target_id = const_cast<char *>("i-1");
+    bb_node_record_t record = OrdersRecord(reader.address, "i-1");
     BbFleet_Merge(node.fleet, "r", &record, 5, 0);
     BbSyncClient_SetScope(node.client, BB_SYNC_READERS);
     ASSERT_TRUE(loop.RunUntil([&] { return !node.config.empty(); }));
@@ -1126,11 +1123,7 @@
         nodes.push_back(std::make_unique<SyncNode>(
             &loop, ("n" + std::to_string(i)).c_str()));
         for (const auto &reader : readers) {
-            bb_node_record_t record = {};
-            record.address = const_cast<char *>(reader->address.c_str());
-            record.data_centre = const_cast<char *>("a");
-            record.service = const_cast<char *>("orders");
-            record.target_id = const_cast<char *>("i-1");
+            bb_node_record_t record = OrdersRecord(reader->address, "i-1");
             BbFleet_Merge(nodes.back()->fleet, reader->address.c_str(),
                           &record, 5, 0);
         }
@@ -1163,11 +1156,8 @@
     Loop loop;
     SyncNode asking(&loop, "asking"), one(&loop, "one"), two(&loop, "two");
     for (SyncNode *reader : {&one, &two}) {
-        bb_node_record_t record = {};
-        record.address = const_cast<char *>(reader->address.c_str());
-        record.data_centre = const_cast<char *>(reader == &one ? "a" : "b");
-        record.service = const_cast<char *>("orders");
-        record.target_id = const_cast<char *>("i-1");
+        bb_node_record_t record =
+            OrdersRecord(reader->address, "i-1", reader == &one ? "a" : "b");
         BbFleet_Merge(asking.fleet, reader->address.c_str(), &record, 5, 0);
         reader->revision = 0;
         reader->is_connected = true;
@@ -1205,11 +1195,7 @@
     Loop loop;
     SyncNode own(&loop, "own"), there(&loop, "there");
     const auto add = [&own](const std::string &address, const char *name) {
-        bb_node_record_t record = {};
-        record.address = const_cast<char *>(address.c_str());
-        record.data_centre = const_cast<char *>("a");
-        record.service = const_cast<char *>("orders");
-        record.target_id = const_cast<char *>(name);
+        bb_node_record_t record = OrdersRecord(address, name);
         BbFleet_Merge(own.fleet, name, &record, 5, 0);
         BbFleet_Find(own.fleet, name)->is_probe_requested = true;
     };
@@ -1239,11 +1225,8 @@
         remote(&loop, "remote");
     const auto add = [&cut_off](const SyncNode &node, const char *name,
                                 const char *data_centre) {
-        bb_node_record_t record = {};
-        record.address = const_cast<char *>(node.address.c_str());
-        record.data_centre = const_cast<char *>(data_centre);
-        record.service = const_cast<char *>("orders");
-        record.target_id = const_cast<char *>(name);
+        bb_node_record_t record =
+            OrdersRecord(node.address, name, data_centre);
         BbFleet_Merge(cut_off.fleet, name, &record, 5, 0);
     };
     local.revision = remote.revision = 0;
@@ -1268,11 +1251,7 @@
 {
     Loop loop;
     SyncNode asking(&loop, "asking"), other(&loop, "other");
-    bb_node_record_t record = {};
-    record.address = const_cast<char *>(other.address.c_str());
-    record.data_centre = const_cast<char *>("b");
-    record.service = const_cast<char *>("orders");
-    record.target_id = const_cast<char *>("other");
+    bb_node_record_t record = OrdersRecord(other.address, "other", "b");
     BbFleet_Merge(asking.fleet, "other", &record, 5, 0);
     other.config_age_s = 0.25;
     BbVersions_Add(other.versions, 7, "the tables", 10);
--- a/tests/unit/platform_adapter_test.cc
+++ b/tests/unit/platform_adapter_test.cc
@@ -12,11 +12,14 @@
 #include "bb_clock.h"
 #include "bb_follower.h"
 #include "bb_row_writer.h"
+#include "config_text.h"
 #include "fake_store.h"
 #include "mesh_rig.h"
 #include "platform.h"
 #include "relay.h"
 
+using config_text::DecodeConfig;
+using config_text::ReplaceFirst;
 using mesh_rig::FakeStore;
 using mesh_rig::Loop;
 
@@ -448,24 +451,6 @@
     "\"weighted_split\":[{\"service\":\"s1\",\"weight\":90},"
     "{\"service\":\"s2\",\"weight\":10}]}]}]}";
 
-int
-Decode(const std::string &text, bb_mesh_config_t **config)
-{
-    bb_findings_t findings;
-    BbFindings_Init(&findings);
-    int error =
-        Platform_DecodeConfig(text.data(), text.size(), &findings, config);
-    EXPECT_EQ(error != 0, findings.count > 0);
-    BbFindings_Free(&findings);
-    return error;
-}
-
-std::string
-ReplaceFirst(std::string text, const std::string &from, const std::string &to)
-{
-    return text.replace(text.find(from), from.size(), to);
-}
-
 } // namespace
 
 // Guards against fields that are decoded wrongly: only routes of kind "safe"
@@ -473,7 +458,7 @@
 TEST(PlatformConfig, DecodesRoutes)
 {
     bb_mesh_config_t *config = nullptr;
-    ASSERT_EQ(Decode(kConfig, &config), 0);
+    ASSERT_EQ(DecodeConfig(kConfig, &config), 0);
     EXPECT_EQ(BbMeshConfig_Version(config), 12);
     EXPECT_EQ(BbMeshConfig_Limits(config)->body_bytes, 1000);
     EXPECT_EQ(BbMeshConfig_MaxConnections(config, "s1"), 120);
@@ -510,7 +495,7 @@
     };
     for (const auto &text : bad) {
         bb_mesh_config_t *config = nullptr;
-        EXPECT_NE(Decode(text, &config), 0) << text;
+        EXPECT_NE(DecodeConfig(text, &config), 0) << text;
         EXPECT_EQ(config, nullptr);
     }
 }
