Hedged calls: attempts end through one function

end_hedge() repeated what BbMeshCall_EndAttempt() does with the load report and the node. Its outcomes are never SERVED, so nothing else changes.

--- a/lib/mesh/bb_mesh_call.h
+++ b/lib/mesh/bb_mesh_call.h
@@ -106,6 +106,13 @@
  * available. */
 void BbMeshCall_StartNextAttempt(bb_mesh_call_t *call);
 
+/* Reports the outcome of an attempt at the node to bb_placement, with the load
+ * report that came with its response, and releases the node. */
+void BbMeshCall_ReleaseEndpoint(const bb_mesh_call_t *call,
+                                bb_endpoint_t *endpoint,
+                                const bb_hop_load_report_t *report,
+                                bb_attempt_outcome_t outcome);
+
 /* Ends the running attempt, if any, and reports its outcome to
  * bb_placement. */
 void BbMeshCall_EndAttempt(bb_mesh_call_t *call, bb_attempt_outcome_t outcome);
--- a/lib/mesh/bb_mesh_call_attempt.c
+++ b/lib/mesh/bb_mesh_call_attempt.c
@@ -33,25 +33,35 @@
 #define UNRESPONSIVE_AVOID_S 0.5
 
 void
-BbMeshCall_EndAttempt(bb_mesh_call_t *call, bb_attempt_outcome_t outcome)
+BbMeshCall_ReleaseEndpoint(const bb_mesh_call_t *call, bb_endpoint_t *endpoint,
+                           const bb_hop_load_report_t *report,
+                           bb_attempt_outcome_t outcome)
 {
-    if (call->endpoint == NULL) {
-        return;
-    }
-    bb_load_t load = call->load_report.load;
-    bool has_load = call->load_report.has_load;
-    if (call->endpoint->is_local) {
+    bb_load_t load = report->load;
+    bool has_load = report->has_load;
+
+    if (endpoint->is_local) {
         BbTargetIo_GetLoad(call->io->options.target, NULL, &load);
         has_load = true;
     }
     else if (has_load && outcome == BB_ATTEMPT_SERVED &&
              strcmp(call->service, call->io->service) == 0) {
         BbTargetIo_OnLoadElsewhere(call->io->options.target, call->route->name,
-                                   &load, call->endpoint->record.slots);
+                                   &load, endpoint->record.slots);
     }
-    BbPlacement_EndAttempt(call->endpoint, outcome, has_load ? &load : NULL,
+    BbPlacement_EndAttempt(endpoint, outcome, has_load ? &load : NULL,
                            BbMeshCall_Now(call));
-    BbEndpoint_Unref(call->endpoint);
+    BbEndpoint_Unref(endpoint);
+}
+
+void
+BbMeshCall_EndAttempt(bb_mesh_call_t *call, bb_attempt_outcome_t outcome)
+{
+    if (call->endpoint == NULL) {
+        return;
+    }
+    BbMeshCall_ReleaseEndpoint(call, call->endpoint, &call->load_report,
+                               outcome);
     call->endpoint = NULL;
     call->attempt = NULL;
     if (call->io->options.hedge != NULL && outcome == BB_ATTEMPT_SERVED) {
--- a/lib/mesh/bb_mesh_call_hedge.c
+++ b/lib/mesh/bb_mesh_call_hedge.c
@@ -41,17 +41,8 @@
 static void
 end_hedge(hedge_t *hedge, bb_attempt_outcome_t outcome)
 {
-    const bb_mesh_call_t *call = hedge->call;
-    bb_load_t load = hedge->load_report.load;
-    bool has_load = hedge->load_report.has_load;
-
-    if (hedge->endpoint->is_local) {
-        BbTargetIo_GetLoad(call->io->options.target, NULL, &load);
-        has_load = true;
-    }
-    BbPlacement_EndAttempt(hedge->endpoint, outcome, has_load ? &load : NULL,
-                           BbMeshCall_Now(call));
-    BbEndpoint_Unref(hedge->endpoint);
+    BbMeshCall_ReleaseEndpoint(hedge->call, hedge->endpoint,
+                               &hedge->load_report, outcome);
     free_hedge(hedge);
 }
 
