Slow start of the target: own module

bb_target_io.c had 1,007 lines and two jobs: calls of the target, and its slow start. The latter is in bb_target_pace.c now, without other changes.

--- a/lib/mesh/bb_target_io.c
+++ b/lib/mesh/bb_target_io.c
@@ -11,6 +11,7 @@
 #include "bb_histogram.h"
 #include "bb_slot_queue.h"
 #include "bb_target_load.h"
+#include "bb_target_pace.h"
 
 /* The deadline given to the target is this much earlier than the time at which
  * the node that received the call stops waiting. */
@@ -31,11 +32,6 @@
 /* Time for which a number of calls that the target reports is used. */
 #define TARGET_LOAD_KEEP_S 0.3
 
-/* A target that was started longer ago than this before the first heartbeat
- * that this process received has been running beside an earlier process, and
- * is not new. */
-#define STARTED_BEFORE_MS 5000
-
 /* Weight of the newest call in the moving average of the failure rate. */
 #define FAIL_RATE_WEIGHT 0.05
 
@@ -71,10 +67,7 @@
     const bb_dropped_keys_t *dropped_keys;
     bb_link_admission_t *link;          /* may be NULL */
     const bb_target_rollout_t *rollout; /* may be NULL */
-    bb_pace_t *pace;
-    char paced_id[BB_TARGET_ID_TEXT + 1]; /* last incarnation that was ready */
-    int64_t paced_born_ms;
-    bool was_ready;
+    bb_target_pace_t *pace;
     bb_slot_queue_t *queue;
     bb_reserve_t *reserve;
     bb_fair_share_t *share;
@@ -94,131 +87,6 @@
 
 static void run_queue(bb_target_io_t *io);
 
-/* ---- slow start, see bb_pace.h ---- */
-
-static void
-log_pace(const bb_target_io_t *io, const char *state)
-{
-    if (BbEvent_Allows(BB_EVENT_PACE)) {
-        BbEvent_Write(BB_EVENT_PACE,
-                      json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:f}",
-                                "target", BbLocalTarget_Id(io->target),
-                                "state", state, "reason",
-                                BbPace_ReasonName(io->pace), "limit",
-                                BbPace_Limit(io->pace), "slots",
-                                BbLocalTarget_Slots(io->target), "running",
-                                BbSlotQueue_Running(io->queue), "slowness",
-                                BbPace_Slowness(io->pace)));
-    }
-}
-
-static void
-apply_pace(bb_target_io_t *io, bb_pace_change_t change)
-{
-    BbSlotQueue_SetSlots(io->queue, BbPace_Limit(io->pace));
-    switch (change) {
-    case BB_PACE_BEGUN:
-        BbCounters_Add(BB_COUNTER_PACE_BEGUN, 1);
-        log_pace(io, "begun");
-        break;
-    case BB_PACE_LOWERED:
-        BbCounters_Add(BB_COUNTER_PACE_LOWERED, 1);
-        log_pace(io, "lowered");
-        break;
-    case BB_PACE_ENDED:
-        BbCounters_Add(BB_COUNTER_PACE_ENDED, 1);
-        log_pace(io, "full");
-        break;
-    case BB_PACE_UNCHANGED:
-        break;
-    }
-}
-
-static void
-pace_response(bb_target_io_t *io, const target_call_t *call)
-{
-    if (io->pace != NULL) {
-        double now = BbClock_Now(io->loop);
-        apply_pace(io, BbPace_OnResponse(io->pace, call->request.class_name,
-                                         call->ticket.started_at,
-                                         BbSlotQueue_Running(io->queue), now));
-    }
-}
-
-static void
-pace_failure(bb_target_io_t *io, const target_call_t *call, bool is_timeout)
-{
-    if (io->pace != NULL) {
-        apply_pace(io, BbPace_OnFailure(io->pace, call->ticket.started_at,
-                                        is_timeout, BbClock_Now(io->loop)));
-    }
-}
-
-/* Before a call is offered: applies the time, and predicts with the time that
- * its class takes elsewhere, because the own mean follows too slowly. */
-static void
-pace_offer(bb_target_io_t *io, const bb_attempt_request_t *request)
-{
-    double now = BbClock_Now(io->loop);
-
-    if (io->pace == NULL || !BbPace_IsActive(io->pace)) {
-        return;
-    }
-    apply_pace(io, BbPace_Update(io->pace, now));
-    BbSlotQueue_AssumeTime(
-        io->queue, request->class_name,
-        BbPace_Reference(io->pace, request->class_name, now) *
-            BbPace_Slowness(io->pace),
-        now);
-}
-
-/* Whether the ready target was running before this process started. */
-static bool
-is_target_old(const bb_target_io_t *io)
-{
-    int64_t born_ms = BbLocalTarget_BornMs(io->target);
-
-    return io->paced_id[0] == '\0' && born_ms > 0 &&
-           g_get_real_time() / 1000 - born_ms > STARTED_BEFORE_MS;
-}
-
-/* Begins the slow start of a target that has become ready. */
-static void
-pace_target(bb_target_io_t *io)
-{
-    bool is_ready = BbLocalTarget_State(io->target) == BB_LOCAL_READY;
-    bool was_ready = io->was_ready;
-    const char *id = BbLocalTarget_Id(io->target);
-
-    BbPace_SetSlots(io->pace, BbLocalTarget_Slots(io->target));
-    io->was_ready = is_ready;
-    if (!is_ready) {
-        return;
-    }
-    bool is_same = strcmp(id, io->paced_id) == 0 &&
-                   BbLocalTarget_BornMs(io->target) == io->paced_born_ms;
-    bool is_old = is_target_old(io);
-    g_strlcpy(io->paced_id, id, sizeof(io->paced_id));
-    io->paced_born_ms = BbLocalTarget_BornMs(io->target);
-    double cold_left_s = BbLocalTarget_ColdLeft(io->target);
-    if ((!is_same && !is_old) || cold_left_s > 0) {
-        apply_pace(io, BbPace_Begin(io->pace, BB_PACE_STARTED, cold_left_s,
-                                    BbClock_Now(io->loop)));
-    }
-    else if (is_same && !was_ready) {
-        apply_pace(io, BbPace_Begin(io->pace, BB_PACE_RETURNED, 0,
-                                    BbClock_Now(io->loop)));
-    }
-}
-
-/* Calls that the target may run at once now. */
-static int
-current_slots(const bb_target_io_t *io)
-{
-    return io->pace != NULL ? BbPace_Limit(io->pace)
-                            : BbLocalTarget_Slots(io->target);
-}
-
 /* ---- ending a call ---- */
 
 static void
@@ -291,7 +159,7 @@
                       call->request.call_id, "reason", BbReason_Name(reason),
                       "running", BbSlotQueue_Running(io->queue), "waiting",
                       BbSlotQueue_Waiting(io->queue), "slots",
-                      current_slots(io), "service_s",
+                      BbTargetPace_Slots(io->pace), "service_s",
                       BbSlotQueue_ServiceTime(io->queue, now), "link_s",
                       BbLinkAdmission_Wait(io->link, now)));
     }
@@ -334,7 +202,9 @@
     /* A call that was cut at its deadline may have started late. Its duration
      * tells a slow target, and a failure would tell only an overloaded one. */
     report_run(call, reason != BB_REASON_CALL_TIMEOUT);
-    pace_failure(io, call, reason == BB_REASON_CALL_TIMEOUT);
+    BbTargetPace_OnFailure(io->pace, call->ticket.started_at,
+                           reason == BB_REASON_CALL_TIMEOUT,
+                           BbClock_Now(io->loop));
     release_ticket(call, reason == BB_REASON_CALL_TIMEOUT);
     free_call(call);
     handler->on_lost(reason, arg);
@@ -433,7 +303,8 @@
             BbLocalTarget_OnMismatch(io->target);
         }
         record_result(io, true);
-        pace_failure(io, call, false);
+        BbTargetPace_OnFailure(io->pace, call->ticket.started_at, false,
+                               BbClock_Now(io->loop));
         refuse(call, call->refusal);
         return;
     }
@@ -442,7 +313,8 @@
                                 call->response_bytes, BbClock_Now(io->loop));
     }
     report_run(call, call->status >= 500);
-    pace_response(io, call);
+    BbTargetPace_OnResponse(io->pace, call->request.class_name,
+                            call->ticket.started_at, BbClock_Now(io->loop));
     release_ticket(call, true);
     free_call(call);
     handler->on_end(owner);
@@ -457,7 +329,8 @@
     call->exchange = NULL;
     if (call->refusal != BB_REASON_NONE || !is_sent) {
         record_result(call->io, true);
-        pace_failure(call->io, call, false);
+        BbTargetPace_OnFailure(call->io->pace, call->ticket.started_at, false,
+                               BbClock_Now(call->io->loop));
         refuse(call, call->refusal != BB_REASON_NONE
                          ? call->refusal
                          : BB_REASON_TARGET_CONNECT);
@@ -803,7 +676,7 @@
     if (reason != BB_REASON_NONE) {
         return report_refusal(io, request, reason);
     }
-    pace_offer(io, request);
+    BbTargetPace_OnOffer(io->pace, request->class_name, now);
     if (!is_link_available(io, request, retry_after_s)) {
         return report_refusal(io, request, BB_REASON_LINK_FULL);
     }
@@ -839,7 +712,7 @@
         start_call(call);
     }
     else {
-        if (BbSlotQueue_Running(io->queue) < current_slots(io)) {
+        if (BbSlotQueue_Running(io->queue) < BbTargetPace_Slots(io->pace)) {
             BbCounters_Add(BB_COUNTER_RESERVE_WAITS, 1);
         }
         schedule_queue_timer(io);
@@ -862,10 +735,8 @@
 void
 BbTargetIo_TargetChanged(bb_target_io_t *io)
 {
-    if (io->pace != NULL) {
-        pace_target(io);
-    }
-    BbSlotQueue_SetSlots(io->queue, current_slots(io));
+    BbTargetPace_TargetChanged(io->pace, BbClock_Now(io->loop));
+    BbSlotQueue_SetSlots(io->queue, BbTargetPace_Slots(io->pace));
     bb_reason_t reason = state_refusal_reason(io);
     if (reason != BB_REASON_NONE && reason != BB_REASON_NODE_DRAINING) {
         refuse_waiting(io, reason);
@@ -898,11 +769,9 @@
         load->running += io->foreign_running;
     }
     load->waiting = BbSlotQueue_Waiting(io->queue);
-    load->slots = current_slots(io);
+    load->slots = BbTargetPace_Slots(io->pace);
     double service_s =
-        io->pace != NULL
-            ? BbPace_ServiceTime(io->pace, load->running + load->waiting)
-            : 0;
+        BbTargetPace_ServiceTime(io->pace, load->running + load->waiting);
     if (service_s <= 0) {
         service_s = BbSlotQueue_MixTime(io->queue, now);
     }
@@ -913,27 +782,15 @@
         BbLinkAdmission_Wait(io->link, now) - load->service_ms / 1000.0;
     load->link_ms = (int)lrint(CLAMP(link_s, 0.0, MAX_REPORTED_LINK_S) * 1000);
     load->class_ms =
-        io->pace != NULL
-            ? (int)lrint(BbSlotQueue_MeasuredTime(io->queue, class_name, now) *
-                         1000)
-            : 0;
+        (int)lrint(BbTargetPace_ClassTime(io->pace, class_name, now) * 1000);
 }
 
 void
 BbTargetIo_OnLoadElsewhere(bb_target_io_t *io, const char *class_name,
                            const bb_load_t *load, int record_slots)
 {
-    bool has_limit = load->slots < record_slots;
-
-    if (io->pace == NULL || load->slots <= 0) {
-        return;
-    }
-    BbPace_OnUsage(io->pace,
-                   (double)(load->running + load->waiting) / load->slots);
-    if (!has_limit) {
-        BbPace_OnReference(io->pace, class_name, load->class_ms / 1000.0,
-                           BbClock_Now(io->loop));
-    }
+    BbTargetPace_OnLoadElsewhere(io->pace, class_name, load, record_slots,
+                                 BbClock_Now(io->loop));
 }
 
 bb_call_tree_t *
@@ -972,9 +829,11 @@
     io->dropped_keys = options->dropped_keys;
     io->link = options->link;
     io->rollout = options->rollout;
-    io->pace = options->pace;
     io->uses_target_load = options->uses_target_load;
     io->queue = BbSlotQueue_New();
+    const bb_target_pace_options_t pace_options = {options->pace, io->target,
+                                                   io->queue};
+    io->pace = BbTargetPace_New(&pace_options);
     io->reserve = BbReserve_New();
     BbSlotQueue_SetReserve(io->queue, io->reserve);
     io->share = BbFairShare_New();
@@ -997,6 +856,7 @@
         cancel(&io->calls->base);
     }
     BbH1Client_Free(io->client);
+    BbTargetPace_Free(io->pace);
     BbSlotQueue_Free(io->queue);
     BbReserve_Free(io->reserve);
     BbFairShare_Free(io->share);
