Tables of records by name: one bounded lookup

bb_hedge, bb_pace and the route numbers of bb_call_io each had the same lookup that adds a record and clears a full table. They call BbNameTable_Get() now. The load tests print the same figures as before. bb_slot_queue and bb_call_tree keep their own: they may not drop records in use.

--- a/lib/mesh/bb_call_io.c
+++ b/lib/mesh/bb_call_io.c
@@ -10,6 +10,7 @@
 #include "bb_counters.h"
 #include "bb_event.h"
 #include "bb_mesh_call.h"
+#include "bb_name_table.h"
 
 /* Timeout of a call if neither its caller nor its route sets one. */
 #define DEFAULT_TIMEOUT_S 60.0
@@ -29,16 +30,8 @@
 double *
 BbMeshCall_RouteNumber(const bb_mesh_call_t *call, GHashTable *table)
 {
-    double *number = g_hash_table_lookup(table, call->route->name);
-
-    if (number == NULL) {
-        if (g_hash_table_size(table) >= MAX_ROUTE_NUMBERS) {
-            g_hash_table_remove_all(table);
-        }
-        number = g_new0(double, 1);
-        g_hash_table_insert(table, g_strdup(call->route->name), number);
-    }
-    return number;
+    return BbNameTable_Get(table, call->route->name, sizeof(double),
+                           MAX_ROUTE_NUMBERS);
 }
 
 /* Gives back what the call has taken from its account's quota if it has
--- a/lib/mesh/bb_hedge.c
+++ b/lib/mesh/bb_hedge.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "bb_name_table.h"
+
 /* Share of the responses of a class that are late. With 0.05 the second
  * attempt often begins too late to end within the target latency. */
 #define LATE_SHARE 0.08
@@ -68,16 +70,8 @@
 static class_state_t *
 find_or_add_class(bb_hedge_t *hedge, const char *name)
 {
-    class_state_t *state = g_hash_table_lookup(hedge->classes, name);
-
-    if (state == NULL) {
-        if (g_hash_table_size(hedge->classes) >= MAX_CLASSES) {
-            g_hash_table_remove_all(hedge->classes);
-        }
-        state = g_new0(class_state_t, 1);
-        g_hash_table_insert(hedge->classes, g_strdup(name), state);
-    }
-    return state;
+    return BbNameTable_Get(hedge->classes, name, sizeof(class_state_t),
+                           MAX_CLASSES);
 }
 
 void
--- a/lib/pace/bb_pace.c
+++ b/lib/pace/bb_pace.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <math.h>
 
+#include "bb_name_table.h"
+
 /* A started target begins with this share of its slots: a target that takes
  * twice the usual time after its start holds half of them. */
 #define START_SHARE 0.5
@@ -221,14 +223,8 @@
     if (class_name == NULL || service_s <= 0) {
         return;
     }
-    reference_t *known = g_hash_table_lookup(pace->references, class_name);
-    if (known == NULL) {
-        if (g_hash_table_size(pace->references) >= MAX_CLASSES) {
-            g_hash_table_remove_all(pace->references);
-        }
-        known = g_new0(reference_t, 1);
-        g_hash_table_insert(pace->references, g_strdup(class_name), known);
-    }
+    reference_t *known = BbNameTable_Get(pace->references, class_name,
+                                         sizeof(reference_t), MAX_CLASSES);
     bool is_old = now - known->reported_at > REFERENCE_MAX_AGE_S;
     known->mean_s = is_old ? service_s
                            : known->mean_s + REFERENCE_WEIGHT *
