Responses: a status outside 100 to 599 is a broken response

Cause: http_parser takes any number of up to three digits for a status, libcurl any three digits, and no reader checked the range. bb_h1_client (calls of bbsidecar to targets and other nodes, requests to the store) passed on 0 to 99 and 600 to 999, bb_upstream_io (calls of bbnode) and bb_curl_io (buffered requests) 600 to 999. Ruled out: that 000 passes on bbnode too; libcurl and the check for a final status already made it target_lost.

Change: bb_http_syntax says which statuses are valid, and the three readers fail a response with any other one as they fail bytes that are not HTTP. The call may have run: 502, counted and logged as target_lost, not sent again unless it is idempotent. 200 and 599 and the ends of the ranges between them still pass, as do interim responses 100 and 199.

The tests of lengths share their fixture and their buffered request with the new ones, in mesh_rig.h.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # The sidecar must start on VMs that have only the few packages it needs, so it
 # is linked from the objects that it uses instead of the whole library.
 SIDECAR_COMMON := bb_clock bb_counters bb_error bb_event bb_findings bb_histogram \
-                  bb_name_table bb_random \
+                  bb_http_syntax bb_name_table bb_random \
                   bb_reason bb_sidecar_settings
 SIDECAR_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/bbsidecar/*.c \
                   platform/*.c lib/mesh/*.c lib/http/*.c lib/account/*.c \
--- a/lib/caller/bb_upstream_io.c
+++ b/lib/caller/bb_upstream_io.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include "bb_headers.h"
+#include "bb_http_syntax.h"
 
 #define CONNECT_TIMEOUT_MS 1000L
 /* Shorter than CONNECTION_TIMEOUT_S of bb_proxy_io, so that this side discards
@@ -71,18 +72,23 @@
     return size * count;
 }
 
-static void
+/* Returns false for a head with an invalid status. */
+static bool
 finish_head(bb_upstream_t *upstream)
 {
     long status = 0;
 
     curl_easy_getinfo(upstream->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (!BbHttpSyntax_IsStatus(status)) {
+        return false;
+    }
     /* Interim responses (1xx) are followed by the final head. */
     if (status >= 200 && !upstream->is_head_done) {
         upstream->is_head_done = true;
         upstream->events->head(upstream->arg, (unsigned int)status,
                                upstream->content_length);
     }
+    return true;
 }
 
 static void
@@ -108,6 +114,7 @@
     g_free(value);
 }
 
+/* Returns the length of the line, or 0 to fail the request. */
 static size_t
 read_header(char *line, size_t size, size_t count, void *arg)
 {
@@ -123,11 +130,9 @@
         return 0;
     }
     if (length <= 2 && (line[0] == '\r' || line[0] == '\n')) {
-        finish_head(upstream);
-    }
-    else {
-        parse_header(upstream, line, length);
+        return finish_head(upstream) ? length : 0;
     }
+    parse_header(upstream, line, length);
     return length;
 }
 
--- a/lib/common/bb_curl_io.c
+++ b/lib/common/bb_curl_io.c
@@ -5,6 +5,7 @@
 #include <utlist.h>
 
 #include "bb_error.h"
+#include "bb_http_syntax.h"
 
 #define DEFAULT_MAX_RESPONSE_BYTES (8 * 1024 * 1024)
 
@@ -291,6 +292,8 @@
 
     if (code == CURLE_OK) {
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &result.status);
+        result.error =
+            BbHttpSyntax_IsStatus(result.status) ? 0 : BB_ERR_UNAVAILABLE;
     }
     else if (code == CURLE_OPERATION_TIMEDOUT) {
         result.error = BB_ERR_TIMEOUT;
--- a/lib/common/bb_curl_io.h
+++ b/lib/common/bb_curl_io.h
@@ -54,8 +54,8 @@
 
 /*
  * Result of a buffered request. error is 0 when an HTTP response arrived,
- * BB_ERR_TIMEOUT, or BB_ERR_UNAVAILABLE. body is NUL terminated and valid
- * only while done runs.
+ * BB_ERR_TIMEOUT, or BB_ERR_UNAVAILABLE, also when what arrived is not valid
+ * HTTP. body is NUL terminated and valid only while done runs.
  */
 typedef struct {
     int error;
--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -12,6 +12,7 @@
 
 #include "bb_error.h"
 #include "bb_h1_length.h"
+#include "bb_http_syntax.h"
 
 #define READ_BYTES 65536
 
@@ -232,6 +233,9 @@
     const bb_h1_fields_t *fields = &connection->reader.fields;
 
     BbH1Reader_EndHead(&connection->reader);
+    if (!BbHttpSyntax_IsStatus(parser->status_code)) {
+        return -1;
+    }
     if (parser->status_code / 100 == 1) {
         connection->is_response_dropped = true;
         if (exchange->handler->on_interim != NULL) {
--- a/tests/unit/length_test.cc
+++ b/tests/unit/length_test.cc
@@ -2,13 +2,12 @@
 #include <string>
 #include <vector>
 
-#include "bb_h1_fetch.h"
 #include "bb_h1_length.h"
 #include "bb_hop.h"
 #include "mesh_rig.h"
 
 using mesh_rig::Caller;
-using mesh_rig::Loop;
+using mesh_rig::Fetch;
 using mesh_rig::Node;
 using mesh_rig::Status;
 using mesh_rig::Target;
@@ -84,14 +83,7 @@
     return at != std::string::npos ? received.substr(at) : "";
 }
 
-struct Length : testing::Test {
-    Length()
-        : target(&loop), unused(&loop), node(&loop, "n1", "a", &target),
-          forwarding(&loop, "n2", "a", &unused)
-    {
-        forwarding.AddNodeRecord(&node, 2);
-        forwarding.MarkOwnTargetNotReady();
-    }
+struct Length : mesh_rig::DirectAndForwarded {
     // Sends a malformed request. Returns the status, "open" if the connection
     // is not closed after it.
     std::string Reject(const std::string &address, const std::string &head,
@@ -104,9 +96,6 @@
                    ? Status(LastResponse(caller.connection.received))
                    : "open";
     }
-    Loop loop;
-    Target target, unused;
-    Node node, forwarding;
 };
 
 } // namespace
@@ -129,8 +118,6 @@
 // Guards against the same in responses of targets and of the store.
 TEST_F(Length, MalformedResponsesAreErrors)
 {
-    bb_h1_client_options_t client_options = {loop.loop, 0, 0, 0, nullptr};
-    bb_h1_client_t *client = BbH1Client_New(&client_options);
     for (const BadFraming &bad : BadFramings()) {
         SCOPED_TRACE(bad.fields + bad.body);
         target.on_request = [&](const Target::Request &request) {
@@ -145,23 +132,8 @@
             EXPECT_TRUE(loop.RunUntil(
                 [&] { return target.connections.back()->is_closed; }, 1.0));
         }
-        int error = 1;
-        bb_h1_fetch_options_t options = {};
-        options.loop = loop.loop;
-        options.client = client;
-        options.address = target.address.c_str();
-        options.method = "GET";
-        options.target = "/";
-        options.timeout_s = 1;
-        options.done = [](const bb_h1_fetch_result_t *result, void *arg) {
-            *static_cast<int *>(arg) = result->error;
-        };
-        options.arg = &error;
-        BbH1Fetch_Start(&options);
-        EXPECT_TRUE(loop.RunUntil([&] { return error != 1; }, 2.0));
-        EXPECT_EQ(error, BB_ERR_PARSE);
+        EXPECT_EQ(Fetch(&loop, target.address).error, BB_ERR_PARSE);
     }
-    BbH1Client_Free(client);
 }
 
 // Guards against the same in the call header between nodes, and against one
--- a/tests/unit/mesh_rig.h
+++ b/tests/unit/mesh_rig.h
@@ -19,6 +19,7 @@
 
 #include "bb_call_io.h"
 #include "bb_error.h"
+#include "bb_h1_fetch.h"
 #include "bb_h1_message.h"
 #include "bb_hop_server.h"
 #include "bb_quota_io.h"
@@ -519,6 +520,53 @@
     Connection connection;
 };
 
+// Two nodes: callers of the first one reach its target directly, those of the
+// other one are forwarded to it.
+struct DirectAndForwarded : testing::Test {
+    DirectAndForwarded()
+        : target(&loop), unused(&loop), node(&loop, "n1", "a", &target),
+          forwarding(&loop, "n2", "a", &unused)
+    {
+        forwarding.AddNodeRecord(&node, 2);
+        forwarding.MarkOwnTargetNotReady();
+    }
+    Loop loop;
+    Target target, unused;
+    Node node, forwarding;
+};
+
+// Error and status of one request sent as the readers of the store and of
+// other nodes do.
+struct Fetched {
+    int error, status;
+};
+
+inline Fetched
+Fetch(Loop *loop, const std::string &address)
+{
+    struct State {
+        bool is_done = false;
+        Fetched fetched = {};
+    } state;
+    bb_h1_client_options_t client_options = {loop->loop, 0, 0, 0, nullptr};
+    bb_h1_client_t *client = BbH1Client_New(&client_options);
+    bb_h1_fetch_options_t options = {};
+    options.loop = loop->loop;
+    options.client = client;
+    options.address = address.c_str();
+    options.method = "GET";
+    options.target = "/";
+    options.timeout_s = 1;
+    options.done = [](const bb_h1_fetch_result_t *result, void *arg) {
+        *static_cast<State *>(arg) = {true, {result->error, result->status}};
+    };
+    options.arg = &state;
+    BbH1Fetch_Start(&options);
+    EXPECT_TRUE(loop->RunUntil([&] { return state.is_done; }, 2.0));
+    BbH1Client_Free(client);
+    return state.fetched;
+}
+
 // Status code of the first response, empty when the text is too short.
 inline std::string
 Status(const std::string &response)
--- a/tests/unit/proxy_test.cc
+++ b/tests/unit/proxy_test.cc
@@ -22,6 +22,7 @@
 #include "bb_http_io.h"
 #include "bb_proxy_io.h"
 #include "bb_stream.h"
+#include "response_cases.h"
 
 namespace {
 
@@ -700,6 +701,60 @@
         return caller;
     }
 
+    // Expects what follows each broken response: the caller is told that the
+    // order may have run, and it was sent once.
+    void ExpectBrokenResponse(const Node &node, RawTarget *raw)
+    {
+        SCOPED_TRACE(raw->response);
+        size_t count = raw->requests.size();
+        int64_t lost = BbCounters_Get(BB_COUNTER_REFUSED_TARGET_LOST);
+        auto order = Call(node, "POST", "/x", 0);
+        EXPECT_EQ(order->status, 502);
+        EXPECT_EQ(order->response_headers["Burdock-Outcome"], "unknown");
+        EXPECT_EQ(order->response_headers["Burdock-Reason"], "target_lost");
+        EXPECT_EQ(raw->requests.size(), count + 1);
+        EXPECT_EQ(BbCounters_Get(BB_COUNTER_REFUSED_TARGET_LOST), lost + 1);
+        EXPECT_EQ(BbAdmission_RunningCount(b.admission), 0);
+    }
+
+    // Sends a request with BbCurl_Request() and returns its error.
+    int RequestBuffered(const std::string &address)
+    {
+        int error = 1;
+        std::string url = "http://" + address + "/";
+        bb_curl_request_t request = {};
+        request.method = "GET";
+        request.url = url.c_str();
+        request.timeout_ms = kTimeoutMs;
+        request.done = [](const bb_curl_result_t *result, void *arg) {
+            *static_cast<int *>(arg) = result->error;
+        };
+        request.arg = &error;
+        EXPECT_EQ(BbCurl_Request(curl, &request), 0);
+        EXPECT_TRUE(RunUntil([&] { return error != 1; }));
+        return error;
+    }
+
+    // Sends a transaction to a store at this address and returns its error.
+    int CommitToStore(const std::string &address)
+    {
+        int error = 1;
+        std::string url = "http://" + address;
+        bb_platform_options_t options = {curl, url.c_str(), 0};
+        bb_platform_t *store = BbPlatform_New(&options);
+        json_t *transaction = json_object();
+        BbPlatform_Commit(
+            store, transaction,
+            [](int result, json_t *, void *arg) {
+                *static_cast<int *>(arg) = result;
+            },
+            &error);
+        EXPECT_TRUE(RunUntil([&] { return error != 1; }));
+        json_decref(transaction);
+        BbPlatform_Free(store);
+        return error;
+    }
+
     // Sends text unchanged and returns the bytes received until a body byte
     // has arrived or the connection closes.
     std::string ExchangeRaw(const Node &node, const std::string &text)
@@ -901,6 +956,49 @@
     }
 }
 
+// Guards against a status that no response has, passed on as an answer, and
+// against a valid one at the ends of each range that is refused.
+TEST_F(Proxy, ForwardsValidStatusesOnly)
+{
+    Start();
+    RawTarget raw(loop);
+    Announce(raw.address);
+    for (const Node *node : {&a, &b}) {
+        for (const char *status : response_cases::kBadStatuses) {
+            raw.response = response_cases::Response(status);
+            ExpectBrokenResponse(*node, &raw);
+        }
+        for (const char *status : response_cases::kFinalStatuses) {
+            raw.response = response_cases::Response(status);
+            auto order = Call(*node, "POST", "/x", 0);
+            EXPECT_EQ(order->status, atoi(status));
+            EXPECT_EQ(order->body, "ok") << status;
+        }
+        for (const char *status : response_cases::kInterimStatuses) {
+            raw.response = std::string("HTTP/1.1 ") + status +
+                           " Wait\r\n\r\n" + response_cases::Response("200");
+            EXPECT_EQ(Call(*node, "POST", "/x", 0)->body, "ok") << status;
+        }
+    }
+}
+
+// Guards against the same in buffered requests, as to the platform's store: a
+// write whose response is broken may have been made.
+TEST_F(Proxy, BufferedRequestsAcceptValidStatusesOnly)
+{
+    Start();
+    RawTarget raw(loop);
+    for (const char *status : response_cases::kBadStatuses) {
+        raw.response = response_cases::Response(status);
+        EXPECT_EQ(RequestBuffered(raw.address), BB_ERR_UNAVAILABLE) << status;
+        EXPECT_EQ(CommitToStore(raw.address), BB_ERR_UNKNOWN) << status;
+    }
+    for (const char *status : response_cases::kFinalStatuses) {
+        raw.response = response_cases::Response(status);
+        EXPECT_EQ(RequestBuffered(raw.address), 0) << status;
+    }
+}
+
 // Guards against a call that runs twice because libcurl sends a request
 // without a body again when a reused connection to a node closes (G6).
 TEST_F(Proxy, RefusesARepeatedHop)
