HTTP client: a write that meets a reset is not the end of the response

What callers saw: a target answered a long upload at once with 200 and no length, sent part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the upload got it, the client left the failure to the next read, which found the data that had come before and then an end, and the end of the connection ends a response without a length. Ruled out: a reset that recv() reports, which failed the call before (MeshIo.ResponsesWithoutLengthEndWhenTheConnectionCloses).

Change: the connection remembers a write that failed. At the end of its data the exchange then fails, unless the response is complete by its own framing. EPIPE is no such failure: Linux reports it if the server had ended its side before it reset the connection, so a response without a length has ended properly and still passes.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -61,6 +61,9 @@
     bool has_response_head; /* the head of the matching response was read */
     bool is_response_ended; /* the matching response was read whole */
     bool is_close_pending;  /* closed after this exchange, not made idle */
+    /* A write reported that the connection broke. The kernel reports this
+     * once; what is read afterwards ends as if the server had closed it. */
+    bool is_reset;
     bool is_closed;
     double idle_timeout_s; /* idle timeout, shortened by Keep-Alive of the
                               server */
@@ -345,9 +348,9 @@
 }
 
 static void
-handle_connection_end(bb_h1_client_connection_t *connection, bool is_reset)
+handle_connection_end(bb_h1_client_connection_t *connection)
 {
-    if (connection->exchange == NULL || is_reset) {
+    if (connection->exchange == NULL || connection->is_reset) {
         fail_exchange(connection, BB_ERR_IO);
         return;
     }
@@ -381,7 +384,8 @@
     }
     connection->depth++;
     if (size <= 0) {
-        handle_connection_end(connection, size < 0);
+        connection->is_reset = connection->is_reset || size < 0;
+        handle_connection_end(connection);
     }
     else if (connection->exchange == NULL) {
         close_connection(connection); /* bytes that belong to no request */
@@ -413,7 +417,10 @@
         }
         if (sent < 0) {
             /* The response may have arrived before the connection broke, so
-             * the failure is left to the read watcher. */
+             * the failure is left to the read watcher. Linux reports EPIPE,
+             * not ECONNRESET, if the server had ended its side before it reset
+             * the connection: a response without a length is complete then. */
+            connection->is_reset = connection->is_reset || errno != EPIPE;
             g_byte_array_set_size(connection->out, 0);
             connection->out_offset = 0;
             ev_io_stop(connection->client->loop, &connection->write_watcher);
--- a/tests/unit/broken_response_test.cc
+++ b/tests/unit/broken_response_test.cc
@@ -3,14 +3,19 @@
 // forwarded.
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <string>
+#include <vector>
 
 #include "bb_counters.h"
 #include "mesh_rig.h"
 #include "response_cases.h"
 
 using mesh_rig::Caller;
+using mesh_rig::Connection;
 using mesh_rig::Fetch;
+using mesh_rig::HeaderField;
+using mesh_rig::Loop;
 using mesh_rig::Node;
 using mesh_rig::Status;
 using mesh_rig::Target;
@@ -18,6 +23,92 @@
 
 namespace {
 
+// A response to an upload of which the target has read only a part, and how
+// the target's connection then ends.
+struct EarlyResponse {
+    std::string name, bytes;
+    bool is_reset, has_length, is_complete;
+};
+
+std::vector<EarlyResponse>
+EarlyResponses()
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nSeal: s\r\n";
+    const std::string sized = head + "Content-Length: 4\r\n\r\npart";
+    return {
+        {"no length, reset", head + "\r\npart", true, false, false},
+        {"no length, closed", head + "\r\npart", false, false, true},
+        {"length, reset", sized, true, true, true},
+        {"length, closed", sized, false, true, true},
+    };
+}
+
+// A response of more than this is not held back until it is complete.
+const size_t kStreamedBytes = 2 * 1024 * 1024;
+const size_t kUploadBytes = 400 * 1000, kPieceBytes = 32 * 1024;
+
+// One upload by bb_h1_client.
+struct EarlyExchange {
+    EarlyExchange(Loop *loop, const std::string &address)
+    {
+        static const bb_h1_exchange_handler_t handler = [] {
+            bb_h1_exchange_handler_t callbacks = {};
+            callbacks.on_head = [](int, const bb_h1_fields_t *, void *arg) {
+                Get(arg)->has_head = true;
+            };
+            callbacks.on_data = [](const char *data, size_t size, void *arg) {
+                Get(arg)->body.append(data, size);
+            };
+            callbacks.on_end = [](void *arg) { Get(arg)->is_over = true; };
+            callbacks.on_fail = [](int error, bool, void *arg) {
+                Get(arg)->error = error;
+                Get(arg)->is_over = true;
+            };
+            return callbacks;
+        }();
+        bb_h1_client_options_t client_options = {loop->loop, 0, 0, 0, nullptr};
+        client = BbH1Client_New(&client_options);
+        bb_h1_fields_t fields;
+        BbH1Fields_Init(&fields);
+        bb_h1_exchange_options_t options = {};
+        options.address = address.c_str();
+        options.method = "POST";
+        options.target = "/";
+        options.fields = &fields;
+        options.content_length = BB_H1_CHUNKED;
+        options.handler = &handler;
+        options.arg = this;
+        exchange = BbH1_Start(client, &options);
+        BbH1Fields_Free(&fields);
+    }
+    ~EarlyExchange()
+    {
+        BbH1Client_Free(client);
+    }
+    static EarlyExchange *Get(void *arg)
+    {
+        return static_cast<EarlyExchange *>(arg);
+    }
+    void Pause(bool is_paused)
+    {
+        if (!is_over) {
+            BbH1_PauseResponse(exchange, is_paused);
+        }
+    }
+    void Send(size_t size)
+    {
+        if (!is_over) {
+            std::string data(size, 'x');
+            BbH1_Send(exchange, data.data(), data.size());
+        }
+    }
+    bb_h1_client_t *client;
+    bb_h1_exchange_t *exchange;
+    bool has_head = false, is_over = false;
+    int error = 0;
+    std::string body;
+};
+
 // The target sends the same bytes to each request.
 struct BrokenResponse : mesh_rig::DirectAndForwarded {
     BrokenResponse()
@@ -71,6 +162,65 @@
             ExpectBroken(*serving);
         }
     }
+    // Calls with an upload of which the target reads only a part. streamed:
+    // size of a part of the response that precedes its last bytes.
+    void ExpectUploadResult(const Node &serving, const EarlyResponse &early,
+                            size_t streamed)
+    {
+        Caller caller(&loop, serving.caller_address);
+        last_id = "c" + std::to_string(++call_count);
+        const std::string text = Caller::Request(
+            "POST", "/once/1", last_id, std::string(kUploadBytes, 'x'));
+        size_t sent = text.size() - kUploadBytes + 1000;
+        target.answers_before_body = true;
+        target.on_request = [](const Target::Request &) {};
+        caller.connection.Send(text.substr(0, sent));
+        ASSERT_TRUE(
+            loop.RunUntil([&] { return target.RunCount(last_id) == 1; }));
+        Connection *connection = target.requests.back().connection;
+        size_t head_end = early.bytes.size() - strlen("part");
+        connection->Send(early.bytes.substr(0, head_end));
+        for (size_t i = 0; i < streamed; i += kPieceBytes) {
+            connection->Send(std::string(kPieceBytes, 'x'));
+            loop.RunFor(0.002);
+        }
+        connection->Send("part");
+        loop.RunFor(0.02); // the target has read all that was sent
+        connection->Close(early.is_reset);
+        while (sent < text.size() && !caller.connection.is_closed) {
+            caller.connection.Send(text.substr(sent, kPieceBytes));
+            sent += kPieceBytes;
+            loop.RunFor(0.002);
+        }
+        loop.RunUntil(
+            [&] {
+                return caller.connection.is_closed ||
+                       IsWhole(caller.connection.received, streamed);
+            },
+            1.0);
+        const std::string &got = caller.connection.received;
+        EXPECT_EQ(Status(got).substr(0, 1) == "2" && IsWhole(got, streamed),
+                  early.is_complete)
+            << got.substr(0, 200);
+        EXPECT_EQ(Status(got),
+                  early.is_complete || streamed > 0 ? "200" : "502");
+        EXPECT_EQ(target.RunCount(last_id), 1);
+    }
+    // Whether a caller takes the response for a complete one.
+    static bool IsWhole(const std::string &got, size_t streamed)
+    {
+        size_t head_end = got.find("\r\n\r\n");
+        if (head_end == std::string::npos) {
+            return false;
+        }
+        if (got.find("Transfer-Encoding: chunked") < head_end) {
+            return got.size() > streamed &&
+                   got.rfind("\r\n0\r\n\r\n") == got.size() - 7;
+        }
+        std::string length = HeaderField(got, "Content-Length");
+        return !length.empty() &&
+               got.size() - head_end - 4 == std::stoul(length);
+    }
     std::string response; // sent by the target
     std::string last_id;  // of the last call
     int call_count = 0;
@@ -131,3 +281,52 @@
         EXPECT_EQ(Fetch(&loop, target.address).status, 200);
     }
 }
+
+// Guards against a response without a length whose connection broke while the
+// request was being written: the failed write must not hide the reset, so that
+// the end that is read next looks like the end of the response. A response
+// that ended before is still complete.
+TEST_F(BrokenResponse, AFailedWriteTellsAResetFromAnEnd)
+{
+    for (const EarlyResponse &early : EarlyResponses()) {
+        SCOPED_TRACE(early.name);
+        EarlyExchange exchange(&loop, target.address);
+        target.answers_before_body = true;
+        target.on_request = [&](const Target::Request &request) {
+            request.connection->Send(early.bytes);
+        };
+        exchange.Send(1000);
+        ASSERT_TRUE(loop.RunUntil([&] { return exchange.has_head; }));
+        exchange.Pause(true);
+        loop.RunFor(0.02); // the target has read all that was sent
+        target.connections.back()->Close(early.is_reset);
+        for (int i = 0; i < 3; i++) {
+            loop.RunFor(0.01);
+            exchange.Send(1000);
+        }
+        exchange.Pause(false);
+        ASSERT_TRUE(loop.RunUntil([&] { return exchange.is_over; }, 1.0));
+        EXPECT_EQ(exchange.error, early.is_complete ? 0 : BB_ERR_IO);
+        EXPECT_EQ(exchange.body, "part");
+    }
+}
+
+// Guards against the same over the whole path, for responses that the node
+// holds back until they are complete, and for those that it streams.
+TEST_F(BrokenResponse, UploadsAreNotAnsweredWithAPart)
+{
+    for (const EarlyResponse &early : EarlyResponses()) {
+        for (const Node *serving : {&node, &forwarding}) {
+            for (size_t streamed : {size_t{0}, kStreamedBytes}) {
+                SCOPED_TRACE(early.name + " " + serving->name + " " +
+                             std::to_string(streamed));
+                if (streamed > 0 && early.has_length) {
+                    continue;
+                }
+                for (int i = 0; i < 5; i++) {
+                    ExpectUploadResult(*serving, early, streamed);
+                }
+            }
+        }
+    }
+}
--- a/tests/unit/proxy_test.cc
+++ b/tests/unit/proxy_test.cc
@@ -304,6 +304,7 @@
     std::string address = FreeAddress();
     std::string response;
     bool closes_after_response = false; // closes the connection
+    bool resets_after_response = false; // resets it instead
     std::vector<std::string> requests;
     std::vector<std::unique_ptr<ev_io>> watchers;
 
@@ -351,6 +352,17 @@
             ev_io_stop(loop, io);
             shutdown(io->fd, SHUT_RDWR);
         }
+        else if (raw->resets_after_response) {
+            ev_io_stop(loop, io);
+            ResetConnection(io->fd);
+        }
+    }
+    // Leaves an unconnected socket, so that the descriptor stays valid.
+    static void ResetConnection(int fd)
+    {
+        struct sockaddr unspecified = {};
+        unspecified.sa_family = AF_UNSPEC;
+        connect(fd, &unspecified, sizeof(unspecified));
     }
 };
 
@@ -999,6 +1011,42 @@
     }
 }
 
+// Guards against a part of a response without a length that looks complete
+// because the target reset the connection during the upload, and against one
+// that did end but is refused, while the caller sends and while it pauses.
+TEST_F(Proxy, TellsAResetFromTheEndOfAnEarlyResponse)
+{
+    Start();
+    RawTarget raw(loop);
+    Announce(raw.address);
+    raw.response = "HTTP/1.1 200 OK\r\n\r\npart";
+    for (const Node *node : {&a, &b}) {
+        for (bool is_reset : {true, false}) {
+            for (bool is_paused : {true, false}) {
+                SCOPED_TRACE(std::string(is_reset ? "reset" : "closed") +
+                             (is_paused ? " paused" : "") +
+                             (node == &a ? " forwarded" : ""));
+                raw.resets_after_response = is_reset;
+                raw.closes_after_response = !is_reset;
+                Caller upload;
+                upload.pause_at = is_paused ? 100000 : UINT64_MAX;
+                Send(&upload, *node, "POST", "/x", 5 * kMegabyte);
+                int64_t resumed_at = NowMs() + 300;
+                RunUntil([&] { return NowMs() >= resumed_at; });
+                upload.pause_at = UINT64_MAX;
+                curl_easy_pause(upload.easy, CURLPAUSE_CONT);
+                ASSERT_TRUE(RunUntil([&] { return upload.is_done; }));
+                bool is_whole = upload.status == 200 &&
+                                upload.code == CURLE_OK &&
+                                upload.body == "part";
+                EXPECT_EQ(is_whole, !is_reset)
+                    << upload.status << " " << upload.code << " "
+                    << upload.body;
+            }
+        }
+    }
+}
+
 // Guards against a call that runs twice because libcurl sends a request
 // without a body again when a reused connection to a node closes (G6).
 TEST_F(Proxy, RefusesARepeatedHop)
