Upstream requests: a new libcurl handle for each request

A target in trouble could end the node and all calls on it with a head whose first field line begins with a blank.

Cause: libcurl 7.88.1 takes a line that begins with a blank for the rest of the field before it. The pointer to that field outlives curl_easy_reset(), so on a handle that was used before the first line of a head changes freed memory.

Change: bb_upstream_io uses each handle for one request. Connections are kept by the multi handle, so they are still reused.

--- a/lib/caller/bb_upstream_io.c
+++ b/lib/caller/bb_upstream_io.c
@@ -16,7 +16,6 @@
 #define KEEPALIVE_IDLE_S 5L
 #define KEEPALIVE_INTERVAL_S 2L
 #define TRANSFER_BUFFER_BYTES (64L * 1024)
-#define MAX_FREE_HANDLES 256
 /* A longer response head fails the request. The response head shares the
  * memory of a libmicrohttpd connection with the request head. */
 #define MAX_RESPONSE_HEAD_BYTES (12 * 1024)
@@ -26,7 +25,6 @@
 
 struct bb_upstream_pool {
     bb_curl_t *curl;
-    GPtrArray *free_handles;
     int active;
 };
 
@@ -143,7 +141,6 @@
 {
     bb_upstream_pool_t *pool = g_new0(bb_upstream_pool_t, 1);
     pool->curl = curl;
-    pool->free_handles = g_ptr_array_new();
     return pool;
 }
 
@@ -154,40 +151,20 @@
         return;
     }
     assert(pool->active == 0);
-    for (guint i = 0; i < pool->free_handles->len; i++) {
-        curl_easy_cleanup(g_ptr_array_index(pool->free_handles, i));
-    }
-    g_ptr_array_free(pool->free_handles, TRUE);
     g_free(pool);
 }
 
-static CURL *
-acquire_handle(bb_upstream_pool_t *pool)
-{
-    guint length = pool->free_handles->len;
-
-    if (length == 0) {
-        return curl_easy_init();
-    }
-    return g_ptr_array_remove_index_fast(pool->free_handles, length - 1);
-}
-
-/* Frees the object; its handle is kept for a later request. */
+/* Frees the object and its handle. libcurl 7.88.1 keeps a pointer to the last
+ * field that a handle has read, also when curl_easy_reset() has freed it, and
+ * appends a line that begins with a blank to it. So no handle is used again;
+ * the connections belong to the multi handle. */
 static void
 release(bb_upstream_t *upstream)
 {
-    bb_upstream_pool_t *pool = upstream->pool;
-
-    if (pool->free_handles->len < MAX_FREE_HANDLES) {
-        curl_easy_reset(upstream->easy);
-        g_ptr_array_add(pool->free_handles, upstream->easy);
-    }
-    else {
-        curl_easy_cleanup(upstream->easy);
-    }
+    curl_easy_cleanup(upstream->easy);
     curl_slist_free_all(upstream->headers);
+    upstream->pool->active--;
     g_free(upstream);
-    pool->active--;
 }
 
 static bool
@@ -269,7 +246,7 @@
 BbUpstream_Start(bb_upstream_pool_t *pool,
                  const bb_upstream_options_t *options)
 {
-    CURL *easy = acquire_handle(pool);
+    CURL *easy = curl_easy_init();
     if (easy == NULL) {
         curl_slist_free_all(options->headers);
         return NULL;
--- a/tests/unit/proxy_test.cc
+++ b/tests/unit/proxy_test.cc
@@ -1011,6 +1011,27 @@
     }
 }
 
+// Guards against freed memory that libcurl uses when the first field of a head
+// begins with a blank: it takes the line for the rest of the last field that
+// the same handle has read. The node of this test ends, or a sanitizer reports
+// it.
+TEST_F(Proxy, SurvivesHeadsThatBeginWithABlank)
+{
+    Start();
+    RawTarget raw(loop);
+    Announce(raw.address);
+    for (const Node *node : {&a, &b}) {
+        for (int i = 0; i < 20; i++) {
+            raw.response = response_cases::Response("200", "A: x\r\n");
+            EXPECT_EQ(Call(*node, "POST", "/x", 0)->body, "ok");
+            raw.response = "HTTP/1.1 200 OK\r\n A: x\r\nSeal: s\r\n"
+                           "Content-Length: 2\r\n\r\nok";
+            Call(*node, "POST", "/x", 0);
+        }
+        EXPECT_EQ(BbAdmission_RunningCount(b.admission), 0);
+    }
+}
+
 // Guards against a part of a response without a length that looks complete
 // because the target reset the connection during the upload, and against one
 // that did end but is refused, while the caller sends and while it pauses.
