Heads: a field name that is not a token is an error

What callers saw: a target in trouble sent a head in which the name of a field held a blank or a control byte.

Cause: http_parser takes blanks for a part of a name, even of one that it then reads as a length; libcurl and libmicrohttpd do not check names. So blanks passed bbsidecar, and control bytes, separators and bytes above 0x7f bbnode; bbnode left lines with blanks out of the answer. Ruled out: control bytes on bbsidecar, which http_parser refuses. Heads of requests passed to the targets in the same way.

Change: bb_http_syntax says what a name is and classifies the lines that libcurl passes on. bb_h1_message applies it to requests and responses of bbsidecar, bb_upstream_io and bb_curl_io to the responses that bbnode and its store client read, bb_exchange_io to the requests of bbnode. Such a response is a broken one: 502, may have run, target_lost. Such a request gets 400. All characters of tokens, and tabs, blanks and bytes above 0x7f in values, pass.

--- a/lib/caller/bb_exchange_io.c
+++ b/lib/caller/bb_exchange_io.c
@@ -5,6 +5,7 @@
 #include "bb_error.h"
 #include "bb_exchange.h"
 #include "bb_headers.h"
+#include "bb_http_syntax.h"
 
 /* A response made while the body is being received is sent after the rest of
  * the body if no more than this is left: closing a connection with unread
@@ -93,6 +94,7 @@
 /* Number of Content-Length, Transfer-Encoding and Host headers of a request,
  * and the last value of the first two. */
 typedef struct {
+    bool has_invalid_name;
     int lengths;
     int encodings;
     int hosts;
@@ -107,7 +109,10 @@
     (void)kind;
     framing_t *framing = arg;
 
-    if (g_ascii_strcasecmp(name, "Content-Length") == 0) {
+    if (!BbHttpSyntax_IsFieldName(name, strlen(name))) {
+        framing->has_invalid_name = true;
+    }
+    else if (g_ascii_strcasecmp(name, "Content-Length") == 0) {
         framing->lengths++;
         framing->length = value;
     }
@@ -131,7 +136,8 @@
     MHD_get_connection_values(exchange->connection, MHD_HEADER_KIND,
                               collect_framing_header, &framing);
     exchange->body_bytes = BB_BODY_NONE;
-    if (framing.lengths + framing.encodings > 1 || framing.hosts > 1) {
+    if (framing.has_invalid_name || framing.lengths + framing.encodings > 1 ||
+        framing.hosts > 1) {
         return BB_REASON_BAD_REQUEST;
     }
     if (framing.encodings == 1) {
--- a/lib/caller/bb_upstream_io.c
+++ b/lib/caller/bb_upstream_io.c
@@ -36,6 +36,7 @@
     void *arg;
     int64_t content_length; /* Content-Length of the response or -1 */
     size_t head_bytes;
+    bool is_in_head; /* for BbHttpSyntax_ClassifyLine() */
     bool is_head_done;
     bool is_read_paused;
     bool is_write_paused;
@@ -96,7 +97,7 @@
     char *colon = memchr(line, ':', length);
 
     curl_easy_getinfo(upstream->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (colon == NULL || status < 200) {
+    if (status < 200) {
         return;
     }
     char *name = g_strndup(line, (gsize)(colon - line));
@@ -119,15 +120,20 @@
     bb_upstream_t *upstream = arg;
     size_t length = size * count;
 
-    /* Header lines after the head are trailers, which are dropped. */
-    if (upstream->is_head_done || g_str_has_prefix(line, "HTTP/")) {
+    bb_head_line_t kind =
+        BbHttpSyntax_ClassifyLine(line, length, &upstream->is_in_head);
+    if (kind == BB_HEAD_LINE_INVALID) {
+        return 0;
+    }
+    /* Field lines after the head are trailers, which are dropped. */
+    if (kind == BB_HEAD_LINE_STATUS || upstream->is_head_done) {
         return length;
     }
     upstream->head_bytes += length;
     if (upstream->head_bytes > MAX_RESPONSE_HEAD_BYTES) {
         return 0;
     }
-    if (length <= 2 && (line[0] == '\r' || line[0] == '\n')) {
+    if (kind == BB_HEAD_LINE_END) {
         return finish_head(upstream) ? length : 0;
     }
     parse_header(upstream, line, length);
--- a/lib/common/bb_curl_io.c
+++ b/lib/common/bb_curl_io.c
@@ -39,6 +39,7 @@
     bb_curl_t *curl;
     struct curl_slist *headers;
     GByteArray *response;
+    bool is_in_head; /* for BbHttpSyntax_ClassifyLine() */
     size_t max_response_bytes;
     char *body;
     size_t body_size;
@@ -258,6 +259,18 @@
 
 /* ---- buffered requests ---- */
 
+/* Returns the length of the line, or 0 to fail the request. */
+static size_t
+check_header(char *line, size_t size, size_t count, void *arg)
+{
+    request_t *request = arg;
+    size_t length = size * count;
+    bb_head_line_t kind =
+        BbHttpSyntax_ClassifyLine(line, length, &request->is_in_head);
+
+    return kind != BB_HEAD_LINE_INVALID ? length : 0;
+}
+
 static size_t
 collect_response(char *data, size_t size, size_t count, void *arg)
 {
@@ -340,6 +353,8 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, options->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect_response);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, request);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, check_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, request);
     if (options->body != NULL) {
         request->body = g_memdup2(options->body, options->body_size);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/lib/common/bb_http_syntax.h
+++ b/lib/common/bb_http_syntax.h
@@ -9,6 +9,7 @@
 #define BB_HTTP_SYNTAX_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -18,6 +19,23 @@
  * 15). */
 bool BbHttpSyntax_IsStatus(long status);
 
+/* Whether a text is the name of a field: a token (RFC 9110, section 5.6.2).
+ * Blanks, control bytes and separators are none of its characters. */
+bool BbHttpSyntax_IsFieldName(const char *name, size_t size);
+
+typedef enum {
+    BB_HEAD_LINE_STATUS,
+    BB_HEAD_LINE_FIELD, /* also one behind the body */
+    BB_HEAD_LINE_END,   /* the empty line */
+    BB_HEAD_LINE_INVALID,
+} bb_head_line_t;
+
+/* Classifies the next line that libcurl passes to a header callback. The line
+ * includes its line end. *is_in_head keeps the state between the lines of a
+ * request; it is false before the first one. */
+bb_head_line_t BbHttpSyntax_ClassifyLine(const char *line, size_t size,
+                                         bool *is_in_head);
+
 #ifdef __cplusplus
 }
 #endif
--- a/lib/http/bb_h1_message.c
+++ b/lib/http/bb_h1_message.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include "bb_error.h"
+#include "bb_http_syntax.h"
 
 #define LISTEN_BACKLOG 1024
 
@@ -225,7 +226,8 @@
     }
     reader->head_bytes += length;
     g_string_append_len(reader->fields.text, at, (gssize)length);
-    return 0;
+    /* A name may come in several parts, of which the last one may be empty. */
+    return length == 0 || BbHttpSyntax_IsFieldName(at, length) ? 0 : -1;
 }
 
 int
--- a/lib/http/bb_h1_message.h
+++ b/lib/http/bb_h1_message.h
@@ -84,7 +84,8 @@
 void BbH1Reader_Clear(bb_h1_reader_t *reader);
 
 /* Callbacks for http_parser_settings. They cast the parser to its reader, of
- * which it is the first member. */
+ * which it is the first member. OnField fails the message if a name is not a
+ * token: http_parser takes blanks in names. */
 int BbH1Reader_OnTarget(http_parser *parser, const char *at, size_t length);
 int BbH1Reader_OnField(http_parser *parser, const char *at, size_t length);
 int BbH1Reader_OnValue(http_parser *parser, const char *at, size_t length);
--- a/tests/unit/broken_response_test.cc
+++ b/tests/unit/broken_response_test.cc
@@ -330,3 +330,61 @@
         }
     }
 }
+
+// Guards against a field whose name is not a token: it was passed on, and some
+// readers take it for another field, such as a length.
+TEST_F(BrokenResponse, InvalidFieldNamesAreErrors)
+{
+    for (const std::string &line : response_cases::BadFieldLines()) {
+        for (bool is_first : {true, false}) {
+            response = response_cases::ResponseWithLine(line, is_first);
+            SCOPED_TRACE(testing::PrintToString(response));
+            EXPECT_EQ(Fetch(&loop, target.address).error, BB_ERR_PARSE);
+            for (const Node *serving : {&node, &forwarding}) {
+                ExpectBroken(*serving);
+            }
+        }
+    }
+    // Without another length the first two cut the body.
+    ExpectBrokenEverywhere("HTTP/1.1 200 OK\r\nSeal: s\r\n"
+                           "Content-Length : 1\r\n\r\nok");
+    ExpectBrokenEverywhere("HTTP/1.1 200 OK\r\nSeal: s\r\n"
+                           "Transfer-Encoding : chunked\r\n\r\n"
+                           "2\r\nok\r\n0\r\n\r\n");
+}
+
+// Guards against a valid field that is refused or changed.
+TEST_F(BrokenResponse, ValidFieldsAreForwarded)
+{
+    for (const std::string line : response_cases::kGoodFieldLines) {
+        SCOPED_TRACE(line);
+        std::string name = line.substr(0, line.find(':'));
+        for (bool is_first : {true, false}) {
+            response = response_cases::ResponseWithLine(line, is_first);
+            EXPECT_EQ(Fetch(&loop, target.address).status, 200);
+            for (const Node *serving : {&node, &forwarding}) {
+                std::string got = Call(*serving);
+                EXPECT_EQ(Status(got), "200");
+                EXPECT_NE(got.find("\r\n" + name + ": x"), std::string::npos);
+            }
+        }
+    }
+}
+
+// Guards against the same in requests, whose heads are passed on to targets.
+TEST_F(BrokenResponse, InvalidFieldNamesInRequestsAreRejected)
+{
+    response = Response("200");
+    for (const std::string &line : response_cases::BadFieldLines()) {
+        for (const std::string &address :
+             {node.caller_address, node.forward_address}) {
+            Caller caller(&loop, address);
+            std::string got =
+                caller.Call("POST /once/1 HTTP/1.1\r\n" + line +
+                            "Host: h\r\nCall-Id: c1\r\nLeft-Ms: "
+                            "2000\r\nContent-Length: 1\r\n\r\nx");
+            EXPECT_EQ(Status(got), "400") << testing::PrintToString(line);
+        }
+    }
+    EXPECT_TRUE(target.requests.empty());
+}
--- a/tests/unit/proxy_test.cc
+++ b/tests/unit/proxy_test.cc
@@ -729,6 +729,21 @@
         EXPECT_EQ(BbAdmission_RunningCount(b.admission), 0);
     }
 
+    // Sends a request with one more field line and returns the status.
+    std::string PostWithLine(const Node &node, const std::string &line)
+    {
+        return ExchangeRaw(node, "POST /x HTTP/1.1\r\nHost: h\r\n" + line +
+                                     "Burdock-Deadline-Ms: 500\r\n"
+                                     "Connection: close\r\n"
+                                     "Content-Length: 1\r\n\r\nx")
+            .substr(9, 3);
+    }
+
+    static bool EndsHeadOfLibmicrohttpd(const std::string &line)
+    {
+        return line[0] == '\0' || line[0] == ':';
+    }
+
     // Sends a request with BbCurl_Request() and returns its error.
     int RequestBuffered(const std::string &address)
     {
@@ -1011,6 +1026,96 @@
     }
 }
 
+// Guards against a field whose name is not a token, passed on or left out of
+// an answer, and against a valid one that is refused.
+TEST_F(Proxy, ForwardsValidFieldsOnly)
+{
+    Start();
+    RawTarget raw(loop);
+    Announce(raw.address);
+    for (bool is_first : {true, false}) {
+        for (const Node *node : {&a, &b}) {
+            for (const std::string &line :
+                 response_cases::BadFieldLinesForLibcurl()) {
+                raw.response =
+                    response_cases::ResponseWithLine(line, is_first);
+                ExpectBrokenResponse(*node, &raw);
+            }
+            for (const std::string line : response_cases::kGoodFieldLines) {
+                SCOPED_TRACE(line);
+                raw.response =
+                    response_cases::ResponseWithLine(line, is_first);
+                auto order = Call(*node, "POST", "/x", 0);
+                EXPECT_EQ(order->body, "ok");
+                EXPECT_EQ(order->response_headers.count(
+                              line.substr(0, line.find(':'))),
+                          1u);
+            }
+        }
+        for (const std::string &line :
+             response_cases::BadFieldLinesForLibcurl()) {
+            raw.response = response_cases::ResponseWithLine(line, is_first);
+            SCOPED_TRACE(testing::PrintToString(raw.response));
+            EXPECT_EQ(RequestBuffered(raw.address), BB_ERR_UNAVAILABLE);
+        }
+    }
+}
+
+// Guards against a line that begins with NUL and is left out of an answer:
+// libcurl drops the bytes from there to the end of what it has read at once.
+TEST_F(Proxy, LinesThatBeginWithNulAreErrors)
+{
+    Start();
+    RawTarget raw(loop);
+    Announce(raw.address);
+    const std::string line("\0A: x\r\n", 7);
+    raw.response = "HTTP/1.1 200 OK\r\nSeal: s\r\n" + line;
+    for (const Node *node : {&a, &b}) {
+        Caller order;
+        size_t count = raw.requests.size();
+        order.headers = curl_slist_append(nullptr, BB_HEADER_DEADLINE ": 500");
+        Send(&order, *node, "POST", "/x", 0);
+        ASSERT_TRUE(RunUntil([&] { return raw.requests.size() > count; }));
+        int64_t sent_at = NowMs() + 50; // the first part has been read
+        RunUntil([&] { return NowMs() >= sent_at; });
+        const std::string rest = "Content-Length: 2\r\n\r\nok";
+        send(raw.watchers.back()->fd, rest.data(), rest.size(), MSG_NOSIGNAL);
+        ASSERT_TRUE(RunUntil([&] { return order.is_done; }));
+        EXPECT_EQ(order.status, 502);
+        EXPECT_EQ(order.response_headers["Burdock-Outcome"], "unknown");
+    }
+}
+
+// Guards against the same in requests, whose heads are passed on to targets.
+TEST_F(Proxy, RejectsInvalidFieldNamesInRequests)
+{
+    Start();
+    for (const Node *node : {&a, &b}) {
+        for (const std::string &line : response_cases::BadFieldLines()) {
+            if (!EndsHeadOfLibmicrohttpd(line)) {
+                EXPECT_EQ(PostWithLine(*node, line), "400")
+                    << testing::PrintToString(line);
+            }
+        }
+        for (const char *line : response_cases::kGoodFieldLines) {
+            EXPECT_EQ(PostWithLine(*node, line), "200") << line;
+        }
+    }
+}
+
+// Guards against lines that libmicrohttpd takes for the end of the head: it
+// reads the fields behind them as the next request.
+TEST_F(Proxy, RejectsRequestLinesWithoutAName)
+{
+    Start();
+    for (const std::string &line : response_cases::BadFieldLines()) {
+        if (EndsHeadOfLibmicrohttpd(line)) {
+            EXPECT_EQ(PostWithLine(b, line), "400")
+                << testing::PrintToString(line);
+        }
+    }
+}
+
 // Guards against freed memory that libcurl uses when the first field of a head
 // begins with a blank: it takes the line for the rest of the last field that
 // the same handle has read. The node of this test ends, or a sanitizer reports
@@ -1024,8 +1129,7 @@
         for (int i = 0; i < 20; i++) {
             raw.response = response_cases::Response("200", "A: x\r\n");
             EXPECT_EQ(Call(*node, "POST", "/x", 0)->body, "ok");
-            raw.response = "HTTP/1.1 200 OK\r\n A: x\r\nSeal: s\r\n"
-                           "Content-Length: 2\r\n\r\nok";
+            raw.response = response_cases::ResponseWithLine(" A: x\r\n", true);
             Call(*node, "POST", "/x", 0);
         }
         EXPECT_EQ(BbAdmission_RunningCount(b.admission), 0);
--- a/tests/unit/response_cases.h
+++ b/tests/unit/response_cases.h
@@ -4,6 +4,7 @@
 #define RESPONSE_CASES_H
 
 #include <string>
+#include <vector>
 
 namespace response_cases {
 
@@ -24,6 +25,61 @@
            "Content-Length: 2\r\n\r\nok";
 }
 
+// Field lines whose name is not a token, or that have none.
+inline std::vector<std::string>
+BadFieldLines()
+{
+    std::vector<std::string> lines = {
+        std::string("\0A: x\r\n", 7), // see BadFieldLinesForLibcurl()
+        "Content-Length : 1\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "HTTP/1.1 200 OK: x\r\n",
+        ": x\r\n",
+        "No colon\r\n",
+        std::string("A\0B: x\r\n", 8),
+        std::string("A\0: x\r\n", 7),
+    };
+    for (char byte : std::string("\x01\b\t\v\f\x1f \"(),/;<=>?@[\\]{}\x7f"
+                                 "\x80\xff",
+                                 26)) {
+        const std::string text(1, byte);
+        lines.push_back(text + "A: x\r\n");
+        lines.push_back("A" + text + "B: x\r\n");
+        lines.push_back("A" + text + ": x\r\n");
+    }
+    return lines;
+}
+
+// The same for readers that use libcurl, which stops in front of a line that
+// begins with NUL.
+inline std::vector<std::string>
+BadFieldLinesForLibcurl()
+{
+    std::vector<std::string> lines = BadFieldLines();
+
+    lines.erase(lines.begin());
+    return lines;
+}
+
+// Names of all characters of a token, and values with their unusual ones.
+const char *const kGoodFieldLines[] = {
+    "!#$%&'*+-.^_`|~0123456789: x\r\n",
+    "abcdefghijklmnopqrstuvwxyz: x\r\n",
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZ: x\r\n",
+    "A:x\r\n",
+    "A: \t x \t \r\n",
+    "A: x y\tz: \"\x80\xff\"\r\n",
+};
+
+// A response with a field line before all others, or behind them.
+inline std::string
+ResponseWithLine(const std::string &line, bool is_first)
+{
+    return "HTTP/1.1 200 OK\r\n" + (is_first ? line : "") +
+           "Seal: s\r\nContent-Length: 2\r\n" + (is_first ? "" : line) +
+           "\r\nok";
+}
+
 } // namespace response_cases
 
 #endif
