HTTP reader: a field line that begins with a blank is an error

What callers saw: of the lines "A: x" and " B: y" of a target's head the caller got "A: x B: y".

Cause: http_parser takes a line that begins with a blank for a part of the value before it and does not report it. RFC 9112, section 5.2, lets a gateway refuse such a head or put a blank in place of the line end. bbnode refuses it since names are checked.

Change: BbH1Reader_Execute() searches the fields of heads and trailers for such lines, also where they are split between two reads, and fails the message: a response is a broken one, a request gets 400.

--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -327,7 +327,8 @@
         return;
     }
     http_parser *parser = &connection->reader.parser;
-    size_t used = http_parser_execute(parser, &response_settings, data, size);
+    size_t used = BbH1Reader_Execute(&connection->reader, &response_settings,
+                                     data, size);
     bool has_unexpected_bytes = used != size || parser->upgrade;
 
     if (connection->is_closed) {
--- a/lib/http/bb_h1_message.c
+++ b/lib/http/bb_h1_message.c
@@ -179,8 +179,7 @@
     reader->parser.data = arg;
     reader->target = g_string_sized_new(64);
     BbH1Fields_Init(&reader->fields);
-    reader->head_bytes = 0;
-    reader->in_value = false;
+    BbH1Reader_Clear(reader);
 }
 
 void
@@ -197,6 +196,35 @@
     BbH1Fields_Clear(&reader->fields);
     reader->head_bytes = 0;
     reader->in_value = false;
+    reader->is_in_fields = false;
+    reader->is_folded = false;
+}
+
+/* Searches the bytes of the fields up to end for a line that begins with a
+ * blank. */
+static void
+scan_fields(bb_h1_reader_t *reader, const char *end)
+{
+    while (reader->scanned_to < end) {
+        char c = *reader->scanned_to++;
+        if (reader->is_after_line_feed && (c == ' ' || c == '\t')) {
+            reader->is_folded = true;
+        }
+        reader->is_after_line_feed = c == '\n';
+    }
+}
+
+size_t
+BbH1Reader_Execute(bb_h1_reader_t *reader,
+                   const http_parser_settings *settings, const char *data,
+                   size_t size)
+{
+    reader->scanned_to = data;
+    size_t used = http_parser_execute(&reader->parser, settings, data, size);
+    if (reader->is_in_fields) {
+        scan_fields(reader, data + size);
+    }
+    return used;
 }
 
 static bb_h1_reader_t *
@@ -224,10 +252,17 @@
         g_string_append_c(reader->fields.text, '\0');
         reader->in_value = false;
     }
+    if (!reader->is_in_fields) {
+        reader->is_in_fields = true;
+        reader->is_after_line_feed = false;
+        reader->scanned_to = at;
+    }
+    scan_fields(reader, at + length);
     reader->head_bytes += length;
     g_string_append_len(reader->fields.text, at, (gssize)length);
     /* A name may come in several parts, of which the last one may be empty. */
-    return length == 0 || BbHttpSyntax_IsFieldName(at, length) ? 0 : -1;
+    bool is_name = length == 0 || BbHttpSyntax_IsFieldName(at, length);
+    return is_name && !reader->is_folded ? 0 : -1;
 }
 
 int
@@ -239,9 +274,10 @@
         g_string_append_c(reader->fields.text, '\0');
         reader->in_value = true;
     }
+    scan_fields(reader, at + length);
     reader->head_bytes += length;
     g_string_append_len(reader->fields.text, at, (gssize)length);
-    return 0;
+    return reader->is_folded ? -1 : 0;
 }
 
 void
@@ -251,6 +287,7 @@
         g_string_append_c(reader->fields.text, '\0');
         reader->in_value = false;
     }
+    reader->is_in_fields = false;
 }
 
 /* ---- sockets ---- */
--- a/lib/http/bb_h1_message.h
+++ b/lib/http/bb_h1_message.h
@@ -74,6 +74,11 @@
     bb_h1_fields_t fields;
     size_t head_bytes; /* of target, names and values read so far */
     bool in_value;     /* the last callback reported a value */
+    /* Search for folded lines, see BbH1Reader_Execute(). */
+    const char *scanned_to;
+    bool is_in_fields;
+    bool is_after_line_feed; /* the last scanned byte */
+    bool is_folded;
 } bb_h1_reader_t;
 
 void BbH1Reader_Init(bb_h1_reader_t *reader, enum http_parser_type type,
@@ -83,6 +88,14 @@
 /* Discards the head that was read, before the next message. */
 void BbH1Reader_Clear(bb_h1_reader_t *reader);
 
+/* Parses bytes like http_parser_execute(), with settings that have the
+ * callbacks below. Returns less than size also if a line in the fields begins
+ * with a blank: http_parser takes it for a part of the field before it (line
+ * folding, which RFC 9112 has deprecated, section 5.2). */
+size_t BbH1Reader_Execute(bb_h1_reader_t *reader,
+                          const http_parser_settings *settings,
+                          const char *data, size_t size);
+
 /* Callbacks for http_parser_settings. They cast the parser to its reader, of
  * which it is the first member. OnField fails the message if a name is not a
  * token: http_parser takes blanks in names. */
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -346,7 +346,8 @@
     if (connection->is_close_pending && connection->current_request == NULL) {
         return; /* bytes after the last request */
     }
-    size_t used = http_parser_execute(parser, &request_settings, data, size);
+    size_t used =
+        BbH1Reader_Execute(&connection->reader, &request_settings, data, size);
     if (connection->is_closed || connection->is_broken) {
         return;
     }
--- a/tests/unit/broken_response_test.cc
+++ b/tests/unit/broken_response_test.cc
@@ -109,6 +109,20 @@
     std::string body;
 };
 
+// The rest of a response that is sent in two parts.
+struct SplitResponse {
+    Connection *connection;
+    std::string rest;
+    bool is_sent = false;
+
+    static void SendRest(int, void *arg)
+    {
+        auto *parts = static_cast<SplitResponse *>(arg);
+        parts->connection->Send(parts->rest);
+        parts->is_sent = true;
+    }
+};
+
 // The target sends the same bytes to each request.
 struct BrokenResponse : mesh_rig::DirectAndForwarded {
     BrokenResponse()
@@ -388,3 +402,52 @@
     }
     EXPECT_TRUE(target.requests.empty());
 }
+
+// Guards against a line that begins with a blank and is passed on as a part of
+// the field before it, such as the seal.
+TEST_F(BrokenResponse, FoldedFieldsAreErrors)
+{
+    for (const std::string line : response_cases::kFoldedFieldLines) {
+        for (bool is_first : {true, false}) {
+            response = response_cases::ResponseWithLine(line, is_first);
+            SCOPED_TRACE(testing::PrintToString(response));
+            EXPECT_EQ(Fetch(&loop, target.address).error, BB_ERR_PARSE);
+            for (const Node *serving : {&node, &forwarding}) {
+                ExpectBroken(*serving);
+            }
+        }
+        Caller caller(&loop, node.caller_address);
+        EXPECT_EQ(Status(caller.Call("GET /safe/1 HTTP/1.1\r\nHost: h\r\n" +
+                                     line + "\r\n")),
+                  "400");
+    }
+}
+
+// Guards against a verdict that depends on how the bytes of a head arrive.
+TEST_F(BrokenResponse, FieldsAreReadAlikeInParts)
+{
+    const std::string valid = response_cases::ResponseWithLine(
+        "A: x y\tz \t\r\nB:\r\nC:  x\r\n", false);
+    const std::string folded =
+        response_cases::ResponseWithLine("A: x\r\n y\r\n", false);
+    const std::string folded_empty =
+        response_cases::ResponseWithLine("A:\r\n y\r\n", false);
+    const std::string folded_blank =
+        response_cases::ResponseWithLine("A: x\r\n \r\n", false);
+    for (const std::string &text :
+         {valid, folded, folded_empty, folded_blank}) {
+        for (size_t split = 1; split < text.size(); split++) {
+            SCOPED_TRACE(split);
+            SplitResponse parts = {nullptr, text.substr(split)};
+            target.on_request = [&](const Target::Request &request) {
+                parts.connection = request.connection;
+                request.connection->Send(text.substr(0, split));
+                ev_once(loop.loop, -1, 0, 0.002, SplitResponse::SendRest,
+                        &parts);
+            };
+            EXPECT_EQ(Fetch(&loop, target.address).error,
+                      text == valid ? 0 : BB_ERR_PARSE);
+            loop.RunUntil([&] { return parts.is_sent; });
+        }
+    }
+}
--- a/tests/unit/response_cases.h
+++ b/tests/unit/response_cases.h
@@ -61,6 +61,12 @@
     return lines;
 }
 
+// Field lines that go on in a line that begins with a blank.
+const char *const kFoldedFieldLines[] = {
+    "A: x\r\n B: y\r\n", "A: x\r\n\ty\r\n", "A: x\n y\r\n",
+    "A:\r\n x\r\n",      "A: x\r\n \r\n",   "A:\r\n \r\n",
+};
+
 // Names of all characters of a token, and values with their unusual ones.
 const char *const kGoodFieldLines[] = {
     "!#$%&'*+-.^_`|~0123456789: x\r\n",
