Heads: a control byte in the value of a field is an error

Cause: http_parser checks a value from its second byte on, libcurl does not check values. bb_h1_fields_t separates names and values by NUL, so a NUL that gets in shifts them.

Change: bb_http_syntax says what a value may hold. BbH1Reader_OnValue() and the lines of libcurl are checked by it. Tabs and bytes above 0x7f still pass.

Before, with the tests and without the change (aarch64): BrokenResponse.ControlBytesInValuesAreErrors FAILED, the caller got "HTTP/1.1 200 OK\r\nSeal: s\r\nA: \r\nx: \r\nContent-Length: 2\r\n\r\nok" Proxy.ForwardsValidFieldsOnly FAILED After: both pass.

--- a/lib/common/bb_http_syntax.c
+++ b/lib/common/bb_http_syntax.c
@@ -4,6 +4,7 @@
 
 #define MIN_STATUS 100
 #define MAX_STATUS 599
+#define DELETE_CHARACTER 0x7f
 
 bool
 BbHttpSyntax_IsStatus(long status)
@@ -32,13 +33,41 @@
     return size > 0;
 }
 
+bool
+BbHttpSyntax_IsFieldValue(const char *value, size_t size)
+{
+    for (size_t i = 0; i < size; i++) {
+        unsigned char c = (unsigned char)value[i];
+        if ((c < ' ' && c != '\t') || c == DELETE_CHARACTER) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static size_t
+size_without_line_end(const char *line, size_t size)
+{
+    if (size > 0 && line[size - 1] == '\n') {
+        size--;
+    }
+    if (size > 0 && line[size - 1] == '\r') {
+        size--;
+    }
+    return size;
+}
+
 static bool
 is_field_line(const char *line, size_t size)
 {
     const char *colon = memchr(line, ':', size);
 
-    return colon != NULL &&
-           BbHttpSyntax_IsFieldName(line, (size_t)(colon - line));
+    if (colon == NULL) {
+        return false;
+    }
+    size_t name_size = (size_t)(colon - line);
+    return BbHttpSyntax_IsFieldName(line, name_size) &&
+           BbHttpSyntax_IsFieldValue(colon + 1, size - name_size - 1);
 }
 
 bb_head_line_t
@@ -56,6 +85,7 @@
         *is_in_head = false;
         return BB_HEAD_LINE_END;
     }
-    return is_field_line(line, size) ? BB_HEAD_LINE_FIELD
-                                     : BB_HEAD_LINE_INVALID;
+    return is_field_line(line, size_without_line_end(line, size))
+               ? BB_HEAD_LINE_FIELD
+               : BB_HEAD_LINE_INVALID;
 }
--- a/lib/common/bb_http_syntax.h
+++ b/lib/common/bb_http_syntax.h
@@ -23,6 +23,10 @@
  * Blanks, control bytes and separators are none of its characters. */
 bool BbHttpSyntax_IsFieldName(const char *name, size_t size);
 
+/* Whether a text may be a part of a field's value: it holds no control byte
+ * other than tabs (RFC 9110, section 5.5). */
+bool BbHttpSyntax_IsFieldValue(const char *value, size_t size);
+
 typedef enum {
     BB_HEAD_LINE_STATUS,
     BB_HEAD_LINE_FIELD, /* also one behind the body */
--- a/lib/http/bb_h1_message.c
+++ b/lib/http/bb_h1_message.c
@@ -277,7 +277,8 @@
     scan_fields(reader, at + length);
     reader->head_bytes += length;
     g_string_append_len(reader->fields.text, at, (gssize)length);
-    return reader->is_folded ? -1 : 0;
+    return !reader->is_folded && BbHttpSyntax_IsFieldValue(at, length) ? 0
+                                                                       : -1;
 }
 
 void
--- a/lib/http/bb_h1_message.h
+++ b/lib/http/bb_h1_message.h
@@ -98,7 +98,8 @@
 
 /* Callbacks for http_parser_settings. They cast the parser to its reader, of
  * which it is the first member. OnField fails the message if a name is not a
- * token: http_parser takes blanks in names. */
+ * token, OnValue if a value holds a control byte: http_parser takes blanks in
+ * names, and any byte as the first one of a value. */
 int BbH1Reader_OnTarget(http_parser *parser, const char *at, size_t length);
 int BbH1Reader_OnField(http_parser *parser, const char *at, size_t length);
 int BbH1Reader_OnValue(http_parser *parser, const char *at, size_t length);
--- a/tests/unit/broken_response_test.cc
+++ b/tests/unit/broken_response_test.cc
@@ -176,6 +176,19 @@
             ExpectBroken(*serving);
         }
     }
+    // Expects a broken response to calls, and to fetches as from the store, if
+    // its head holds this line.
+    void ExpectBrokenLine(const std::string &line)
+    {
+        for (bool is_first : {true, false}) {
+            response = response_cases::ResponseWithLine(line, is_first);
+            SCOPED_TRACE(testing::PrintToString(response));
+            EXPECT_EQ(Fetch(&loop, target.address).error, BB_ERR_PARSE);
+            for (const Node *serving : {&node, &forwarding}) {
+                ExpectBroken(*serving);
+            }
+        }
+    }
     // Calls with an upload of which the target reads only a part. streamed:
     // size of a part of the response that precedes its last bytes.
     void ExpectUploadResult(const Node &serving, const EarlyResponse &early,
@@ -350,14 +363,7 @@
 TEST_F(BrokenResponse, InvalidFieldNamesAreErrors)
 {
     for (const std::string &line : response_cases::BadFieldLines()) {
-        for (bool is_first : {true, false}) {
-            response = response_cases::ResponseWithLine(line, is_first);
-            SCOPED_TRACE(testing::PrintToString(response));
-            EXPECT_EQ(Fetch(&loop, target.address).error, BB_ERR_PARSE);
-            for (const Node *serving : {&node, &forwarding}) {
-                ExpectBroken(*serving);
-            }
-        }
+        ExpectBrokenLine(line);
     }
     // Without another length the first two cut the body.
     ExpectBrokenEverywhere("HTTP/1.1 200 OK\r\nSeal: s\r\n"
@@ -367,6 +373,14 @@
                            "2\r\nok\r\n0\r\n\r\n");
 }
 
+// Guards against a control byte that is passed on in a value.
+TEST_F(BrokenResponse, ControlBytesInValuesAreErrors)
+{
+    for (const std::string &line : response_cases::BadValueLines()) {
+        ExpectBrokenLine(line);
+    }
+}
+
 // Guards against a valid field that is refused or changed.
 TEST_F(BrokenResponse, ValidFieldsAreForwarded)
 {
@@ -408,14 +422,7 @@
 TEST_F(BrokenResponse, FoldedFieldsAreErrors)
 {
     for (const std::string line : response_cases::kFoldedFieldLines) {
-        for (bool is_first : {true, false}) {
-            response = response_cases::ResponseWithLine(line, is_first);
-            SCOPED_TRACE(testing::PrintToString(response));
-            EXPECT_EQ(Fetch(&loop, target.address).error, BB_ERR_PARSE);
-            for (const Node *serving : {&node, &forwarding}) {
-                ExpectBroken(*serving);
-            }
-        }
+        ExpectBrokenLine(line);
         Caller caller(&loop, node.caller_address);
         EXPECT_EQ(Status(caller.Call("GET /safe/1 HTTP/1.1\r\nHost: h\r\n" +
                                      line + "\r\n")),
--- a/tests/unit/proxy_test.cc
+++ b/tests/unit/proxy_test.cc
@@ -1041,6 +1041,11 @@
                     response_cases::ResponseWithLine(line, is_first);
                 ExpectBrokenResponse(*node, &raw);
             }
+            for (const std::string &line : response_cases::BadValueLines()) {
+                raw.response =
+                    response_cases::ResponseWithLine(line, is_first);
+                ExpectBrokenResponse(*node, &raw);
+            }
             for (const char *line : response_cases::kFoldedFieldLines) {
                 raw.response =
                     response_cases::ResponseWithLine(line, is_first);
--- a/tests/unit/response_cases.h
+++ b/tests/unit/response_cases.h
@@ -61,6 +61,21 @@
     return lines;
 }
 
+// Field lines with a control byte other than a tab in the value.
+inline std::vector<std::string>
+BadValueLines()
+{
+    std::vector<std::string> lines;
+
+    for (char byte : std::string("\0\x01\b\v\f\x1f\x7f", 7)) {
+        const std::string text(1, byte);
+        lines.push_back("A: " + text + "x\r\n");
+        lines.push_back("A: x" + text + "y\r\n");
+        lines.push_back("A: x" + text + "\r\n");
+    }
+    return lines;
+}
+
 // Field lines that go on in a line that begins with a blank.
 const char *const kFoldedFieldLines[] = {
     "A: x\r\n B: y\r\n", "A: x\r\n\ty\r\n", "A: x\n y\r\n",
