Heads: a CR without LF is an error

Behind "A: " a CR took the next byte away, and the body was the rest of the head. bbnode answered without the line.

Cause: http_parser, built without its strict checks, skips the byte behind some CRs whatever it is: after the fields, after an empty value, after the first line. libcurl takes any line that begins with CR for the end of the head, and the classifier of lines did the same.

Change: BbH1Reader_Execute() checks the lines of heads from the reason or target on up to their end, not only for folding; BbH1Reader_EndHead() reports a malformed end. BbHttpSyntax_ClassifyLine() takes only an empty line for the end.

Before, with the tests and without the change (aarch64): BrokenResponse.InvalidFieldNamesAreErrors FAILED, the caller got "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\n: " BrokenResponse.ControlBytesInValuesAreErrors FAILED BrokenResponse.InvalidFieldNamesInRequestsAreRejected FAILED Proxy.ForwardsValidFieldsOnly FAILED After: they pass; FieldsAreReadAlikeInParts splits such heads at each byte.

--- a/lib/common/bb_http_syntax.c
+++ b/lib/common/bb_http_syntax.c
@@ -81,11 +81,11 @@
         *is_in_head = true;
         return BB_HEAD_LINE_STATUS;
     }
-    if (size == 0 || line[0] == '\r' || line[0] == '\n') {
+    size = size_without_line_end(line, size);
+    if (size == 0) {
         *is_in_head = false;
         return BB_HEAD_LINE_END;
     }
-    return is_field_line(line, size_without_line_end(line, size))
-               ? BB_HEAD_LINE_FIELD
-               : BB_HEAD_LINE_INVALID;
+    return is_field_line(line, size) ? BB_HEAD_LINE_FIELD
+                                     : BB_HEAD_LINE_INVALID;
 }
--- a/lib/http/bb_h1_client.c
+++ b/lib/http/bb_h1_client.c
@@ -235,8 +235,8 @@
     bb_h1_exchange_t *exchange = connection->exchange;
     const bb_h1_fields_t *fields = &connection->reader.fields;
 
-    BbH1Reader_EndHead(&connection->reader);
-    if (!BbHttpSyntax_IsStatus(parser->status_code)) {
+    if (!BbH1Reader_EndHead(&connection->reader) ||
+        !BbHttpSyntax_IsStatus(parser->status_code)) {
         return -1;
     }
     if (parser->status_code / 100 == 1) {
@@ -297,6 +297,7 @@
 
 static const http_parser_settings response_settings = {
     .on_message_begin = on_message_begin,
+    .on_status = BbH1Reader_OnReason,
     .on_header_field = BbH1Reader_OnField,
     .on_header_value = BbH1Reader_OnValue,
     .on_headers_complete = on_headers_complete,
--- a/lib/http/bb_h1_message.c
+++ b/lib/http/bb_h1_message.c
@@ -196,21 +196,40 @@
     BbH1Fields_Clear(&reader->fields);
     reader->head_bytes = 0;
     reader->in_value = false;
-    reader->is_in_fields = false;
-    reader->is_folded = false;
+    reader->is_in_head = false;
+    reader->has_malformed_line = false;
 }
 
-/* Searches the bytes of the fields up to end for a line that begins with a
- * blank. */
 static void
-scan_fields(bb_h1_reader_t *reader, const char *end)
+scan_byte(bb_h1_reader_t *reader)
 {
+    char c = *reader->scanned_to++;
+    bool is_bare_return = reader->last_scanned == '\r' && c != '\n';
+    bool is_folded = reader->last_scanned == '\n' && (c == ' ' || c == '\t');
+
+    if (is_bare_return || is_folded) {
+        reader->has_malformed_line = true;
+    }
+    reader->is_head_scanned = c == '\n' && reader->is_line_empty;
+    reader->is_line_empty =
+        c == '\n' || (c == '\r' && reader->last_scanned == '\n');
+    reader->last_scanned = c;
+}
+
+/* Checks the lines of the head up to end, where a callback's text ends. The
+ * first text is one in the first line or the first name. */
+static void
+scan_head(bb_h1_reader_t *reader, const char *at, const char *end)
+{
+    if (!reader->is_in_head) {
+        reader->is_in_head = true;
+        reader->scanned_to = at;
+        reader->last_scanned = '\0';
+        reader->is_line_empty = false;
+        reader->is_head_scanned = false;
+    }
     while (reader->scanned_to < end) {
-        char c = *reader->scanned_to++;
-        if (reader->is_after_line_feed && (c == ' ' || c == '\t')) {
-            reader->is_folded = true;
-        }
-        reader->is_after_line_feed = c == '\n';
+        scan_byte(reader);
     }
 }
 
@@ -220,9 +239,10 @@
                    size_t size)
 {
     reader->scanned_to = data;
+    reader->input_end = data + size;
     size_t used = http_parser_execute(&reader->parser, settings, data, size);
-    if (reader->is_in_fields) {
-        scan_fields(reader, data + size);
+    if (reader->is_in_head) {
+        scan_head(reader, data, reader->input_end);
     }
     return used;
 }
@@ -238,11 +258,19 @@
 {
     bb_h1_reader_t *reader = reader_of(parser);
 
+    scan_head(reader, at, at + length);
     reader->head_bytes += length;
     g_string_append_len(reader->target, at, (gssize)length);
     return 0;
 }
 
+int
+BbH1Reader_OnReason(http_parser *parser, const char *at, size_t length)
+{
+    scan_head(reader_of(parser), at, at + length);
+    return 0;
+}
+
 int
 BbH1Reader_OnField(http_parser *parser, const char *at, size_t length)
 {
@@ -252,17 +280,12 @@
         g_string_append_c(reader->fields.text, '\0');
         reader->in_value = false;
     }
-    if (!reader->is_in_fields) {
-        reader->is_in_fields = true;
-        reader->is_after_line_feed = false;
-        reader->scanned_to = at;
-    }
-    scan_fields(reader, at + length);
+    scan_head(reader, at, at + length);
     reader->head_bytes += length;
     g_string_append_len(reader->fields.text, at, (gssize)length);
     /* A name may come in several parts, of which the last one may be empty. */
     bool is_name = length == 0 || BbHttpSyntax_IsFieldName(at, length);
-    return is_name && !reader->is_folded ? 0 : -1;
+    return is_name && !reader->has_malformed_line ? 0 : -1;
 }
 
 int
@@ -274,21 +297,27 @@
         g_string_append_c(reader->fields.text, '\0');
         reader->in_value = true;
     }
-    scan_fields(reader, at + length);
+    scan_head(reader, at, at + length);
     reader->head_bytes += length;
     g_string_append_len(reader->fields.text, at, (gssize)length);
-    return !reader->is_folded && BbHttpSyntax_IsFieldValue(at, length) ? 0
-                                                                       : -1;
+    return !reader->has_malformed_line && BbHttpSyntax_IsFieldValue(at, length)
+               ? 0
+               : -1;
 }
 
-void
+bool
 BbH1Reader_EndHead(bb_h1_reader_t *reader)
 {
     if (reader->in_value) {
         g_string_append_c(reader->fields.text, '\0');
         reader->in_value = false;
     }
-    reader->is_in_fields = false;
+    while (reader->is_in_head && !reader->is_head_scanned &&
+           reader->scanned_to < reader->input_end) {
+        scan_byte(reader);
+    }
+    reader->is_in_head = false;
+    return !reader->has_malformed_line;
 }
 
 /* ---- sockets ---- */
--- a/lib/http/bb_h1_message.h
+++ b/lib/http/bb_h1_message.h
@@ -74,11 +74,14 @@
     bb_h1_fields_t fields;
     size_t head_bytes; /* of target, names and values read so far */
     bool in_value;     /* the last callback reported a value */
-    /* Search for folded lines, see BbH1Reader_Execute(). */
-    const char *scanned_to;
-    bool is_in_fields;
-    bool is_after_line_feed; /* the last scanned byte */
-    bool is_folded;
+    /* Check of the lines of the head, see BbH1Reader_Execute(). */
+    bool is_in_head;
+    const char *scanned_to; /* in the bytes being parsed, which end here: */
+    const char *input_end;
+    char last_scanned;
+    bool is_line_empty; /* up to the last scanned byte */
+    bool is_head_scanned;
+    bool has_malformed_line;
 } bb_h1_reader_t;
 
 void BbH1Reader_Init(bb_h1_reader_t *reader, enum http_parser_type type,
@@ -89,9 +92,11 @@
 void BbH1Reader_Clear(bb_h1_reader_t *reader);
 
 /* Parses bytes like http_parser_execute(), with settings that have the
- * callbacks below. Returns less than size also if a line in the fields begins
- * with a blank: http_parser takes it for a part of the field before it (line
- * folding, which RFC 9112 has deprecated, section 5.2). */
+ * callbacks below. Returns less than size also if the head or the trailers
+ * have
+ *   a line that begins with a blank, which http_parser takes for a part of the
+ *   field before it (line folding, deprecated by RFC 9112, section 5.2), or
+ *   CR without LF, behind which http_parser skips a byte in some places. */
 size_t BbH1Reader_Execute(bb_h1_reader_t *reader,
                           const http_parser_settings *settings,
                           const char *data, size_t size);
@@ -101,11 +106,13 @@
  * token, OnValue if a value holds a control byte: http_parser takes blanks in
  * names, and any byte as the first one of a value. */
 int BbH1Reader_OnTarget(http_parser *parser, const char *at, size_t length);
+int BbH1Reader_OnReason(http_parser *parser, const char *at, size_t length);
 int BbH1Reader_OnField(http_parser *parser, const char *at, size_t length);
 int BbH1Reader_OnValue(http_parser *parser, const char *at, size_t length);
 
-/* Terminates the last value; must be called when the head is complete. */
-void BbH1Reader_EndHead(bb_h1_reader_t *reader);
+/* Terminates the last value; must be called when the head is complete. Returns
+ * false if the end of the head is malformed. */
+bool BbH1Reader_EndHead(bb_h1_reader_t *reader);
 
 /* ---- sockets ---- */
 
--- a/lib/http/bb_h1_server.c
+++ b/lib/http/bb_h1_server.c
@@ -237,8 +237,8 @@
     bb_h1_request_t *request = connection->current_request;
     int64_t length;
 
-    BbH1Reader_EndHead(&connection->reader);
-    if (connection->reader.head_bytes > server->max_head_bytes ||
+    if (!BbH1Reader_EndHead(&connection->reader) ||
+        connection->reader.head_bytes > server->max_head_bytes ||
         BbH1Length_Read(&connection->reader.fields, &length) != 0) {
         return -1;
     }
--- a/tests/unit/broken_response_test.cc
+++ b/tests/unit/broken_response_test.cc
@@ -441,8 +441,12 @@
         response_cases::ResponseWithLine("A:\r\n y\r\n", false);
     const std::string folded_blank =
         response_cases::ResponseWithLine("A: x\r\n \r\n", false);
-    for (const std::string &text :
-         {valid, folded, folded_empty, folded_blank}) {
+    const std::string bare_return =
+        response_cases::ResponseWithLine("\rA: x\r\n", false);
+    const std::string bare_return_in_value =
+        response_cases::ResponseWithLine("A: \rx\r\n", false);
+    for (const std::string &text : {valid, folded, folded_empty, folded_blank,
+                                    bare_return, bare_return_in_value}) {
         for (size_t split = 1; split < text.size(); split++) {
             SCOPED_TRACE(split);
             SplitResponse parts = {nullptr, text.substr(split)};
--- a/tests/unit/response_cases.h
+++ b/tests/unit/response_cases.h
@@ -36,6 +36,10 @@
         "HTTP/1.1 200 OK: x\r\n",
         ": x\r\n",
         "No colon\r\n",
+        "\rA: x\r\n",
+        "A\rB: x\r\n",
+        "A\r: x\r\n",
+        "\r\r\n",
         std::string("A\0B: x\r\n", 8),
         std::string("A\0: x\r\n", 7),
     };
@@ -67,7 +71,7 @@
 {
     std::vector<std::string> lines;
 
-    for (char byte : std::string("\0\x01\b\v\f\x1f\x7f", 7)) {
+    for (char byte : std::string("\0\x01\b\v\f\r\x1f\x7f", 8)) {
         const std::string text(1, byte);
         lines.push_back("A: " + text + "x\r\n");
         lines.push_back("A: x" + text + "y\r\n");
