--- a/lib/http/bb_h1_message.c
+++ b/lib/http/bb_h1_message.c
@@ -216,8 +216,9 @@
     reader->last_scanned = c;
 }
 
-/* Checks the lines of the head up to end, where a callback's text ends. The
- * first text is one in the first line or the first name. */
+/* Checks the lines of the head up to end. The first call for a message gives
+ * where the check starts: the target or reason in its first line or, without a
+ * reason, its first name. */
 static void
 scan_head(bb_h1_reader_t *reader, const char *at, const char *end)
 {
