Head checks: less state in the reader, one list of broken lines for tests

- bb_h1_reader_t: whether a scanned byte ends the head is the result of scan_byte(), not a field that only BbH1Reader_EndHead() reads.
- response_cases.h: Response() no longer takes fields, which ResponseWithLine() does; the list for readers that use libcurl leaves out lines by what they begin with instead of by their place, and holds names, values and folded lines together, so ForwardsValidFieldsOnly has one loop for them.
Buffered requests are now also checked with bad values and folded lines.
- Tests: the deadline field by its constant, the two counters of lost calls summed in one place.

--- a/lib/http/bb_h1_message.c
+++ b/lib/http/bb_h1_message.c
@@ -200,20 +200,22 @@
     reader->has_malformed_line = false;
 }
 
-static void
+/* Returns true if the byte ends the head. */
+static bool
 scan_byte(bb_h1_reader_t *reader)
 {
     char c = *reader->scanned_to++;
+    bool is_head_end = c == '\n' && reader->is_line_empty;
     bool is_bare_return = reader->last_scanned == '\r' && c != '\n';
     bool is_folded = reader->last_scanned == '\n' && (c == ' ' || c == '\t');
 
     if (is_bare_return || is_folded) {
         reader->has_malformed_line = true;
     }
-    reader->is_head_scanned = c == '\n' && reader->is_line_empty;
     reader->is_line_empty =
         c == '\n' || (c == '\r' && reader->last_scanned == '\n');
     reader->last_scanned = c;
+    return is_head_end;
 }
 
 /* Checks the lines of the head up to end. The first call for a message gives
@@ -227,7 +229,6 @@
         reader->scanned_to = at;
         reader->last_scanned = '\0';
         reader->is_line_empty = false;
-        reader->is_head_scanned = false;
     }
     while (reader->scanned_to < end) {
         scan_byte(reader);
@@ -313,9 +314,8 @@
         g_string_append_c(reader->fields.text, '\0');
         reader->in_value = false;
     }
-    while (reader->is_in_head && !reader->is_head_scanned &&
-           reader->scanned_to < reader->input_end) {
-        scan_byte(reader);
+    while (reader->is_in_head && reader->scanned_to < reader->input_end) {
+        reader->is_in_head = !scan_byte(reader);
     }
     reader->is_in_head = false;
     return !reader->has_malformed_line;
--- a/lib/http/bb_h1_message.h
+++ b/lib/http/bb_h1_message.h
@@ -80,7 +80,6 @@
     const char *input_end;
     char last_scanned;
     bool is_line_empty; /* up to the last scanned byte */
-    bool is_head_scanned;
     bool has_malformed_line;
 } bb_h1_reader_t;
 
--- a/tests/unit/broken_response_test.cc
+++ b/tests/unit/broken_response_test.cc
@@ -145,8 +145,11 @@
     // target's failure is counted.
     void ExpectBroken(const Node &serving)
     {
-        int64_t lost = BbCounters_Get(BB_COUNTER_REFUSED_TARGET_LOST) +
-                       BbCounters_Get(BB_COUNTER_REFUSED_TARGET_SURPLUS);
+        auto count_lost = [] {
+            return BbCounters_Get(BB_COUNTER_REFUSED_TARGET_LOST) +
+                   BbCounters_Get(BB_COUNTER_REFUSED_TARGET_SURPLUS);
+        };
+        int64_t lost = count_lost();
         EXPECT_EQ(Call(serving),
                   "HTTP/1.1 502 Bad Gateway\r\nCall-Id: " + last_id +
                       "\r\nContent-Length: 0\r\n\r\n");
@@ -154,9 +157,7 @@
         EXPECT_TRUE(loop.RunUntil(
             [&] { return target.requests.back().connection->is_closed; },
             1.0));
-        EXPECT_EQ(BbCounters_Get(BB_COUNTER_REFUSED_TARGET_LOST) +
-                      BbCounters_Get(BB_COUNTER_REFUSED_TARGET_SURPLUS),
-                  lost + 1);
+        EXPECT_EQ(count_lost(), lost + 1);
         bb_load_t load = {};
         BbTargetIo_GetLoad(node.target_io, "once", &load);
         EXPECT_GT(load.fail_permille, 0);
--- a/tests/unit/proxy_test.cc
+++ b/tests/unit/proxy_test.cc
@@ -733,7 +733,8 @@
     std::string PostWithLine(const Node &node, const std::string &line)
     {
         return ExchangeRaw(node, "POST /x HTTP/1.1\r\nHost: h\r\n" + line +
-                                     "Burdock-Deadline-Ms: 500\r\n"
+                                     BB_HEADER_DEADLINE
+                                     ": 500\r\n"
                                      "Connection: close\r\n"
                                      "Content-Length: 1\r\n\r\nx")
             .substr(9, 3);
@@ -1036,17 +1037,7 @@
     for (bool is_first : {true, false}) {
         for (const Node *node : {&a, &b}) {
             for (const std::string &line :
-                 response_cases::BadFieldLinesForLibcurl()) {
-                raw.response =
-                    response_cases::ResponseWithLine(line, is_first);
-                ExpectBrokenResponse(*node, &raw);
-            }
-            for (const std::string &line : response_cases::BadValueLines()) {
-                raw.response =
-                    response_cases::ResponseWithLine(line, is_first);
-                ExpectBrokenResponse(*node, &raw);
-            }
-            for (const char *line : response_cases::kFoldedFieldLines) {
+                 response_cases::BrokenLinesForLibcurl()) {
                 raw.response =
                     response_cases::ResponseWithLine(line, is_first);
                 ExpectBrokenResponse(*node, &raw);
@@ -1063,7 +1054,7 @@
             }
         }
         for (const std::string &line :
-             response_cases::BadFieldLinesForLibcurl()) {
+             response_cases::BrokenLinesForLibcurl()) {
             raw.response = response_cases::ResponseWithLine(line, is_first);
             SCOPED_TRACE(testing::PrintToString(raw.response));
             EXPECT_EQ(RequestBuffered(raw.address), BB_ERR_UNAVAILABLE);
@@ -1137,7 +1128,7 @@
     Announce(raw.address);
     for (const Node *node : {&a, &b}) {
         for (int i = 0; i < 20; i++) {
-            raw.response = response_cases::Response("200", "A: x\r\n");
+            raw.response = response_cases::ResponseWithLine("A: x\r\n", false);
             EXPECT_EQ(Call(*node, "POST", "/x", 0)->body, "ok");
             raw.response = response_cases::ResponseWithLine(" A: x\r\n", true);
             Call(*node, "POST", "/x", 0);
--- a/tests/unit/response_cases.h
+++ b/tests/unit/response_cases.h
@@ -3,6 +3,7 @@
 #ifndef RESPONSE_CASES_H
 #define RESPONSE_CASES_H
 
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -19,10 +20,10 @@
 // A response with the body "ok". Targets and the store send the seal field
 // too, which the store's readers ignore.
 inline std::string
-Response(const std::string &status, const std::string &fields = "")
+Response(const std::string &status)
 {
-    return "HTTP/1.1 " + status + " Reason\r\nSeal: s\r\n" + fields +
-           "Content-Length: 2\r\n\r\nok";
+    return "HTTP/1.1 " + status +
+           " Reason\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
 }
 
 // Field lines whose name is not a token, or that have none.
@@ -30,7 +31,7 @@
 BadFieldLines()
 {
     std::vector<std::string> lines = {
-        std::string("\0A: x\r\n", 7), // see BadFieldLinesForLibcurl()
+        std::string("\0A: x\r\n", 7),
         "Content-Length : 1\r\n",
         "Transfer-Encoding : chunked\r\n",
         "HTTP/1.1 200 OK: x\r\n",
@@ -54,17 +55,6 @@
     return lines;
 }
 
-// The same for readers that use libcurl, which stops in front of a line that
-// begins with NUL.
-inline std::vector<std::string>
-BadFieldLinesForLibcurl()
-{
-    std::vector<std::string> lines = BadFieldLines();
-
-    lines.erase(lines.begin());
-    return lines;
-}
-
 // Field lines with a control byte other than a tab in the value.
 inline std::vector<std::string>
 BadValueLines()
@@ -86,6 +76,25 @@
     "A:\r\n x\r\n",      "A: x\r\n \r\n",   "A:\r\n \r\n",
 };
 
+// All of these for readers that use libcurl, which stops in front of a line
+// that begins with NUL.
+inline std::vector<std::string>
+BrokenLinesForLibcurl()
+{
+    std::vector<std::string> lines(std::begin(kFoldedFieldLines),
+                                   std::end(kFoldedFieldLines));
+
+    for (const std::string &line : BadFieldLines()) {
+        if (line[0] != '\0') {
+            lines.push_back(line);
+        }
+    }
+    for (const std::string &line : BadValueLines()) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
 // Names of all characters of a token, and values with their unusual ones.
 const char *const kGoodFieldLines[] = {
     "!#$%&'*+-.^_`|~0123456789: x\r\n",
