--- a/review/lab-2/cases.c
+++ b/review/lab-2/cases.c
@@ -39,6 +39,9 @@
         "\",\"path_rules\":[{\"name\":\"lookup\",\"prefix\":\"/lookup/\","
         "\"kind\":\"safe\",\"timeout_s\":1,\"target_latency_s\":0.5,"
         "\"priority\":2,\"service\":\"%s\",\"max_attempts\":2},"
+        "{\"name\":\"order\",\"prefix\":\"/order/\","
+        "\"kind\":\"unsafe\",\"timeout_s\":1.2,\"target_latency_s\":0.6,"
+        "\"priority\":1,\"service\":\"alpha\",\"max_attempts\":2},"
         "{\"name\":\"other\",\"prefix\":\"/other/\",\"kind\":\"safe\","
         "\"timeout_s\":1,\"target_latency_s\":0.5,\"priority\":2,"
         "\"service\":\"beta\",\"max_attempts\":2}]}]}",
@@ -361,6 +364,46 @@
     return lost > 3;
 }
 
+/* ---- surplus bytes: a client gets them as its answer ---- */
+
+/* Sends calls one after the other; returns how many got a success whose body
+ * is not that of the backend. */
+static int
+count_foreign(lab_node_t nodes[4], const char *method, const char *path)
+{
+    int foreign = 0;
+
+    for (int i = 0; i < 60; i++) {
+        char expected[2 * LAB_TEXT];
+        lab_answer_t answer =
+            Lab_CallWith(&nodes[i % 3], method, HOST, path, 2000);
+        snprintf(expected, sizeof(expected), "answer to %s",
+                 answer.attempt_id);
+        if (answer.status == 200 && strcmp(answer.body, expected) != 0) {
+            foreign++;
+            Lab_Record("broken: %s got a success with the body \"%s\"",
+                       answer.attempt_id, answer.body);
+        }
+    }
+    return foreign;
+}
+
+static int
+run_surplus(void)
+{
+    lab_node_t nodes[4];
+
+    start_fleet(nodes);
+    if (has_trouble) {
+        nodes[0].mode = LAB_SURPLUS;
+    }
+    int reads = count_foreign(nodes, "GET", "/lookup/2");
+    int orders = count_foreign(nodes, "POST", "/order/2");
+    Lab_Record("%d lookups and %d orders of 60 each got bytes of no response",
+               reads, orders);
+    return reads + orders > 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -371,7 +414,8 @@
                  {"lost-leave", run_lost_leave},
                  {"stale-record", run_stale_record},
                  {"endless", run_endless},
-                 {"malformed", run_malformed}};
+                 {"malformed", run_malformed},
+                 {"surplus", run_surplus}};
     const char *trouble = getenv("TROUBLE");
 
     has_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -430,6 +430,9 @@
     pthread_attr_destroy(&attributes);
 }
 
+/* Connections on which a backend has answered; by number of the descriptor. */
+static bool is_used[4096];
+
 static void
 add_connection(lab_server_t *server, int fd)
 {
@@ -437,6 +440,7 @@
     int slot = 0;
 
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    is_used[fd % 4096] = false;
     pthread_mutex_lock(&server->lock);
     while (slot < MAX_CONNECTIONS && server->connections[slot] >= 0) {
         slot++;
@@ -543,6 +547,18 @@
     }
 }
 
+static bool
+is_on_kept_connection(int fd)
+{
+    return is_used[fd % 4096];
+}
+
+static void
+note_use(int fd)
+{
+    is_used[fd % 4096] = true;
+}
+
 static void
 handle_backend_request(int fd, lab_message_t *request, void *arg)
 {
@@ -560,6 +576,15 @@
                      id, node->id);
         return;
     }
+    if (is_on_kept_connection(fd) && node->mode == LAB_SURPLUS) {
+        Lab_Record("backend %s: surplus bytes, while %s is awaited", node->id,
+                   id);
+        Lab_SendText(fd,
+                     "HTTP/1.1 200 OK\r\nX-Server-Seal: %s\r\n"
+                     "Content-Length: 7\r\n\r\nsurplus",
+                     node->id);
+    }
+    note_use(fd);
     node->runs++;
     node->last_run_at = Lab_Now();
     Lab_Record("backend %s (%s): runs %s %s %s", node->id, node->service, id,
@@ -571,10 +596,11 @@
         shutdown(fd, SHUT_RDWR);
         return;
     }
-    Lab_SendText(fd,
-                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
-                 "X-Server-Seal: %s\r\nContent-Length: 5\r\n\r\nhello",
-                 id, node->id);
+    Lab_SendText(
+        fd,
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+        "X-Server-Seal: %s\r\nContent-Length: %zu\r\n\r\nanswer to %s",
+        id, node->id, strlen("answer to ") + strlen(id), id);
 }
 
 int
@@ -778,8 +804,8 @@
 /* ---- clients ---- */
 
 lab_answer_t
-Lab_Call(const lab_node_t *node, const char *host, const char *path,
-         int deadline_ms)
+Lab_CallWith(const lab_node_t *node, const char *method, const char *host,
+             const char *path, int deadline_ms)
 {
     static int calls;
     lab_answer_t answer = {.sent_at = Lab_Now()};
@@ -793,24 +819,34 @@
     }
     lab_stream_t stream = {.fd = fd};
     Lab_SendText(fd,
-                 "GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n"
-                 "X-Deadline-Ms: %d\r\n\r\n",
-                 path, host, answer.attempt_id, deadline_ms);
+                 "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n"
+                 "X-Deadline-Ms: %d\r\n%s\r\n",
+                 method, path, host, answer.attempt_id, deadline_ms,
+                 strcmp(method, "POST") == 0 ? "Content-Length: 0\r\n" : "");
     if (Lab_ReadMessage(&stream, &response,
                         answer.sent_at + deadline_ms / 1000.0)) {
         answer.status = response.status;
         Lab_Field(&response, "X-Server-Seal", answer.backend,
                   sizeof(answer.backend));
+        snprintf(answer.body, sizeof(answer.body), "%s", response.body);
         Lab_FreeMessage(&response);
     }
     close(fd);
     free(stream.bytes);
-    Lab_Record("client at %s: %s GET %s%s sent at %.3f, status %d from %s",
-               node->name, answer.attempt_id, host, path, answer.sent_at,
-               answer.status, answer.backend);
+    Lab_Record("client at %s: %s %s %s%s sent at %.3f, status %d from %s, "
+               "\"%s\"",
+               node->name, answer.attempt_id, method, host, path,
+               answer.sent_at, answer.status, answer.backend, answer.body);
     return answer;
 }
 
+lab_answer_t
+Lab_Call(const lab_node_t *node, const char *host, const char *path,
+         int deadline_ms)
+{
+    return Lab_CallWith(node, "GET", host, path, deadline_ms);
+}
+
 lab_answer_t
 Lab_CallUntilServed(const lab_node_t *node, const char *host, const char *path,
                     double timeout_s)
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -99,6 +99,7 @@
 typedef enum {
     LAB_SOUND,
     LAB_ENDLESS, /* some responses are bytes without end */
+    LAB_SURPLUS, /* bytes behind a complete response, which arrive late */
 } lab_mode_t;
 
 typedef struct {
@@ -142,10 +143,15 @@
     int status;             /* 0 without a whole response */
     char backend[LAB_TEXT]; /* id of the backend that answered, or empty */
     char attempt_id[LAB_TEXT];
+    char body[LAB_TEXT];
     double sent_at;
 } lab_answer_t;
 
-/* Sends one GET to the clients' address of a node. */
+/* Sends one request without a body to the clients' address of a node. */
+lab_answer_t Lab_CallWith(const lab_node_t *node, const char *method,
+                          const char *host, const char *path, int deadline_ms);
+
+/* The same with GET. */
 lab_answer_t Lab_Call(const lab_node_t *node, const char *host,
                       const char *path, int deadline_ms);
 
